Add the core types and the reducer

Events and effects are typed structs. node.State has the one Reduce; query, admit, route and retry hold the decisions of a traffic state, plane those of the control state.

--- /dev/null
+++ b/core/effect/control.go
@@ -0,0 +1,69 @@
+package effect
+
+import (
+	"net/netip"
+	"time"
+
+	"comfreypulley/core/entry"
+	"comfreypulley/core/frame"
+	"comfreypulley/core/model"
+)
+
+// Tell sends a message to another VM. It may be lost.
+type Tell struct {
+	To      model.VMID
+	Addr    netip.AddrPort
+	Message frame.Message
+}
+
+// Append writes entries to the log, replacing any from the first one's index
+// on, and syncs them. The result is event.Synced.
+type Append struct{ Entries []entry.Entry }
+
+// Vote writes and syncs the term and the vote given in it. The result is
+// event.Synced.
+type Vote struct {
+	Term uint64
+	Vote entry.Replica // zero when no vote was given
+}
+
+// Save writes and syncs an image and drops the entries it covers. The result
+// is event.Synced.
+type Save struct{ Image entry.Image }
+
+// Respond answers an operator's command or inquiry.
+type Respond struct {
+	N      uint64
+	Result entry.Result
+	Status *Status // for an inquiry
+}
+
+// Status is what a VM knows of the fleet.
+type Status struct {
+	VM       model.VMID
+	Zone     model.Zone
+	Leader   model.VMID // "" when unknown
+	Term     uint64
+	Commit   uint64
+	Age      time.Duration // since a majority was last heard of
+	Current  bool          // the leader confirmed that the configuration is the newest
+	Topology *model.Topology
+	Heard    []frame.Heard
+	History  []Note
+}
+
+// Note records a decision and its cause in the event history and the log.
+type Note struct {
+	At      time.Time
+	Subject string // what it is about, such as "upstream u3" or "log"
+	Action  string // what was done
+	Cause   string // why
+	Alert   bool   // an operator should act
+}
+
+func (Tell) effect()    {}
+func (Append) effect()  {}
+func (Vote) effect()    {}
+func (Save) effect()    {}
+func (Respond) effect() {}
+func (Note) effect()    {}
--- /dev/null
+++ b/core/event/bridge.go
@@ -0,0 +1,50 @@
+package event
+
+import (
+	"time"
+
+	"comfreypulley/core/entry"
+	"comfreypulley/core/model"
+)
+
+// View publishes the configuration in force and the shares of this VM to the
+// traffic states. Its contents are immutable.
+type View struct {
+	Topology *model.Topology
+	Share    model.Share
+}
+
+// Summary tells the control state what a traffic state has in hand.
+type Summary struct {
+	Loop   int
+	Demand map[string]int // requests in flight and queued, by customer
+}
+
+// Propose asks the control state to commit a claim, settlement or release. The
+// answer is a Proposed with the same loop and request.
+type Propose struct {
+	Loop    int
+	Request model.RequestID
+	Command entry.Command
+	Until   time.Time // when the traffic state gives up
+}
+
+// Proposed answers Propose.
+type Proposed struct {
+	Request model.RequestID
+	Command entry.Command // as proposed
+	Result  entry.Result
+}
+
+// Struck shares strikes against a fingerprint between traffic states and VMs.
+type Struck struct {
+	Fingerprint model.Fingerprint
+	Upstreams   []model.UpstreamID
+	Quarantine  time.Duration // remaining, 0 when not quarantined
+}
+
+func (View) body()     {}
+func (Summary) body()  {}
+func (Propose) body()  {}
+func (Proposed) body() {}
+func (Struck) body()   {}
--- /dev/null
+++ b/core/event/event.go
@@ -0,0 +1,81 @@
+// Package event holds every input of the reducer.
+//
+// # Usage
+//
+// A front end builds an [Event] from what it received and the time at which it
+// received it, and gives it to node.State.Reduce. The reducer knows no other
+// time than the one in the event.
+//
+//	out = state.Reduce(event.Event{At: now, Body: event.Gone{Request: 7}}, out[:0])
+package event
+
+import (
+	"time"
+
+	"comfreypulley/core/model"
+)
+
+// Event is one input with the time at which it happened.
+type Event struct {
+	At   time.Time
+	Body Body
+}
+
+// Body is one of the event types of this package.
+type Body interface{ body() }
+
+// Role selects which part of the reducer a state runs.
+type Role uint8
+
+// Roles of a state. A process has one control state and one or more traffic
+// states.
+const (
+	RoleTraffic Role = iota
+	RoleControl
+)
+
+// Start is the first event of every state.
+type Start struct {
+	Role    Role
+	VM      model.VM
+	Seed    uint64          // of the random source in the state
+	Began   time.Time       // start of the process
+	Loop    int             // index of the traffic loop
+	Loops   int             // number of traffic loops, over which shares are divided
+	Plain   bool            // plain baseline policy: random replica, fixed timeout, no hedge
+	Peers   []model.VM      // VMs known from the settings before any configuration
+	Genesis *model.Topology // configuration from the settings, for a fleet without disk VMs; nil otherwise
+}
+
+// Drain asks the state to accept no new work, to end what is in flight and to
+// report effect.Drained.
+type Drain struct{}
+
+// Timer tells that a timer set by effect.SetTimer is due.
+type Timer struct{ ID TimerID }
+
+// TimerID identifies a timer of one state.
+type TimerID struct {
+	Kind TimerKind
+	N    uint64
+}
+
+// TimerKind is the family a timer belongs to.
+type TimerKind uint8
+
+// Timer kinds.
+const (
+	TimerQuery    TimerKind = iota // N is the request id
+	TimerProbe                     // N is 0
+	TimerSweep                     // traffic housekeeping, N is 0
+	TimerElection                  // log, N is 0
+	TimerBeat                      // log, N is 0
+	TimerTree                      // distribution tree, N is 0
+	TimerMember                    // liveness, N is 0
+	TimerLease                     // shares, N is 0
+	TimerPropose                   // forwarded commands, N is 0
+)
+
+func (Start) body() {}
+func (Drain) body() {}
+func (Timer) body() {}
--- /dev/null
+++ b/core/model/topology.go
@@ -0,0 +1,106 @@
+package model
+
+import (
+	"net/netip"
+	"time"
+)
+
+// Zone names an availability zone.
+type Zone string
+
+// UpstreamID names an upstream; it stays the same when the address changes.
+type UpstreamID string
+
+// VMID names a VM that runs a process of the tier.
+type VMID string
+
+// Revision numbers the configuration. Revisions only grow.
+type Revision uint64
+
+// UpstreamState is the administrative state of an upstream or VM.
+type UpstreamState uint8
+
+// The zero value is StateActive.
+const (
+	StateActive UpstreamState = iota
+	StateDraining
+)
+
+// String returns the name used in settings and operator answers.
+func (s UpstreamState) String() string {
+	if s == StateDraining {
+		return "draining"
+	}
+	return "active"
+}
+
+// Upstream is one replica process that holds shards of an index.
+type Upstream struct {
+	ID    UpstreamID
+	Addr  netip.AddrPort
+	Zone  Zone
+	Index string
+	Slots int           // requests it runs at once
+	Conns int           // connections it accepts in total
+	Dial  time.Duration // cost of a new connection
+	State UpstreamState
+
+	Revision Revision // of the last change
+}
+
+// VM is one machine that runs an entry process.
+type VM struct {
+	ID    VMID
+	Zone  Zone
+	Peer  netip.AddrPort // listener for the other VMs
+	Disk  bool           // has a data folder and may replicate the log
+	State UpstreamState
+
+	Revision Revision // of the last change
+}
+
+// Topology is the configuration in force. It is immutable once published.
+type Topology struct {
+	Revision  Revision
+	Contracts map[string]Contract
+	Upstreams map[UpstreamID]Upstream
+	VMs       map[VMID]VM
+}
+
+// Share is the part of the fleet-wide limits that one traffic state may use.
+type Share struct {
+	Concurrency map[string]int     // requests in flight by customer
+	Conns       map[UpstreamID]int // connections by upstream
+}
+
+// Version numbers a snapshot of an index. A newer snapshot has a higher number.
+type Version uint64
+
+// Holding is what an upstream reports about one version.
+type Holding struct {
+	Index   string
+	Version Version
+	Shards  int   // shards of the whole version
+	Holds   []int // shards this upstream holds
+}
+
+// Load is a load report of an upstream.
+type Load struct {
+	Inflight int
+	Queued   int
+	Slots    int
+}
+
+// Path states how an attempt reaches its upstream. Only direct paths are built
+// today; at a size where not every VM may dial every upstream, Owner names the
+// VM that holds the connections.
+type Path struct {
+	Owner VMID // empty for a direct path
+}
+
+// DiskID identifies a data folder. It is drawn when the folder is first used,
+// so that a VM that lost its disk is not taken for the one that voted before.
+type DiskID uint64
+
+// OpID identifies an operator's command across resends.
+type OpID string
--- /dev/null
+++ b/core/node/bridge.go
@@ -0,0 +1,23 @@
+package node
+
+import (
+	"time"
+
+	"comfreypulley/core/effect"
+	"comfreypulley/core/event"
+)
+
+// bridge handles events between the control state and the traffic states of a
+// process.
+func (s *State) bridge(at time.Time, body event.Body, out []effect.Effect) []effect.Effect {
+	switch body := body.(type) {
+	case event.View:
+		return s.traffic.View(at, body, out)
+	case event.Proposed:
+		return s.traffic.Proposed(at, body, out)
+	case event.Propose:
+		return s.control.Propose(at, body, out)
+	default:
+		return out
+	}
+}
--- /dev/null
+++ b/core/node/caller.go
@@ -0,0 +1,20 @@
+package node
+
+import (
+	"time"
+
+	"comfreypulley/core/effect"
+	"comfreypulley/core/event"
+)
+
+// caller handles what callers do.
+func (s *State) caller(at time.Time, body event.Body, out []effect.Effect) []effect.Effect {
+	switch body := body.(type) {
+	case event.Request:
+		return s.traffic.Request(at, body, out)
+	case event.Gone:
+		return s.traffic.Gone(at, body, out)
+	default:
+		return out
+	}
+}
--- /dev/null
+++ b/core/node/life.go
@@ -0,0 +1,30 @@
+package node
+
+import (
+	"time"
+
+	"comfreypulley/core/effect"
+	"comfreypulley/core/event"
+)
+
+func (s *State) begin(at time.Time, start event.Start, out []effect.Effect) []effect.Effect {
+	s.role = start.Role
+	if s.role == event.RoleControl {
+		return s.control.Start(at, start, out)
+	}
+	return s.traffic.Start(at, start, out)
+}
+
+func (s *State) drain(at time.Time, out []effect.Effect) []effect.Effect {
+	if s.role == event.RoleControl {
+		return append(out, effect.Drained{})
+	}
+	return s.traffic.Drain(at, out)
+}
+
+func (s *State) timer(at time.Time, id event.TimerID, out []effect.Effect) []effect.Effect {
+	if s.role == event.RoleControl {
+		return out
+	}
+	return s.traffic.Timer(at, id, out)
+}
--- /dev/null
+++ b/core/node/state.go
@@ -0,0 +1,36 @@
+package node
+
+import (
+	"comfreypulley/core/effect"
+	"comfreypulley/core/event"
+	"comfreypulley/core/plane"
+	"comfreypulley/core/query"
+)
+
+// State is the state of one goroutine: control or traffic, as event.Start says.
+// The zero value waits for event.Start.
+type State struct {
+	role    event.Role
+	traffic query.Table
+	control plane.Control
+}
+
+// Reduce takes an event into the state and appends the effects to out.
+func (s *State) Reduce(ev event.Event, out []effect.Effect) []effect.Effect {
+	switch body := ev.Body.(type) {
+	case event.Start:
+		return s.begin(ev.At, body, out)
+	case event.Drain:
+		return s.drain(ev.At, out)
+	case event.Timer:
+		return s.timer(ev.At, body.ID, out)
+	case event.Request, event.Gone:
+		return s.caller(ev.At, body, out)
+	case event.Answered, event.Failed, event.Reported:
+		return s.upstream(ev.At, body, out)
+	case event.View, event.Summary, event.Propose, event.Proposed, event.Struck:
+		return s.bridge(ev.At, body, out)
+	default:
+		return out
+	}
+}
--- /dev/null
+++ b/core/route/doc.go
@@ -0,0 +1,15 @@
+// Package route knows the upstreams and chooses a replica for each attempt.
+//
+// # Usage
+//
+//	var m route.Map
+//	m.SetTopology(at, view.Topology, view.Share, zone)
+//	m.Report(at, reported)
+//	version, shards, ok := m.Pin("pairing")
+//	choice, ok := m.Pick(at, "pairing", version, 3, nil)
+//	m.Begin(at, choice.Upstream)
+//	m.Answered(at, choice.Upstream, latency, load, fresh)
+//
+// All state is that of one traffic goroutine. Latencies are time.Duration;
+// loads are requests.
+package route
