--- /dev/null
+++ b/io/cmds/main.go
@@ -0,0 +1,59 @@
+package cmds
+
+import (
+	"context"
+	"fmt"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/json"
+)
+
+// commands is the grammar of the command line.
+type commands struct {
+	Serve    serveCommand    `cmd:"" help:"Run an entry VM."`
+	Upstream upstreamCommand `cmd:"" help:"Run a stand-in upstream."`
+	Load     loadCommand     `cmd:"" help:"Send queries as callers do and report latencies."`
+	Check    checkCommand    `cmd:"" help:"Check a settings or fleet file."`
+	Demo     demoCommand     `cmd:"" help:"Run zones of VMs, stand-in upstreams and a load in one process."`
+}
+
+// scope is what every subcommand gets.
+type scope struct {
+	ctx    context.Context
+	logger log.Interface
+}
+
+// Main runs the command line and returns the exit status.
+func Main(args []string) int {
+	var c commands
+	status := 0
+	parser, err := kong.New(&c,
+		kong.Name("comfreypulley"),
+		kong.Description("Query tier over many shards."),
+		kong.Exit(func(n int) { status = n }),
+	)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "comfreypulley:", err)
+		return 2
+	}
+	parsed, err := parser.Parse(args)
+	if err != nil {
+		fmt.Fprintln(os.Stderr, "comfreypulley:", err)
+		return 2
+	}
+	if parsed.Command() == "" {
+		return status
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	logger := &log.Logger{Handler: json.New(os.Stderr), Level: log.InfoLevel}
+	if err := parsed.Run(&scope{ctx: ctx, logger: logger}); err != nil {
+		fmt.Fprintln(os.Stderr, "comfreypulley:", err)
+		return 1
+	}
+	return 0
+}
--- /dev/null
+++ b/io/dialer/dialer.go
@@ -0,0 +1,149 @@
+package dialer
+
+import (
+	"context"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"time"
+
+	"comfreypulley/core/effect"
+	"comfreypulley/core/event"
+	"comfreypulley/core/model"
+)
+
+// Bounds of connections and answers.
+const (
+	dialTimeout = 2 * time.Second
+	idleTimeout = 90 * time.Second
+	maxAnswer   = 8 << 20 // bytes of one shard's answer
+	maxHeader   = 64 << 10
+)
+
+// Dialer carries out attempts and probes. Post and Origin are set before use.
+type Dialer struct {
+	Post   func(event.Body)
+	Origin string // prefix that makes request ids unique across VMs and restarts
+
+	mu        sync.Mutex
+	upstreams map[model.UpstreamID]*client
+	calls     map[model.AttemptID]context.CancelFunc
+	closed    bool
+	wg        sync.WaitGroup
+}
+
+// client holds the connections to one upstream.
+type client struct {
+	transport *http.Transport
+	conns     int
+	addr      netip.AddrPort
+}
+
+// Limit sets the connections to an upstream. A changed limit uses a new pool;
+// the attempts in flight end on the old one.
+func (d *Dialer) Limit(l effect.Limit) {
+	d.mu.Lock()
+	defer d.mu.Unlock()
+	if d.upstreams == nil {
+		d.upstreams = make(map[model.UpstreamID]*client)
+	}
+	known, ok := d.upstreams[l.Upstream]
+	if ok && known.conns == l.Conns && known.addr == l.Addr {
+		return
+	}
+	if ok {
+		known.transport.DisableKeepAlives = true
+		known.transport.CloseIdleConnections()
+		delete(d.upstreams, l.Upstream)
+	}
+	if l.Conns > 0 {
+		d.upstreams[l.Upstream] = &client{transport: newTransport(l.Conns), conns: l.Conns, addr: l.Addr}
+	}
+}
+
+func newTransport(conns int) *http.Transport {
+	dial := net.Dialer{Timeout: dialTimeout}
+	return &http.Transport{
+		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			conn, err := dial.DialContext(ctx, network, addr)
+			if err != nil {
+				return nil, err
+			}
+			return &countedConn{Conn: conn}, nil
+		},
+		MaxConnsPerHost:        conns,
+		MaxIdleConnsPerHost:    conns,
+		IdleConnTimeout:        idleTimeout,
+		DisableCompression:     true,
+		MaxResponseHeaderBytes: maxHeader,
+	}
+}
+
+// Send starts an attempt.
+func (d *Dialer) Send(s effect.Send) {
+	ctx, cancel := context.WithTimeout(context.Background(), s.Timeout)
+	d.mu.Lock()
+	known, ok := d.upstreams[s.Upstream]
+	if !ok || d.closed {
+		d.mu.Unlock()
+		cancel()
+		d.Post(event.Failed{Attempt: s.Attempt, Reason: model.FailedRefused, Ran: model.RanNo})
+		return
+	}
+	if d.calls == nil {
+		d.calls = make(map[model.AttemptID]context.CancelFunc)
+	}
+	d.calls[s.Attempt] = cancel
+	d.wg.Add(1)
+	d.mu.Unlock()
+	c := &call{dialer: d, transport: known.transport, send: s}
+	go c.run(ctx)
+}
+
+// Cancel ends an attempt early.
+func (d *Dialer) Cancel(c effect.Cancel) {
+	d.mu.Lock()
+	cancel, ok := d.calls[c.Attempt]
+	d.mu.Unlock()
+	if ok {
+		cancel()
+	}
+}
+
+// Probe asks an upstream for its report.
+func (d *Dialer) Probe(p effect.Probe) {
+	d.mu.Lock()
+	known, ok := d.upstreams[p.Upstream]
+	if !ok || d.closed {
+		d.mu.Unlock()
+		return
+	}
+	d.wg.Add(1)
+	d.mu.Unlock()
+	r := &report{dialer: d, transport: known.transport, probe: p}
+	go r.run()
+}
+
+// Close cancels what is in flight and waits for it.
+func (d *Dialer) Close() {
+	d.mu.Lock()
+	d.closed = true
+	for _, cancel := range d.calls {
+		cancel()
+	}
+	for _, c := range d.upstreams {
+		c.transport.CloseIdleConnections()
+	}
+	d.mu.Unlock()
+	d.wg.Wait()
+}
+
+func (d *Dialer) ended(id model.AttemptID) {
+	d.mu.Lock()
+	cancel := d.calls[id]
+	delete(d.calls, id)
+	d.mu.Unlock()
+	cancel()
+	d.wg.Done()
+}
--- /dev/null
+++ b/io/dialer/doc.go
@@ -0,0 +1,13 @@
+// Package dialer sends attempts and probes to upstreams over HTTP.
+//
+// # Usage
+//
+//	d := &dialer.Dialer{Post: loop.Post, Origin: "vm1-1718000000"}
+//	d.Limit(effect.Limit{Upstream: "u1", Conns: 3})
+//	d.Send(effect.Send{...}) // ends in event.Answered or event.Failed
+//	d.Close()
+//
+// Connections to an upstream never exceed the limit set for it. Timeouts are
+// those of the effects. The HTTP protocol is described in docs/design.md,
+// section 5.2.
+package dialer
--- /dev/null
+++ b/io/serve/control.go
@@ -0,0 +1,36 @@
+package serve
+
+import (
+	"github.com/apex/log"
+
+	"comfreypulley/core/effect"
+	"comfreypulley/io/loop"
+)
+
+// control carries out the effects of the control loop.
+type control struct {
+	loops    []*loop.Loop
+	counters *Counters
+	logger   log.Interface
+}
+
+// Execute implements loop.Executor.
+func (c *control) Execute(e effect.Effect) {
+	switch e := e.(type) {
+	case effect.ToTraffic:
+		for i, l := range c.loops {
+			if e.Loop == effect.AllLoops || e.Loop == i {
+				l.Post(e.Body)
+			}
+		}
+	case effect.Count:
+		c.counters.Add(e)
+	case effect.Note:
+		entry := c.logger.WithFields(log.Fields{"subject": e.Subject, "cause": e.Cause})
+		if e.Alert {
+			entry.Warn(e.Action)
+			return
+		}
+		entry.Info(e.Action)
+	}
+}
--- /dev/null
+++ b/io/serve/drainer.go
@@ -0,0 +1,63 @@
+package serve
+
+import (
+	"context"
+	"time"
+
+	"comfreypulley/core/effect"
+	"comfreypulley/core/event"
+)
+
+// drainer is the actor that shuts a VM down in order: unready, grace, drain.
+type drainer struct {
+	vm      *VM
+	ctx     context.Context
+	stopped chan struct{}
+}
+
+func (d *drainer) run() error {
+	select {
+	case <-d.ctx.Done():
+	case <-d.stopped:
+		return nil
+	}
+	vm := d.vm
+	vm.logger.Info("draining")
+	vm.caller.SetReady(effect.Ready{Ready: false})
+	if !d.wait(vm.settings.Grace) {
+		return nil
+	}
+	for _, t := range vm.traffics {
+		t.loop.Post(event.Drain{})
+	}
+	deadline := time.NewTimer(vm.settings.Finish)
+	defer deadline.Stop()
+	for _, t := range vm.traffics {
+		select {
+		case <-t.drained:
+		case <-deadline.C:
+			vm.logger.Warn("drain time is over; requests in flight are cut off")
+			return nil
+		case <-d.stopped:
+			return nil
+		}
+	}
+	vm.logger.Info("drained")
+	return nil
+}
+
+// wait returns false when the group stops meanwhile.
+func (d *drainer) wait(period time.Duration) bool {
+	timer := time.NewTimer(period)
+	defer timer.Stop()
+	select {
+	case <-timer.C:
+		return true
+	case <-d.stopped:
+		return false
+	}
+}
+
+func (d *drainer) stop(error) {
+	close(d.stopped)
+}
--- /dev/null
+++ b/io/serve/traffic.go
@@ -0,0 +1,51 @@
+package serve
+
+import (
+	"comfreypulley/core/effect"
+	"comfreypulley/io/caller"
+	"comfreypulley/io/dialer"
+	"comfreypulley/io/loop"
+)
+
+// traffic carries out the effects of one traffic loop.
+type traffic struct {
+	loop     *loop.Loop
+	control  *loop.Loop
+	dialer   *dialer.Dialer
+	caller   *caller.Server
+	counters *Counters
+	usage    *Usage
+	drained  chan struct{}
+}
+
+// Execute implements loop.Executor.
+func (t *traffic) Execute(e effect.Effect) {
+	switch e := e.(type) {
+	case effect.Send:
+		t.dialer.Send(e)
+	case effect.Cancel:
+		t.dialer.Cancel(e)
+	case effect.Probe:
+		t.dialer.Probe(e)
+	case effect.Limit:
+		t.dialer.Limit(e)
+	case effect.Reply:
+		t.caller.Reply(e)
+	case effect.Refuse:
+		t.caller.Refuse(e)
+	case effect.Ready:
+		t.caller.SetReady(e)
+	case effect.Count:
+		t.counters.Add(e)
+	case effect.Charge:
+		t.usage.Write(e)
+	case effect.ToControl:
+		t.control.Post(e.Body)
+	case effect.Drained:
+		select {
+		case <-t.drained:
+		default:
+			close(t.drained)
+		}
+	}
+}
--- /dev/null
+++ b/io/serve/usage.go
@@ -0,0 +1,67 @@
+package serve
+
+import (
+	"encoding/json"
+	"fmt"
+	"os"
+	"sync"
+	"time"
+
+	"comfreypulley/core/effect"
+)
+
+// Usage is the usage log: one JSON line for each charged request. The zero
+// value writes nothing.
+type Usage struct {
+	mu   sync.Mutex
+	file *os.File
+}
+
+type usageLine struct {
+	At       time.Time `json:"at"`
+	Request  uint64    `json:"request"`
+	Customer string    `json:"customer"`
+	Class    string    `json:"class"`
+	Price    int64     `json:"price"`
+}
+
+// OpenUsage opens a usage log for appending. An empty name writes nothing.
+func OpenUsage(name string) (u *Usage, err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("usage log: %w", err)
+		}
+	}()
+	if name == "" {
+		return &Usage{}, nil
+	}
+	file, err := os.OpenFile(name, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	return &Usage{file: file}, nil
+}
+
+// Write appends a charge.
+func (u *Usage) Write(c effect.Charge) {
+	if u.file == nil {
+		return
+	}
+	line, err := json.Marshal(usageLine{
+		At: c.At, Request: uint64(c.Request), Customer: c.Customer, Class: c.Class, Price: c.Price,
+	})
+	if err != nil {
+		return
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	_, _ = u.file.Write(append(line, '\n'))
+}
+
+// Close closes the log.
+func (u *Usage) Close() error {
+	if u.file == nil {
+		return nil
+	}
+	return u.file.Close()
+}
--- /dev/null
+++ b/io/serve/vm.go
@@ -0,0 +1,156 @@
+package serve
+
+import (
+	"context"
+	"errors"
+	"expvar"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"github.com/apex/log"
+	"github.com/oklog/run"
+
+	"comfreypulley/core/event"
+	"comfreypulley/core/model"
+	"comfreypulley/io/caller"
+	"comfreypulley/io/conf"
+	"comfreypulley/io/dialer"
+	"comfreypulley/io/loop"
+)
+
+// Bounds of the HTTP servers.
+const (
+	headerTimeout = 5 * time.Second
+	maxHeader     = 16 << 10
+	cutTimeout    = 5 * time.Second // to write the last answers after the drain
+)
+
+// VM is an entry VM. Make it with New.
+type VM struct {
+	settings *conf.Settings
+	fleet    *model.Topology
+	logger   log.Interface
+	counters *Counters
+	usage    *Usage
+	caller   *caller.Server
+	control  *loop.Loop
+	traffics []*traffic
+	listener net.Listener
+	admin    net.Listener
+}
+
+// New opens the listeners and files of a VM.
+func New(settings *conf.Settings, fleet *model.Topology, logger log.Interface) (vm *VM, err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("vm %s: %w", settings.VM.ID, err)
+		}
+	}()
+	vm = &VM{settings: settings, fleet: fleet, logger: logger.WithField("vm", string(settings.VM.ID)), counters: newCounters()}
+	if vm.usage, err = OpenUsage(settings.Usage); err != nil {
+		return nil, err
+	}
+	if vm.listener, err = listen(settings.Caller); err != nil {
+		return nil, err
+	}
+	if vm.admin, err = listen(settings.Admin); err != nil {
+		return nil, err
+	}
+	vm.assemble()
+	return vm, nil
+}
+
+// Addr returns the callers' address.
+func (vm *VM) Addr() netip.AddrPort {
+	return vm.listener.Addr().(*net.TCPAddr).AddrPort()
+}
+
+func (vm *VM) assemble() {
+	executor := &control{counters: vm.counters, logger: vm.logger}
+	vm.control = loop.New(executor)
+	vm.caller = &caller.Server{}
+	began := time.Now()
+	for range vm.settings.Loops {
+		t := &traffic{
+			control: vm.control, caller: vm.caller, counters: vm.counters, usage: vm.usage, drained: make(chan struct{}),
+		}
+		t.loop = loop.New(t)
+		t.dialer = &dialer.Dialer{Post: t.loop.Post, Origin: fmt.Sprintf("%s-%d", vm.settings.VM.ID, began.UnixNano())}
+		vm.traffics = append(vm.traffics, t)
+		vm.caller.Posts = append(vm.caller.Posts, t.loop.Post)
+		executor.loops = append(executor.loops, t.loop)
+	}
+}
+
+// Run serves until ctx ends, then drains and stops.
+func (vm *VM) Run(ctx context.Context) (err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("vm %s: %w", vm.settings.VM.ID, err)
+		}
+		err = errors.Join(err, vm.usage.Close())
+	}()
+	var group run.Group
+	start := event.Start{
+		VM: vm.settings.VM, Seed: vm.seed(), Began: time.Now(), Loops: vm.settings.Loops, Plain: vm.settings.Plain, Genesis: vm.fleet,
+	}
+	for i, t := range vm.traffics {
+		start.Role, start.Loop = event.RoleTraffic, i
+		begin := start
+		group.Add(func() error { return t.loop.Run(begin) }, t.loop.Stop)
+	}
+	start.Role = event.RoleControl
+	group.Add(func() error { return vm.control.Run(start) }, vm.control.Stop)
+	callers := newServer(vm.caller)
+	group.Add(func() error { return serveHTTP(callers, vm.listener) }, func(error) { shutdown(callers) })
+	admin := newServer(vm.adminHandler())
+	group.Add(func() error { return serveHTTP(admin, vm.admin) }, func(error) { shutdown(admin) })
+	d := &drainer{vm: vm, ctx: ctx, stopped: make(chan struct{})}
+	group.Add(d.run, d.stop)
+	err = group.Run()
+	for _, t := range vm.traffics {
+		t.dialer.Close()
+	}
+	return err
+}
+
+func (vm *VM) seed() uint64 {
+	if vm.settings.Seed != 0 {
+		return uint64(vm.settings.Seed)
+	}
+	return uint64(time.Now().UnixNano())
+}
+
+func (vm *VM) adminHandler() http.Handler {
+	mux := http.NewServeMux()
+	mux.HandleFunc("GET /debug/vars", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		fmt.Fprintf(w, "{\"comfreypulley\": %s, \"memstats\": %s}\n", vm.counters.String(), expvar.Get("memstats").String())
+	})
+	return mux
+}
+
+func newServer(handler http.Handler) *http.Server {
+	return &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeader}
+}
+
+func serveHTTP(s *http.Server, l net.Listener) error {
+	if err := s.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+		return err
+	}
+	return nil
+}
+
+// shutdown lets answers that are being written end.
+func shutdown(s *http.Server) {
+	ctx, cancel := context.WithTimeout(context.Background(), cutTimeout)
+	defer cancel()
+	_ = s.Shutdown(ctx)
+}
+
+func listen(addr netip.AddrPort) (net.Listener, error) {
+	return net.ListenTCP("tcp", net.TCPAddrFromAddrPort(addr))
+}
