--- /dev/null
+++ b/io/dialer/dialer_test.go
@@ -0,0 +1,124 @@
+package dialer_test
+
+import (
+	"net"
+	"net/http"
+	"net/netip"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"comfreypulley/core/effect"
+	"comfreypulley/core/event"
+	"comfreypulley/core/model"
+	"comfreypulley/io/dialer"
+)
+
+// newDialer returns a dialer for one upstream and the events it posts.
+func newDialer(t *testing.T, addr netip.AddrPort) (*dialer.Dialer, chan event.Body) {
+	t.Helper()
+	events := make(chan event.Body, 16)
+	d := &dialer.Dialer{Post: func(body event.Body) { events <- body }, Origin: "vm"}
+	t.Cleanup(d.Close)
+	d.Limit(effect.Limit{Upstream: "u", Addr: addr, Conns: 1})
+	return d, events
+}
+
+func send(attempt model.AttemptID, addr netip.AddrPort) effect.Send {
+	return effect.Send{
+		Attempt: attempt, Request: 1, Number: 1, Upstream: "u", Addr: addr, Index: "pairing", Version: 1,
+		Body: []byte("{}"), Timeout: 10 * time.Second, Key: model.NewKey(time.Unix(1_700_000_000, 0), [10]byte{1}),
+	}
+}
+
+func addrOf(l net.Listener) netip.AddrPort {
+	return l.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// Guards against a request that runs twice: the HTTP transport must not repeat
+// a request with an Idempotency-Key on its own when a reused connection breaks.
+func TestBrokenConnectionIsNotRepeated(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	var requests atomic.Int64
+	server := &http.Server{Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+		if requests.Add(1) == 1 {
+			_, _ = w.Write([]byte(`{"version":1,"shards":1,"shard":0,"items":[]}`))
+			return
+		}
+		panic(http.ErrAbortHandler) // closes the connection without an answer
+	}), ReadHeaderTimeout: time.Second}
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(func() { _ = server.Close() })
+	d, events := newDialer(t, addrOf(l))
+
+	d.Send(send(1, addrOf(l)))
+	if _, ok := (<-events).(event.Answered); !ok {
+		t.Fatal("the first attempt was not answered")
+	}
+	d.Send(send(2, addrOf(l)))
+	failed, ok := (<-events).(event.Failed)
+	if !ok {
+		t.Fatal("the second attempt did not fail")
+	}
+	if got, want := failed.Reason, model.FailedReset; got != want {
+		t.Errorf("got reason %s, want %s", got, want)
+	}
+	if got, want := failed.Ran, model.RanUnknown; got != want {
+		t.Errorf("got ran %v, want %v", got, want)
+	}
+	if got, want := requests.Load(), int64(2); got != want {
+		t.Errorf("got %d requests at the upstream, want %d", got, want)
+	}
+}
+
+// Guards against an unknown outcome where nothing was sent: a refused
+// connection proves that the request did not run.
+func TestRefusedConnectionDidNotRun(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	addr := addrOf(l)
+	_ = l.Close()
+	d, events := newDialer(t, addr)
+	d.Send(send(1, addr))
+	failed, ok := (<-events).(event.Failed)
+	if !ok {
+		t.Fatal("the attempt did not fail")
+	}
+	if got, want := failed.Ran, model.RanNo; got != want {
+		t.Errorf("got ran %v, want %v", got, want)
+	}
+	if got, want := failed.Reason, model.FailedRefused; got != want {
+		t.Errorf("got reason %s, want %s", got, want)
+	}
+}
+
+// Guards against an attempt that never ends: cancelling it gives its end.
+func TestCancelEndsAttempt(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	arrived := make(chan struct{})
+	server := &http.Server{Handler: http.HandlerFunc(func(_ http.ResponseWriter, r *http.Request) {
+		close(arrived)
+		<-r.Context().Done()
+	}), ReadHeaderTimeout: time.Second}
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(func() { _ = server.Close() })
+	d, events := newDialer(t, addrOf(l))
+	d.Send(send(1, addrOf(l)))
+	<-arrived
+	d.Cancel(effect.Cancel{Attempt: 1})
+	failed, ok := (<-events).(event.Failed)
+	if !ok {
+		t.Fatal("the attempt did not fail")
+	}
+	if got, want := failed.Reason, model.FailedCancelled; got != want {
+		t.Errorf("got reason %s, want %s", got, want)
+	}
+}
