--- /dev/null
+++ b/io/chart/doc.go
@@ -0,0 +1,9 @@
+// Package chart draws measurements as SVG or PNG files.
+//
+// # Usage
+//
+//	c := chart.Chart{Title: "Latency", X: "share of queries", Y: "ms", Series: []chart.Series{{Name: "full", Points: points}}}
+//	err := c.Write("docs/plots/latency.svg")
+//
+// The ending of the file name chooses the format. Units belong into the labels.
+package chart
