Add the replicated log as a reducer

core/quorum elects with pre-vote, commits what a majority has synced, groups proposals into one append per sync, hands leadership over, confirms reads by a heartbeat round, and moves the members one at a time.

Writes are numbered: event.Synced carries the number of the last durable write in place of an index, because entries can be replaced and votes saved under an unchanged index and term. frame.Append gains Handover for a resigning leader.

A log without entries needs the votes of all first VMs, so that a VM that lost its disk cannot found a second log with one that missed the first entries.

A change of voters now needs a live majority afterwards, and live voters leave last; TestShrinkWithLostDisks covers it.

--- a/core/effect/control.go
+++ b/core/effect/control.go
@@ -18,18 +18,26 @@
 
 // Append writes entries to the log, replacing any from the first one's index
 // on, and syncs them. The result is event.Synced.
-type Append struct{ Entries []entry.Entry }
+type Append struct {
+	N       uint64 // number of the write; appends, votes and saves are numbered together
+	Entries []entry.Entry
+}
 
 // Vote writes and syncs the term and the vote given in it. The result is
 // event.Synced.
 type Vote struct {
+	N    uint64 // number of the write
 	Term uint64
 	Vote entry.Replica // zero when no vote was given
 }
 
-// Save writes and syncs an image and drops the entries it covers. The result
-// is event.Synced.
-type Save struct{ Image entry.Image }
+// Save writes and syncs an image and drops the entries it covers. It drops all
+// entries when the one at the image's index is missing or of another term. The
+// result is event.Synced.
+type Save struct {
+	N     uint64 // number of the write
+	Image entry.Image
+}
 
 // Respond answers an operator's command or inquiry.
 type Respond struct {
--- a/core/event/control.go
+++ b/core/event/control.go
@@ -44,12 +44,10 @@
 	Entries []entry.Entry // after the image
 }
 
-// Synced tells that everything up to a position is on the disk.
-type Synced struct {
-	Index uint64 // last entry
-	Term  uint64 // term of the last saved vote
-	Image uint64 // index of the last saved image
-}
+// Synced tells that every write up to a number is on the disk. An index would
+// not do: entries can be replaced, and a vote saved, under an unchanged index
+// and term.
+type Synced struct{ N uint64 }
 
 // DiskFailed tells that the data folder can no longer be written. The replica
 // takes no further part in the log.
--- a/core/frame/frame.go
+++ b/core/frame/frame.go
@@ -73,6 +73,7 @@
 	Entries   []entry.Entry
 	Commit    uint64
 	Round     uint64 // heartbeat round, confirms the leader for linearizable reads
+	Handover  bool   // the leader resigns; the receiver should stand for election at once
 }
 
 // Appended answers Append.
--- /dev/null
+++ b/core/quorum/fault_test.go
@@ -0,0 +1,141 @@
+package quorum
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"comfreypulley/core/entry"
+)
+
+// TestLeaderLost guards against an election that leaves the log without a
+// commit for more than 2 s.
+func TestLeaderLost(t *testing.T) {
+	for seed := range uint64(50) {
+		w := newWorld(t, seed, 5, 5)
+		w.stop(w.elect())
+		lost := w.now
+		w.elect()
+		if got, want := w.now.Sub(lost), 2*time.Second; got > want {
+			t.Errorf("seed %d: a new leader committed after %v, want at most %v", seed, got, want)
+		}
+	}
+}
+
+// TestIsolatedLeader guards against a leader without a majority that goes on
+// taking proposals or confirms a read.
+func TestIsolatedLeader(t *testing.T) {
+	w := newWorld(t, 1, 5, 5)
+	lead := w.elect()
+	w.cut[lead.vm] = true
+	lead.reads[1] = uint64(len(w.history)) + 1 // no confirmation can satisfy this
+	_, out := lead.log.Confirm(w.now, 1, nil)
+	w.carry(lead, out)
+	w.run(maxElection + 2*beatPeriod)
+	if got, _ := w.propose(lead, 1); got != entry.StatusNoMajority {
+		t.Errorf("status of a proposal to an isolated leader is %v, want %v", got, entry.StatusNoMajority)
+	}
+}
+
+// TestResign guards against a shutdown that leaves the log waiting for an
+// election timeout.
+func TestResign(t *testing.T) {
+	w := newWorld(t, 1, 3, 3)
+	lead := w.elect()
+	w.carry(lead, lead.log.Resign(w.now, nil))
+	w.run(minElection / 2)
+	if got := w.leader(); got == nil || got == lead {
+		t.Errorf("no other leader %v after the hand-over", minElection/2)
+	}
+}
+
+// TestFoundTwice guards against a second, empty log: one VM lost its disk and
+// another missed every entry, and together they are a majority of the first
+// voters.
+func TestFoundTwice(t *testing.T) {
+	w := newWorld(t, 1, 3, 3)
+	lead := w.elect()
+	missed, lost := w.nodes[0], w.nodes[1]
+	if missed == lead {
+		missed = w.nodes[2]
+	} else if lost == lead {
+		lost = w.nodes[2]
+	}
+	w.stop(missed)
+	disk := missed.disk.Disk
+	missed.disk.Entries, missed.disk.Term = nil, 0 // it was down from the first entry on
+	missed.disk.Vote, missed.disk.Disk = entry.Replica{}, disk
+	w.stop(lead)
+	w.stop(lost)
+	w.replace(lost)
+	w.start(lost)
+	w.start(missed)
+	w.run(5 * time.Second)
+	if got := w.leader(); got != nil {
+		t.Errorf("%s leads although the only replica with the entries is down", got.vm)
+	}
+}
+
+// TestReplaceThenKill guards against a repair that needs the second VM: a disk
+// is replaced and another VM is killed at once.
+func TestReplaceThenKill(t *testing.T) {
+	for seed := range uint64(20) {
+		w := newWorld(t, seed, 5, 5)
+		w.elect()
+		w.want(w.nodes...)
+		w.stop(w.nodes[0])
+		w.replace(w.nodes[0])
+		w.start(w.nodes[0])
+		w.stop(w.nodes[1])
+		w.elect()
+		w.want(w.nodes...)
+		w.run(5 * time.Second)
+		lead := w.elect()
+		if got, want := lead.log.members.Voters, (entry.Replica{VM: "vm0", Disk: w.nodes[0].disk.Disk}); !slices.Contains(got, want) {
+			t.Errorf("seed %d: voters %v do not include %v", seed, got, want)
+		}
+	}
+}
+
+// TestShrinkWithLostDisks guards against the fault of rapid seed 435715: with two
+// of five disks lost, the leader removed a live voter that was no longer wanted,
+// and no majority was left.
+func TestShrinkWithLostDisks(t *testing.T) {
+	for seed := range uint64(20) {
+		w := newWorld(t, seed, 5, 5)
+		w.elect()
+		for _, n := range w.nodes[:2] {
+			w.stop(n)
+			w.replace(n)
+			w.start(n)
+		}
+		w.elect()
+		w.run(time.Second)
+		w.want(w.nodes[:3]...)
+		w.run(10 * time.Second)
+		w.elect()
+		w.want(w.nodes[:3]...) // a leader elected since does not know it
+		w.run(10 * time.Second)
+		if got, want := len(w.elect().log.members.Voters), 3; got != want {
+			t.Errorf("seed %d: %d voters, want %d", seed, got, want)
+		}
+	}
+}
+
+// TestGroupCommit guards against one sync per proposal.
+func TestGroupCommit(t *testing.T) {
+	w := newWorld(t, 1, 3, 3)
+	lead := w.elect()
+	w.run(time.Second)
+	before, writes := uint64(len(w.history)), lead.log.writes
+	for i := range 1000 {
+		w.propose(lead, byte(i))
+	}
+	w.run(time.Second)
+	if got, want := uint64(len(w.history))-before, uint64(1000); got != want {
+		t.Errorf("%d entries committed, want %d", got, want)
+	}
+	if got, want := lead.log.writes-writes, uint64(2); got > want {
+		t.Errorf("%d writes for 1000 proposals made during one sync, want at most %d", got, want)
+	}
+}
