--- /dev/null
+++ b/io/codec/entry_test.go
@@ -0,0 +1,112 @@
+package codec_test
+
+import (
+	"bytes"
+	"errors"
+	"net/netip"
+	"reflect"
+	"testing"
+	"time"
+
+	"comfreypulley/core/entry"
+	"comfreypulley/core/model"
+	"comfreypulley/io/codec"
+)
+
+// at is a time of another zone than UTC, as a process's clock gives it.
+var at = time.Date(2026, 1, 1, 3, 0, 0, 123456789, time.FixedZone("EAT", 3*3600))
+
+func commands() []entry.Command {
+	holder := entry.Holder{VM: "vm0", Start: at.UTC(), Loop: 2, Request: 9}
+	contract := model.Contract{
+		Customer: "acme", Credential: [32]byte{1, 2}, Indexes: []string{"pairing"}, Concurrency: 10, Capacity: 0.5,
+		Retention: time.Hour, Classes: []model.Class{{Name: "now", Wait: time.Second, Price: 5, Weight: 1}}, Retired: true, Revision: 4,
+	}
+	outcome := entry.Outcome{Snapshot: 7, Shard: 1, Shards: 3, Items: []model.Item{{ID: "a", Rank: 1.5, Data: []byte("x")}}, Price: -3}
+	return []entry.Command{
+		entry.Noop{},
+		entry.Change{Op: "op", Expect: 3, Contract: &contract},
+		entry.Change{Op: "op", Upstream: &model.Upstream{ID: "u", Addr: netip.MustParseAddrPort("[::1]:80"), Dial: time.Millisecond}},
+		entry.Change{Op: "op", VM: &model.VM{ID: "vm0", Zone: "a", Disk: true, State: model.StateDraining}},
+		entry.Change{Op: "op", Remove: &entry.Removal{VM: "vm0"}},
+		entry.Members{Voters: []entry.Replica{{VM: "vm0", Disk: 1 << 63}}, Learners: []entry.Replica{{VM: "vm1", Disk: 2}}},
+		entry.Claim{Customer: "acme", Key: model.Key{1, 15: 2}, Fingerprint: 1 << 63, Holder: holder, Retention: time.Hour},
+		entry.Settle{Customer: "acme", Key: model.Key{1}, Holder: holder, Outcome: outcome},
+		entry.Release{Customer: "acme", Key: model.Key{1}, Holder: holder},
+	}
+}
+
+// TestEntries guards against a command that is changed or lost by a restart.
+func TestEntries(t *testing.T) {
+	for i, c := range commands() {
+		want := entry.Entry{Index: uint64(i + 1), Term: 1 << 40, At: at, Command: c}
+		var b bytes.Buffer
+		if err := codec.EncodeEntry(codec.NewEncoder(&b), want); err != nil {
+			t.Fatal(err)
+		}
+		if err := codec.Check(b.Bytes()); err != nil {
+			t.Errorf("%T: %v", c, err)
+		}
+		got, err := codec.DecodeEntry(codec.NewDecoder(bytes.NewReader(b.Bytes())))
+		want.At = want.At.UTC()
+		if err != nil || !reflect.DeepEqual(got, want) {
+			t.Errorf("got %+v, %v; want %+v", got, err, want)
+		}
+		for n := range b.Len() {
+			if _, err := codec.DecodeEntry(codec.NewDecoder(bytes.NewReader(b.Bytes()[:n]))); err == nil {
+				t.Errorf("%T cut to %d of %d bytes was decoded", c, n, b.Len())
+			}
+			if n > 0 && codec.Check(b.Bytes()[:n]) == nil {
+				t.Errorf("%T cut to %d of %d bytes passed the check", c, n, b.Len())
+			}
+		}
+	}
+}
+
+// TestImage guards against a snapshot that differs from the state it was made of.
+func TestImage(t *testing.T) {
+	change := commands()[1].(entry.Change)
+	outcome := commands()[7].(entry.Settle).Outcome
+	want := entry.Image{
+		Index: 9, Term: 2, At: at.UTC(), Log: commands()[5].(entry.Members),
+		Config: entry.Config{
+			Revision: 4, Contracts: []model.Contract{*change.Contract}, VMs: []model.VM{{ID: "vm0"}},
+			Ops: []entry.Op{{ID: "op", At: at.UTC(), Result: entry.Result{Status: entry.StatusConflict, Detail: "d", Outcome: &outcome}}},
+		},
+		Ledger: []entry.Claimed{{Customer: "acme", Until: at.UTC(), Holder: entry.Holder{Start: at.UTC()}, Outcome: &outcome}},
+	}
+	var b bytes.Buffer
+	if err := codec.EncodeImage(codec.NewEncoder(&b), want); err != nil {
+		t.Fatal(err)
+	}
+	got, err := codec.DecodeImage(codec.NewDecoder(&b))
+	if err != nil || !reflect.DeepEqual(got, want) {
+		t.Errorf("got %+v, %v; want %+v", got, err, want)
+	}
+}
+
+// TestUnknownKind guards against a newer command being taken for another one.
+func TestUnknownKind(t *testing.T) {
+	var want *codec.KindError
+	_, err := codec.DecodeCommand(codec.NewDecoder(bytes.NewReader([]byte{0x92, 99, 0x90})))
+	if !errors.As(err, &want) || want.Kind != 99 {
+		t.Errorf("got %v, want a KindError of kind 99", err)
+	}
+	if err := codec.EncodeCommand(codec.NewEncoder(&bytes.Buffer{}), nil); !errors.As(err, &want) {
+		t.Errorf("got %v, want a KindError", err)
+	}
+}
+
+// FuzzEntries guards against bytes that crash the decoder or make it reserve
+// memory for entries that are not there.
+func FuzzEntries(f *testing.F) {
+	f.Add([]byte{0xdd, 0xff, 0xff, 0xff, 0xff})
+	f.Add([]byte{0x91, 0x94, 1, 1, 0xd6, 0xff, 0, 0, 0, 0, 0x92, 3, 0x92, 0xdd, 0xff, 0xff, 0xff, 0xff})
+	f.Fuzz(func(_ *testing.T, b []byte) {
+		if codec.Check(b) != nil {
+			return
+		}
+		_, _ = codec.DecodeEntries(codec.NewDecoder(bytes.NewReader(b)))
+		_, _ = codec.DecodeImage(codec.NewDecoder(bytes.NewReader(b)))
+	})
+}
