--- /dev/null
+++ b/core/config/check.go
@@ -0,0 +1,230 @@
+package config
+
+import (
+	"fmt"
+	"math"
+	"strings"
+	"unicode"
+
+	"comfreypulley/core/entry"
+	"comfreypulley/core/model"
+)
+
+// Bounds of names and lists.
+const (
+	maxName    = 128
+	maxIndexes = 1000
+)
+
+func invalid(format string, args ...any) entry.Result {
+	return entry.Result{Status: entry.StatusInvalid, Detail: fmt.Sprintf(format, args...)}
+}
+
+// check returns the change as it will be in force. The status is StatusOK when
+// the change is well formed and expects the current revision.
+func (s *Store) check(c entry.Change) (entry.Change, entry.Result) {
+	kinds := 0
+	for _, set := range []bool{c.Contract != nil, c.Upstream != nil, c.VM != nil, c.Remove != nil, c.Genesis != nil} {
+		if set {
+			kinds++
+		}
+	}
+	switch {
+	case kinds != 1:
+		return c, invalid("a change must hold exactly one object, not %d", kinds)
+	case len(c.Op) > maxName:
+		return c, invalid("operation id is longer than %d bytes", maxName)
+	case c.Contract != nil:
+		return s.checkContract(c)
+	case c.Upstream != nil:
+		return s.checkUpstream(c)
+	case c.VM != nil:
+		return s.checkVM(c)
+	case c.Remove != nil:
+		return c, s.checkRemoval(c)
+	default:
+		return s.checkGenesis(c)
+	}
+}
+
+// expect compares the revision of an object, 0 when it does not exist, with the
+// one the operator saw.
+func expect(kind, id string, current, expected model.Revision) entry.Result {
+	if current == expected {
+		return entry.Result{Status: entry.StatusOK}
+	}
+	detail := fmt.Sprintf("%s %q is at revision %d, not %d", kind, id, current, expected)
+	switch {
+	case current == 0:
+		detail = fmt.Sprintf("%s %q does not exist", kind, id)
+	case expected == 0:
+		detail = fmt.Sprintf("%s %q exists at revision %d", kind, id, current)
+	}
+	return entry.Result{Status: entry.StatusConflict, Revision: current, Detail: detail}
+}
+
+func (s *Store) checkContract(c entry.Change) (entry.Change, entry.Result) {
+	v := *c.Contract
+	current := s.contracts.rows[v.Customer]
+	if r := checkName("customer", v.Customer, " /[]."); r.Status != entry.StatusOK {
+		return c, r
+	}
+	if r := expect("contract", v.Customer, current.Revision, c.Expect); r.Status != entry.StatusOK {
+		return c, r
+	}
+	if v.Retired && c.Expect > 0 {
+		v = current
+		v.Retired = true
+	}
+	c.Contract = &v
+	return c, validContract(&v)
+}
+
+func validContract(v *model.Contract) entry.Result {
+	if err := v.Check(); err != nil {
+		return invalid("%v", err)
+	}
+	if len(v.Indexes) > maxIndexes {
+		return invalid("contract %q: indexes must be at most %d, not %d", v.Customer, maxIndexes, len(v.Indexes))
+	}
+	for _, index := range v.Indexes {
+		if r := checkName("index", index, " /[],"); r.Status != entry.StatusOK {
+			return r
+		}
+	}
+	names := make(map[string]bool, len(v.Classes))
+	for _, class := range v.Classes {
+		if r := checkName("class", class.Name, " /[]"); r.Status != entry.StatusOK {
+			return r
+		}
+		if math.IsInf(class.Weight, 0) {
+			return invalid("contract %q: class %s weight must be finite", v.Customer, class.Name)
+		}
+		if names[class.Name] {
+			return invalid("contract %q: class %s appears twice", v.Customer, class.Name)
+		}
+		names[class.Name] = true
+	}
+	return entry.Result{Status: entry.StatusOK}
+}
+
+func (s *Store) checkUpstream(c entry.Change) (entry.Change, entry.Result) {
+	v := *c.Upstream
+	current := s.upstreams.rows[v.ID]
+	if r := checkName("upstream", string(v.ID), " /[]"); r.Status != entry.StatusOK {
+		return c, r
+	}
+	if r := expect("upstream", string(v.ID), current.Revision, c.Expect); r.Status != entry.StatusOK {
+		return c, r
+	}
+	if v.State == model.StateDraining && !v.Addr.IsValid() && c.Expect > 0 {
+		v = current
+		v.State = model.StateDraining
+	}
+	c.Upstream = &v
+	switch {
+	case !v.Addr.IsValid() || v.Addr.Port() == 0:
+		return c, invalid("upstream %q: addr must be an IP address with a port", v.ID)
+	case v.Zone == "":
+		return c, invalid("upstream %q: zone must not be empty", v.ID)
+	case v.Slots < 1:
+		return c, invalid("upstream %q: slots must be at least 1, not %d", v.ID, v.Slots)
+	case v.Conns < 1:
+		return c, invalid("upstream %q: conns must be at least 1, not %d", v.ID, v.Conns)
+	case v.Dial < 0:
+		return c, invalid("upstream %q: dial must not be negative", v.ID)
+	case v.State > model.StateDraining:
+		return c, invalid("upstream %q: state %d is not known", v.ID, v.State)
+	}
+	if other, ok := s.addrs[v.Addr]; ok && other != v.ID {
+		return c, invalid("upstream %q: %v is the address of upstream %q", v.ID, v.Addr, other)
+	}
+	return c, checkName("index", v.Index, " /[],")
+}
+
+func (s *Store) checkVM(c entry.Change) (entry.Change, entry.Result) {
+	v := *c.VM
+	current := s.vms.rows[v.ID]
+	if r := checkName("vm", string(v.ID), " /[]"); r.Status != entry.StatusOK {
+		return c, r
+	}
+	if r := expect("vm", string(v.ID), current.Revision, c.Expect); r.Status != entry.StatusOK {
+		return c, r
+	}
+	if v.State == model.StateDraining && !v.Peer.IsValid() && c.Expect > 0 {
+		v = current
+		v.State = model.StateDraining
+	}
+	c.VM = &v
+	switch {
+	case !v.Peer.IsValid() || v.Peer.Port() == 0:
+		return c, invalid("vm %q: peer must be an IP address with a port", v.ID)
+	case v.Zone == "":
+		return c, invalid("vm %q: zone must not be empty", v.ID)
+	case v.State > model.StateDraining:
+		return c, invalid("vm %q: state %d is not known", v.ID, v.State)
+	case current.Disk && !v.Disk && s.disks == 1:
+		return c, invalid("vm %q: is the last VM with a disk", v.ID)
+	}
+	if other, ok := s.peers[v.Peer]; ok && other != v.ID {
+		return c, invalid("vm %q: %v is the address of vm %q", v.ID, v.Peer, other)
+	}
+	return c, entry.Result{Status: entry.StatusOK}
+}
+
+func (s *Store) checkRemoval(c entry.Change) entry.Result {
+	if (c.Remove.Upstream == "") == (c.Remove.VM == "") {
+		return invalid("a removal must name exactly one upstream or vm")
+	}
+	if c.Expect == 0 {
+		return invalid("a removal must expect the current revision, not 0")
+	}
+	if c.Remove.Upstream != "" {
+		return expect("upstream", string(c.Remove.Upstream), s.upstreams.rows[c.Remove.Upstream].Revision, c.Expect)
+	}
+	current := s.vms.rows[c.Remove.VM]
+	if r := expect("vm", string(c.Remove.VM), current.Revision, c.Expect); r.Status != entry.StatusOK {
+		return r
+	}
+	if current.Disk && s.disks == 1 {
+		return invalid("vm %q: is the last VM with a disk", c.Remove.VM)
+	}
+	return entry.Result{Status: entry.StatusOK}
+}
+
+// checkGenesis accepts a first configuration as the settings' reader checked it.
+// Every object starts at revision 1.
+func (s *Store) checkGenesis(c entry.Change) (entry.Change, entry.Result) {
+	if s.revision != 0 {
+		return c, expect("configuration", "genesis", s.revision, 0)
+	}
+	g := entry.Config{Revision: 1}
+	for _, v := range c.Genesis.Contracts {
+		v.Revision = 1
+		g.Contracts = append(g.Contracts, v)
+	}
+	for _, v := range c.Genesis.Upstreams {
+		v.Revision = 1
+		g.Upstreams = append(g.Upstreams, v)
+	}
+	for _, v := range c.Genesis.VMs {
+		v.Revision = 1
+		g.VMs = append(g.VMs, v)
+	}
+	c.Genesis = &g
+	return c, entry.Result{Status: entry.StatusOK}
+}
+
+// checkName refuses names that could not stand in a section of a settings file
+// or in a path.
+func checkName(kind, name, without string) entry.Result {
+	switch {
+	case name == "":
+		return invalid("%s must have a name", kind)
+	case len(name) > maxName:
+		return invalid("%s name is longer than %d bytes", kind, maxName)
+	case strings.ContainsAny(name, without+"\"`#;=") || strings.ContainsFunc(name, unicode.IsControl):
+		return invalid("%s name %q must not contain control characters or any of %q", kind, name, without+"\"`#;=")
+	}
+	return entry.Result{Status: entry.StatusOK}
+}
--- /dev/null
+++ b/core/config/hash.go
@@ -0,0 +1,139 @@
+package config
+
+import (
+	"crypto/sha256"
+	"math"
+	"net/netip"
+
+	"comfreypulley/core/entry"
+	"comfreypulley/core/model"
+)
+
+// hasher collects the fields of an object. Texts carry their length, so that
+// different objects never collect the same bytes.
+type hasher []byte
+
+func (h *hasher) number(v uint64) {
+	*h = append(*h, byte(v>>56), byte(v>>48), byte(v>>40), byte(v>>32), byte(v>>24), byte(v>>16), byte(v>>8), byte(v))
+}
+
+func (h *hasher) text(v string) {
+	h.number(uint64(len(v)))
+	*h = append(*h, v...)
+}
+
+func (h *hasher) addr(v netip.AddrPort) {
+	h.text(v.String())
+}
+
+func (h *hasher) flag(v bool) {
+	if v {
+		h.number(1)
+		return
+	}
+	h.number(0)
+}
+
+func (h *hasher) sum() uint64 {
+	var v uint64
+	sum := sha256.Sum256(*h)
+	for _, b := range sum[:8] {
+		v = v<<8 | uint64(b)
+	}
+	return v
+}
+
+func mix(v uint64) uint64 {
+	var h hasher
+	h.number(v)
+	return h.sum()
+}
+
+func hashContract(c *model.Contract) uint64 {
+	h := make(hasher, 0, 512)
+	h.text("contract")
+	h.contract(c)
+	return h.sum()
+}
+
+func hashUpstream(u *model.Upstream) uint64 {
+	h := make(hasher, 0, 256)
+	h.text("upstream")
+	h.upstream(u)
+	return h.sum()
+}
+
+func hashVM(v *model.VM) uint64 {
+	h := make(hasher, 0, 256)
+	h.text("vm")
+	h.vm(v)
+	return h.sum()
+}
+
+func (h *hasher) contract(c *model.Contract) {
+	h.text(c.Customer)
+	*h = append(*h, c.Credential[:]...)
+	h.number(uint64(len(c.Indexes)))
+	for _, index := range c.Indexes {
+		h.text(index)
+	}
+	h.number(uint64(c.Concurrency))
+	h.number(math.Float64bits(c.Capacity))
+	h.number(math.Float64bits(c.Extra))
+	h.number(uint64(c.Retention))
+	h.number(uint64(len(c.Classes)))
+	for _, class := range c.Classes {
+		h.text(class.Name)
+		h.number(uint64(class.Wait))
+		h.number(uint64(class.Price))
+		h.number(math.Float64bits(class.Weight))
+		h.number(math.Float64bits(class.Coverage))
+	}
+	h.flag(c.Retired)
+	h.number(uint64(c.Revision))
+}
+
+func (h *hasher) upstream(u *model.Upstream) {
+	h.text(string(u.ID))
+	h.addr(u.Addr)
+	h.text(string(u.Zone))
+	h.text(u.Index)
+	h.number(uint64(u.Slots))
+	h.number(uint64(u.Conns))
+	h.number(uint64(u.Dial))
+	h.number(uint64(u.State))
+	h.number(uint64(u.Revision))
+}
+
+func (h *hasher) vm(v *model.VM) {
+	h.text(string(v.ID))
+	h.text(string(v.Zone))
+	h.addr(v.Peer)
+	h.flag(v.Disk)
+	h.number(uint64(v.State))
+	h.number(uint64(v.Revision))
+}
+
+// hashChange identifies a change as the operator sent it.
+func hashChange(c *entry.Change) uint64 {
+	var h hasher
+	h.number(uint64(c.Expect))
+	if c.Contract != nil {
+		h.text("contract")
+		h.contract(c.Contract)
+	}
+	if c.Upstream != nil {
+		h.text("upstream")
+		h.upstream(c.Upstream)
+	}
+	if c.VM != nil {
+		h.text("vm")
+		h.vm(c.VM)
+	}
+	if c.Remove != nil {
+		h.text("remove")
+		h.text(string(c.Remove.Upstream))
+		h.text(string(c.Remove.VM))
+	}
+	return h.sum()
+}
--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -33,7 +33,9 @@
 
 // Change is an operator's change of the configuration. Exactly one of the
 // pointers is set. A change of an object carries the revision the operator
-// saw; 0 expects that the object does not exist.
+// saw; 0 expects that the object does not exist. To retire a contract only its
+// Customer and Retired are needed, and to drain an upstream or VM only its id
+// and State; the other fields are then kept as they are.
 type Change struct {
 	Op       model.OpID
 	Expect   model.Revision
@@ -41,6 +43,7 @@
 	Upstream *model.Upstream // added, changed or drained
 	VM       *model.VM       // added, changed or drained
 	Remove   *Removal
+	Genesis  *Config // first configuration of a fleet, applied only at revision 0
 }
 
 // Removal names the upstream or VM to remove.
@@ -176,10 +179,12 @@
 type Op struct {
 	ID     model.OpID
 	At     time.Time
+	Change uint64 // hash of the change, tells a resend from another change with the same id
 	Result Result
 }
 
-// Claimed is one idempotency key of the ledger.
+// Claimed is one idempotency key of the ledger. With the zero Holder it is the
+// customer's floor: every key up to the time of Key is expired.
 type Claimed struct {
 	Customer    string
 	Key         model.Key
@@ -187,4 +192,5 @@
 	Holder      Holder
 	Until       time.Time // end of the retention
 	Outcome     *Outcome  // nil while the outcome is not known
+	Released    bool      // given back by Holder, who may not claim it again
 }
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -44,7 +44,7 @@
 	Loops   int             // number of traffic loops, over which shares are divided
 	Plain   bool            // plain baseline policy: random replica, fixed timeout, no hedge
 	Peers   []model.VM      // VMs known from the settings before any configuration
-	Genesis *model.Topology // configuration from the settings, for a fleet without disk VMs; nil otherwise
+	Genesis *model.Topology // configuration from the settings: the first one of the log, or the one in force without disk VMs
 }
 
 // Drain asks the state to accept no new work, to end what is in flight and to
