--- /dev/null
+++ b/core/ledger/book_test.go
@@ -0,0 +1,185 @@
+package ledger_test
+
+import (
+	"flag"
+	"os"
+	"reflect"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"comfreypulley/core/entry"
+	"comfreypulley/core/ledger"
+	"comfreypulley/core/model"
+)
+
+// TestMain fixes the seed, so that every run draws the same cases.
+func TestMain(m *testing.M) {
+	flag.Parse()
+	for name, value := range map[string]string{"rapid.seed": "1", "rapid.nofailfile": "true"} {
+		if err := flag.Set(name, value); err != nil {
+			panic(err)
+		}
+	}
+	os.Exit(m.Run())
+}
+
+var began = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+func key(at time.Time, n byte) model.Key {
+	return model.NewKey(at, [10]byte{n})
+}
+
+func holder(n int) entry.Holder {
+	return entry.Holder{VM: "vm0", Start: began, Request: model.RequestID(n)}
+}
+
+func claim(k model.Key, fingerprint model.Fingerprint, n int) entry.Claim {
+	return entry.Claim{Customer: "acme", Key: k, Fingerprint: fingerprint, Holder: holder(n), Retention: time.Hour}
+}
+
+// Guards against a key that runs twice, or a resend that gets another answer
+// than its rule says.
+func TestRules(t *testing.T) {
+	k := key(began, 1)
+	long := claim(k, 7, 9)
+	long.Retention = 24 * time.Hour
+	steps := []struct {
+		name  string
+		after time.Duration
+		c     entry.Command
+		want  entry.Status
+	}{
+		{"first claim", 0, claim(k, 7, 1), entry.StatusOK},
+		{"same holder", 0, claim(k, 7, 1), entry.StatusOK},
+		{"other holder", 0, claim(k, 7, 2), entry.StatusPending},
+		{"other body", 0, claim(k, 8, 2), entry.StatusConflict},
+		{"settle by another", 0, entry.Settle{Customer: "acme", Key: k, Holder: holder(2)}, entry.StatusConflict},
+		{"release", 0, entry.Release{Customer: "acme", Key: k, Holder: holder(1)}, entry.StatusOK},
+		{"copy of the released claim", 0, claim(k, 7, 1), entry.StatusPending},
+		{"claim after release", 0, claim(k, 7, 2), entry.StatusOK},
+		{"settle", 0, entry.Settle{Customer: "acme", Key: k, Holder: holder(2)}, entry.StatusOK},
+		{"settled", time.Hour, claim(k, 7, 3), entry.StatusSettled},
+		{"other body of a settled one", 0, claim(k, 8, 3), entry.StatusConflict},
+		{"release of a settled one", 0, entry.Release{Customer: "acme", Key: k, Holder: holder(2)}, entry.StatusSettled},
+		{"past the retention", time.Millisecond, claim(k, 7, 3), entry.StatusExpired},
+		{"retention raised", 0, long, entry.StatusExpired},
+		{"late release", 0, entry.Release{Customer: "acme", Key: k, Holder: holder(3)}, entry.StatusExpired},
+		{"retention raised after a late release", 0, long, entry.StatusExpired},
+		{"from the future", 0, claim(key(began.Add(time.Hour+2*time.Minute), 1), 7, 4), entry.StatusInvalid},
+		{"release before its claim", 0, entry.Release{Customer: "acme", Key: key(began.Add(time.Hour), 2), Holder: holder(5)}, entry.StatusOK},
+		{"claim after its release", 0, claim(key(began.Add(time.Hour), 2), 7, 5), entry.StatusPending},
+		{"other holder after that", 0, claim(key(began.Add(time.Hour), 2), 7, 6), entry.StatusOK},
+	}
+	var b ledger.Book
+	now := began
+	for _, s := range steps {
+		now = now.Add(s.after)
+		if got := b.Apply(now, s.c).Status; got != s.want {
+			t.Errorf("%s: got %v, want %v", s.name, got, s.want)
+		}
+	}
+}
+
+// Guards against unbounded memory: records go with their retention, and a
+// floor goes when no retention reaches back to it.
+func TestMemoryIsBoundedByRetention(t *testing.T) {
+	var b ledger.Book
+	now := began
+	for n := range 10_000 {
+		now = now.Add(time.Second)
+		b.Apply(now, claim(key(now, byte(n)), 1, n))
+	}
+	if got, most := len(b.Image()), 3602; got > most {
+		t.Errorf("got %d records, want at most %d", got, most)
+	}
+	now = now.Add(model.MaxRetention + time.Hour)
+	for range 10_000 / 16 {
+		b.Apply(now, entry.Release{})
+	}
+	if got, want := len(b.Image()), 0; got != want {
+		t.Errorf("got %d records after the longest retention, want %d", got, want)
+	}
+}
+
+// Guards against a key that runs twice over any order of claims, settlements,
+// releases, expiry, changed retentions, images and restores, and against
+// replicas that decide differently after a restore.
+func TestKeyRunsAtMostOnce(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		var b, twin ledger.Book
+		now, highest := began, began
+		ran := make(map[model.Key]int)         // requests that may have run
+		running := make(map[model.Key]int)     // holder told to run, not yet released
+		requests := make(map[int]model.Key)    // key of each request
+		bodies := make(map[int]entry.Claim)    // claim of each request
+		answered := make(map[int]entry.Status) // first answer of each request
+		keys := rapid.SliceOfNDistinct(rapid.IntRange(0, 180), 1, 6, rapid.ID[int]).Draw(t, "keys")
+		for step := range rapid.IntRange(1, 60).Draw(t, "steps") {
+			now = now.Add(time.Duration(rapid.IntRange(-5, 40).Draw(t, "minutes")) * time.Minute)
+			if now.After(highest) {
+				highest = now
+			}
+			k := key(began.Add(time.Duration(rapid.SampledFrom(keys).Draw(t, "key"))*time.Minute), 1)
+			var c entry.Command
+			n := step + 1
+			switch rapid.IntRange(0, 5).Draw(t, "action") {
+			case 0, 1:
+				claimed := claim(k, model.Fingerprint(rapid.IntRange(1, 2).Draw(t, "body")), n)
+				claimed.Retention = time.Duration(rapid.IntRange(1, 5).Draw(t, "hours")) * time.Hour
+				requests[n], bodies[n] = k, claimed
+				c = claimed
+			case 2: // a copy of an earlier claim
+				n = rapid.IntRange(1, step+1).Draw(t, "copy")
+				if _, ok := bodies[n]; !ok {
+					continue
+				}
+				k, c = requests[n], bodies[n]
+			case 3: // the holder's request ran
+				n = running[k]
+				if n == 0 {
+					continue
+				}
+				c = entry.Settle{Customer: "acme", Key: k, Holder: holder(n)}
+			case 4: // the holder's request did not run, or waits for its claim no longer
+				n = rapid.IntRange(1, step+1).Draw(t, "released")
+				if rk, ok := requests[n]; !ok || answered[n] == entry.StatusOK && running[rk] != n {
+					continue
+				}
+				k = requests[n]
+				if running[k] == n {
+					delete(running, k)
+					ran[k]--
+				}
+				answered[n] = entry.StatusNoMajority // its claim counts no more
+				c = entry.Release{Customer: "acme", Key: k, Holder: holder(n)}
+			default:
+				image := b.Image()
+				b = ledger.Book{}
+				b.Restore(image, highest)
+				twin.Restore(image, highest)
+				continue
+			}
+			got, same := b.Apply(now, c), twin.Apply(now, c)
+			if !reflect.DeepEqual(got, same) {
+				t.Fatalf("after a restore got %v, want %v", got, same)
+			}
+			if _, isClaim := c.(entry.Claim); !isClaim {
+				continue
+			}
+			if _, again := answered[n]; again {
+				continue
+			}
+			answered[n] = got.Status
+			if got.Status != entry.StatusOK {
+				continue
+			}
+			ran[k]++
+			running[k] = n
+			if ran[k] > 1 {
+				t.Fatalf("key %v runs %d times", k, ran[k])
+			}
+		}
+	})
+}
