Compose log, configuration and ledger in the control state

Cause: the control state published the fleet file and refused every claim.

Change: plane.Control applies committed entries and images to the store and the book, lets the first leader propose the genesis configuration, and publishes no view before one is in force on a fleet with disk VMs. Commands of traffic states and operators are appended or forwarded and retried until their time is over; the answer is majority only when no copy can be in a log. Operators' inquiries are confirmed by the leader. The log, the tree, the liveness watch and the leases attach through small interfaces, one file each; node hands the control events on.

Conclusion: tested with a log whose test decides who leads and what commits. The replicated log itself is not linked in yet, so a fleet with disk VMs refuses requests as stale for now.

--- /dev/null
+++ b/core/node/disk.go
@@ -0,0 +1,22 @@
+package node
+
+import (
+	"time"
+
+	"comfreypulley/core/effect"
+	"comfreypulley/core/event"
+)
+
+// disk handles what the data folder reports.
+func (s *State) disk(at time.Time, body event.Body, out []effect.Effect) []effect.Effect {
+	switch body := body.(type) {
+	case event.Loaded:
+		return s.control.Loaded(at, body, out)
+	case event.Synced:
+		return s.control.Synced(at, body, out)
+	case event.DiskFailed:
+		return s.control.DiskFailed(at, body, out)
+	default:
+		return out
+	}
+}
--- a/core/node/life.go
+++ b/core/node/life.go
@@ -17,14 +17,14 @@
 
 func (s *State) drain(at time.Time, out []effect.Effect) []effect.Effect {
 	if s.role == event.RoleControl {
-		return append(out, effect.Drained{})
+		return s.control.Drain(at, out)
 	}
 	return s.traffic.Drain(at, out)
 }
 
 func (s *State) timer(at time.Time, id event.TimerID, out []effect.Effect) []effect.Effect {
 	if s.role == event.RoleControl {
-		return out
+		return s.control.Timer(at, id, out)
 	}
 	return s.traffic.Timer(at, id, out)
 }
--- /dev/null
+++ b/core/node/operator.go
@@ -0,0 +1,20 @@
+package node
+
+import (
+	"time"
+
+	"comfreypulley/core/effect"
+	"comfreypulley/core/event"
+)
+
+// operator handles what operators ask and change.
+func (s *State) operator(at time.Time, body event.Body, out []effect.Effect) []effect.Effect {
+	switch body := body.(type) {
+	case event.Command:
+		return s.control.Command(at, body, out)
+	case event.Inquiry:
+		return s.control.Inquiry(at, body, out)
+	default:
+		return out
+	}
+}
--- a/core/node/state.go
+++ b/core/node/state.go
@@ -30,6 +30,14 @@
 		return s.upstream(ev.At, body, out)
 	case event.View, event.Summary, event.Propose, event.Proposed, event.Struck:
 		return s.bridge(ev.At, body, out)
+	case event.Peer, event.PeerDown:
+		return s.peer(ev.At, body, out)
+	case event.Loaded, event.Synced, event.DiskFailed:
+		return s.disk(ev.At, body, out)
+	case event.Command, event.Inquiry:
+		return s.operator(ev.At, body, out)
+	case event.Platform:
+		return s.platform(ev.At, body, out)
 	default:
 		return out
 	}
--- a/core/plane/control.go
+++ b/core/plane/control.go
@@ -1,57 +1,166 @@
 package plane
 
 import (
+	"fmt"
+	"maps"
+	"net/netip"
+	"slices"
 	"time"
 
+	"comfreypulley/core/config"
 	"comfreypulley/core/effect"
 	"comfreypulley/core/entry"
 	"comfreypulley/core/event"
+	"comfreypulley/core/ledger"
 	"comfreypulley/core/model"
 )
 
 // Control is the control state of one process. The zero value has no
 // configuration in force.
 type Control struct {
-	start    event.Start
-	topology *model.Topology
+	start      event.Start
+	replicated bool // the fleet has VMs with disks, so configuration comes from the log
+	store      config.Store
+	book       ledger.Book
+	log        Replicator // nil on a VM without a disk
+	applied    position
+	queue      queue
+	reads      []read
+	history    history
+	tree       tree
+	watch      watch
+	published  model.Revision
+	hint       model.VMID // last leader heard of outside the log
+	heard      time.Time  // when a majority was last heard of outside the log
+	lead       Standing   // as last seen
+	wanted     model.Revision
+	draining   bool
 }
 
-// Start takes over the settings and publishes the configuration in them, if any.
+// Start takes over the settings. A fleet without VMs with disks serves the
+// configuration in its settings; any other VM waits for one from the log or its
+// parent and publishes no view before.
 func (c *Control) Start(at time.Time, start event.Start, out []effect.Effect) []effect.Effect {
 	c.start = start
+	c.heard = at
+	c.queue.next = uint64(start.Began.UnixNano())
+	c.replicated = start.VM.Disk || len(c.disks()) > 0
+	if c.replicated {
+		return c.startTree(at, out)
+	}
 	if start.Genesis == nil {
 		return out
 	}
-	c.topology = start.Genesis
+	c.store.Restore(genesis(start.Genesis))
 	return c.publish(at, out)
 }
 
-// publish hands the configuration in force to the traffic states.
-func (c *Control) publish(_ time.Time, out []effect.Effect) []effect.Effect {
-	share := floors(c.topology, c.start.Loops)
-	return append(out, effect.ToTraffic{Loop: effect.AllLoops, Body: event.View{Topology: c.topology, Share: share}})
+// Drain hands over leadership and reports effect.Drained once no command is
+// waiting for its answer.
+func (c *Control) Drain(at time.Time, out []effect.Effect) []effect.Effect {
+	c.draining = true
+	if c.leading() {
+		out = c.log.Resign(at, out)
+	}
+	return c.moved(at, out)
+}
+
+// Timer takes a timer of the control state.
+func (c *Control) Timer(at time.Time, id event.TimerID, out []effect.Effect) []effect.Effect {
+	switch id.Kind {
+	case event.TimerElection, event.TimerBeat:
+		if c.log != nil {
+			out = c.log.Timer(at, id.Kind, out)
+		}
+	case event.TimerPropose:
+		out = c.retry(at, out)
+	case event.TimerTree:
+		out = c.timerTree(at, out)
+	case event.TimerMember:
+		out = c.timerMember(at, out)
+	default:
+		return out
+	}
+	return c.moved(at, out)
+}
+
+// moved carries on after a part changed its state: it applies what the log
+// committed and publishes the configuration when it has a new revision.
+func (c *Control) moved(at time.Time, out []effect.Effect) []effect.Effect {
+	out = c.advance(at, out)
+	if c.store.Revision() != c.published {
+		out = c.publish(at, out)
+		out = c.changedTree(at, out)
+	}
+	out = c.observe(at, out)
+	if c.draining && c.queue.idle() {
+		c.draining = false
+		out = append(out, effect.Drained{})
+	}
+	return out
 }
 
-// Propose answers a traffic state's claim, settlement or release.
-func (c *Control) Propose(_ time.Time, p event.Propose, out []effect.Effect) []effect.Effect {
-	return append(out, effect.ToTraffic{Loop: p.Loop, Body: event.Proposed{
-		Request: p.Request, Command: p.Command, Result: entry.Result{Status: entry.StatusNoMajority},
+// publish hands the configuration in force to the traffic states.
+func (c *Control) publish(at time.Time, out []effect.Effect) []effect.Effect {
+	c.published = c.store.Revision()
+	topology := c.store.Topology()
+	if c.log == nil {
+		out = c.note(effect.Note{
+			At: at, Subject: "configuration", Action: fmt.Sprintf("revision %d in force", c.published), Cause: "received",
+		}, out)
+	}
+	return append(out, effect.ToTraffic{Loop: effect.AllLoops, Body: event.View{
+		Topology: topology, Share: c.share(at, topology),
 	}})
 }
 
-// floors divides every fleet-wide limit over the registered VMs and their
-// traffic loops, rounding down but never below 1.
-func floors(t *model.Topology, loops int) model.Share {
-	n := max(1, len(t.VMs)) * max(1, loops)
-	share := model.Share{
-		Concurrency: make(map[string]int, len(t.Contracts)),
-		Conns:       make(map[model.UpstreamID]int, len(t.Upstreams)),
+// disks lists the VMs that should replicate the log: those of the configuration
+// in force or, before there is one, of the settings.
+func (c *Control) disks() []model.VMID {
+	vms := c.store.Topology().VMs
+	if c.store.Revision() == 0 {
+		vms = c.known()
+	}
+	var ids []model.VMID
+	for _, id := range slices.Sorted(maps.Keys(vms)) {
+		if vms[id].Disk && vms[id].State == model.StateActive {
+			ids = append(ids, id)
+		}
+	}
+	return ids
+}
+
+// known returns the VMs of the settings.
+func (c *Control) known() map[model.VMID]model.VM {
+	vms := make(map[model.VMID]model.VM)
+	for _, vm := range c.start.Peers {
+		vms[vm.ID] = vm
+	}
+	if c.start.Genesis != nil {
+		maps.Copy(vms, c.start.Genesis.VMs)
+	}
+	return vms
+}
+
+// addr returns where a VM listens for its peers.
+func (c *Control) addr(id model.VMID) netip.AddrPort {
+	if vm, ok := c.store.Topology().VMs[id]; ok {
+		return vm.Peer
+	}
+	return c.known()[id].Peer
+}
+
+// genesis turns the settings' configuration into the first one of the log.
+func genesis(t *model.Topology) entry.Config {
+	g := entry.Config{Revision: max(1, t.Revision)}
+	for _, id := range slices.Sorted(maps.Keys(t.Contracts)) {
+		g.Contracts = append(g.Contracts, t.Contracts[id])
 	}
-	for customer, contract := range t.Contracts {
-		share.Concurrency[customer] = max(1, contract.Concurrency/n)
+	for _, id := range slices.Sorted(maps.Keys(t.Upstreams)) {
+		g.Upstreams = append(g.Upstreams, t.Upstreams[id])
 	}
-	for id, u := range t.Upstreams {
-		share.Conns[id] = max(1, u.Conns/n)
+	for _, id := range slices.Sorted(maps.Keys(t.VMs)) {
+		g.VMs = append(g.VMs, t.VMs[id])
 	}
-	return share
+	return g
 }
--- a/core/plane/doc.go
+++ b/core/plane/doc.go
@@ -1,12 +1,17 @@
-// Package plane is the control state of a process. It keeps the configuration
-// in force, publishes it to the traffic states with this VM's shares, and
-// carries their claims and settlements to the replicated log.
+// Package plane is the control state of a process. It composes the replicated
+// log, the configuration and the ledger, publishes the configuration in force to
+// the traffic states with this VM's shares, and carries commands to the leader.
 //
 // # Usage
 //
 //	var c plane.Control
-//	out = c.Start(at, start, out)      // effect.ToTraffic with the first view
+//	c.Replicate(log)                   // on a VM with a disk, before Start
+//	out = c.Start(at, start, out)      // effect.ToTraffic when a view is in force
 //	out = c.Propose(at, propose, out)  // answered by an event.Proposed
+//	out = c.Command(at, command, out)  // answered by an effect.Respond
 //
-// All state is that of the one control goroutine.
+// All state is that of the one control goroutine. One file holds one concern:
+// log.go applies what the log commits, queue.go retries commands until they are
+// answered, and tree.go, member.go and lease.go are where the distribution tree,
+// the liveness watch and the leases attach.
 package plane
--- /dev/null
+++ b/core/plane/operator.go
@@ -0,0 +1,111 @@
+package plane
+
+import (
+	"slices"
+	"time"
+
+	"comfreypulley/core/effect"
+	"comfreypulley/core/entry"
+	"comfreypulley/core/event"
+)
+
+// Times after which an operator gets an answer in any case.
+const (
+	commandPeriod = 10 * time.Second
+	readPeriod    = 3 * time.Second
+)
+
+// read is a linearizable inquiry that waits for the leader's confirmation.
+type read struct {
+	n     uint64
+	until time.Time
+}
+
+// Command takes an operator's change. The answer is an effect.Respond.
+func (c *Control) Command(at time.Time, e event.Command, out []effect.Effect) []effect.Effect {
+	p := &proposal{command: e.Command, until: at.Add(commandPeriod), to: operatorReceiver{n: e.N}}
+	return c.moved(at, c.submit(at, p, out))
+}
+
+// Inquiry takes an operator's question. A linearizable one is answered as
+// current once the leader confirmed that it still leads: in the log of the
+// leader itself by a round of heartbeats, from another VM by an empty entry.
+func (c *Control) Inquiry(at time.Time, e event.Inquiry, out []effect.Effect) []effect.Effect {
+	if !e.Linearizable || !c.replicated {
+		return c.respond(at, e.N, !c.replicated, out)
+	}
+	if !c.leading() {
+		p := &proposal{command: entry.Noop{}, until: at.Add(readPeriod), to: readReceiver{n: e.N}}
+		return c.moved(at, c.submit(at, p, out))
+	}
+	status, out := c.log.Confirm(at, e.N, out)
+	if status != entry.StatusOK {
+		return c.respond(at, e.N, false, out)
+	}
+	r := read{n: e.N, until: at.Add(readPeriod)}
+	c.reads = append(c.reads, r)
+	return c.moved(at, c.alarm(at, r.until, out))
+}
+
+// confirmed answers a read that the log confirmed.
+func (c *Control) confirmed(at time.Time, n uint64, out []effect.Effect) []effect.Effect {
+	i := slices.IndexFunc(c.reads, func(r read) bool { return r.n == n })
+	if i < 0 {
+		return out
+	}
+	c.reads = slices.Delete(c.reads, i, i+1)
+	return c.respond(at, n, true, out)
+}
+
+// expireReads answers the reads that were not confirmed in time.
+func (c *Control) expireReads(at time.Time, out []effect.Effect) []effect.Effect {
+	for len(c.reads) > 0 && !at.Before(c.reads[0].until) {
+		n := c.reads[0].n
+		c.reads = slices.Delete(c.reads, 0, 1)
+		out = c.respond(at, n, false, out)
+	}
+	if len(c.reads) > 0 {
+		out = c.alarm(at, c.reads[0].until, out)
+	}
+	return out
+}
+
+func (c *Control) respond(at time.Time, n uint64, current bool, out []effect.Effect) []effect.Effect {
+	status := c.status(at)
+	status.Current = current
+	return append(out, effect.Respond{N: n, Result: entry.Result{Status: entry.StatusOK}, Status: status})
+}
+
+func (c *Control) status(at time.Time) *effect.Status {
+	s := &effect.Status{
+		VM: c.start.VM.ID, Zone: c.start.VM.Zone, Leader: c.leader(),
+		Topology: c.store.Topology(), Heard: c.suspects(at), History: c.history.notes(),
+	}
+	heard := c.heard
+	if c.log != nil {
+		standing := c.log.Standing()
+		s.Term, s.Commit, heard = standing.Term, standing.Commit, standing.Heard
+		if heard.IsZero() {
+			heard = c.start.Began
+		}
+	}
+	if c.replicated {
+		s.Age = max(0, at.Sub(heard))
+	}
+	return s
+}
+
+// operatorReceiver answers an operator's change.
+type operatorReceiver struct{ n uint64 }
+
+func (o operatorReceiver) answer(_ time.Time, _ *Control, _ entry.Command, r entry.Result, out []effect.Effect) []effect.Effect {
+	return append(out, effect.Respond{N: o.n, Result: r})
+}
+
+// readReceiver answers an operator's question. The result carries the leader's
+// revision, which this VM must have reached for its answer to be current.
+type readReceiver struct{ n uint64 }
+
+func (o readReceiver) answer(at time.Time, c *Control, _ entry.Command, r entry.Result, out []effect.Effect) []effect.Effect {
+	return c.respond(at, o.n, r.Status == entry.StatusOK && c.store.Revision() >= max(1, r.Revision), out)
+}
--- /dev/null
+++ b/core/plane/peer.go
@@ -0,0 +1,110 @@
+package plane
+
+import (
+	"time"
+
+	"comfreypulley/core/effect"
+	"comfreypulley/core/entry"
+	"comfreypulley/core/event"
+	"comfreypulley/core/frame"
+	"comfreypulley/core/model"
+)
+
+// Peer takes a message from another VM.
+func (c *Control) Peer(at time.Time, p event.Peer, out []effect.Effect) []effect.Effect {
+	switch m := p.Message.(type) {
+	case frame.Vote, frame.Voted, frame.Append, frame.Appended, frame.Snap, frame.Snapped:
+		if c.log != nil {
+			out = c.log.Peer(at, p.From, m, out)
+		}
+	case frame.Propose:
+		out = c.forwarded(at, p.From, m, out)
+	case frame.Proposed:
+		out = c.returned(at, m, out)
+	case frame.Digest, frame.Delta, frame.Full:
+		out = c.peerTree(at, p.From, m, out)
+	case frame.Ping, frame.Pong, frame.Probe, frame.Probed:
+		out = c.peerMember(at, p.From, m, out)
+	case frame.Ask, frame.Grant:
+		out = c.peerLease(at, p.From, m, out)
+	default:
+		return out
+	}
+	return c.moved(at, c.heardFrom(at, p.From, out))
+}
+
+// PeerDown takes the loss of a connection. Commands that wait for an answer of
+// that VM are tried elsewhere at once.
+func (c *Control) PeerDown(at time.Time, vm model.VMID, out []effect.Effect) []effect.Effect {
+	if vm == c.hint {
+		c.hint = ""
+		out = c.hurry(at, out)
+	}
+	return c.moved(at, c.downTree(at, vm, out))
+}
+
+// Platform takes the platform's list of VMs. Leaving VMs are noted; the list
+// lags, so nothing is decided from it alone.
+func (c *Control) Platform(at time.Time, p event.Platform, out []effect.Effect) []effect.Effect {
+	for _, id := range p.Leaving {
+		out = c.note(effect.Note{At: at, Subject: "vm " + string(id), Action: "leaving", Cause: "the platform's list"}, out)
+	}
+	return out
+}
+
+// forwarded appends another VM's command. The answer follows when the entry is
+// applied, or at once when it was not appended.
+func (c *Control) forwarded(at time.Time, from model.VMID, m frame.Propose, out []effect.Effect) []effect.Effect {
+	to := peerReceiver{vm: from, n: m.N}
+	if !c.leading() {
+		return to.answer(at, c, m.Command, entry.Result{Status: entry.StatusNotLeader, Leader: c.leader()}, out)
+	}
+	if c.queue.open >= maxQueued {
+		return to.answer(at, c, m.Command, entry.Result{Status: entry.StatusUnavailable, Detail: "too many commands are waiting"}, out)
+	}
+	term := c.log.Standing().Term
+	index, status, out := c.log.Propose(at, m.Command, out)
+	if index == 0 {
+		return to.answer(at, c, m.Command, entry.Result{Status: status, Leader: c.leader()}, out)
+	}
+	p := &proposal{command: m.Command, until: at.Add(forwardPeriod), to: to, once: true}
+	c.queue.add(p)
+	c.queue.append(p, slot{index: index, term: term})
+	return c.wake(at, p, out)
+}
+
+// returned takes the answer of a forwarded command. Without a decision it is
+// tried again, until its time is over.
+func (c *Control) returned(at time.Time, m frame.Proposed, out []effect.Effect) []effect.Effect {
+	p := c.queue.returned(m.N)
+	if p == nil {
+		return out
+	}
+	if m.Result.Status.Applied() {
+		return c.finish(at, p, m.Result, out)
+	}
+	p.next = at.Add(blindRetry)
+	if m.Result.Leader != "" && m.Result.Leader != c.hint {
+		c.hint = m.Result.Leader
+		p.attempts = 0
+		p.next = at.Add(redirected)
+	}
+	return c.wake(at, p, out)
+}
+
+func (c *Control) tell(to model.VMID, n uint64, command entry.Command) effect.Effect {
+	return effect.Tell{To: to, Addr: c.addr(to), Message: frame.Propose{N: n, Command: command}}
+}
+
+// peerReceiver answers another VM.
+type peerReceiver struct {
+	vm model.VMID
+	n  uint64
+}
+
+func (p peerReceiver) answer(_ time.Time, c *Control, _ entry.Command, r entry.Result, out []effect.Effect) []effect.Effect {
+	if r.Status == entry.StatusUnknown {
+		return out
+	}
+	return append(out, effect.Tell{To: p.vm, Addr: c.addr(p.vm), Message: frame.Proposed{N: p.n, Result: r}})
+}
