--- a/io/conf/document.go
+++ b/io/conf/document.go
@@ -9,6 +9,14 @@
 	"gopkg.in/ini.v1"
 )
 
+// options of the reader and the writer.
+var options = ini.LoadOptions{
+	SkipUnrecognizableLines: false,
+	IgnoreContinuation:      true,
+	IgnoreInlineComment:     false,
+	KeyValueDelimiters:      "=",
+}
+
 // document is a parsed file with the lines of its keys.
 type document struct {
 	file  string
@@ -25,12 +33,7 @@
 }
 
 func parseDocument(file string, raw []byte) (d *document, err error) {
-	parsed, err := ini.LoadSources(ini.LoadOptions{
-		SkipUnrecognizableLines: false,
-		IgnoreContinuation:      true,
-		IgnoreInlineComment:     false,
-		KeyValueDelimiters:      "=",
-	}, raw)
+	parsed, err := ini.LoadSources(options, raw)
 	if err != nil {
 		return nil, &FileError{File: file, Section: "file", Text: err.Error()}
 	}
--- a/io/conf/fleet.go
+++ b/io/conf/fleet.go
@@ -30,6 +30,34 @@
 	return d.fleet()
 }
 
+// ReadContracts reads a file with contract and class sections only. Errors are
+// *FileError.
+func ReadContracts(file string) (contracts []model.Contract, err error) {
+	d, err := readDocument(file)
+	if err != nil {
+		return nil, err
+	}
+	return d.contracts()
+}
+
+func (d *document) contracts() (contracts []model.Contract, err error) {
+	t, err := d.fleet()
+	if err != nil {
+		return nil, err
+	}
+	for _, section := range d.sections() {
+		kind, name, _ := strings.Cut(section, " ")
+		switch kind {
+		case "contract":
+			contracts = append(contracts, t.Contracts[strings.TrimSpace(name)])
+		case "class":
+		default:
+			return nil, d.problem(section, "", "is not a contract or class")
+		}
+	}
+	return contracts, nil
+}
+
 // ParseFleet reads a fleet from memory.
 func ParseFleet(file string, raw []byte) (t *model.Topology, err error) {
 	d, err := parseDocument(file, raw)
@@ -119,6 +147,7 @@
 		{key: "zone", required: true, set: textValue(&zone)},
 		{key: "peer", required: true, set: addrValue(&vm.Peer)},
 		{key: "disk", set: boolValue(&vm.Disk)},
+		{key: "state", set: stateValue(&vm.State)},
 	})
 	vm.Zone = model.Zone(zone)
 	return vm, err
@@ -134,6 +163,7 @@
 		{key: "slots", required: true, set: intValue(&u.Slots, 1, maxSlots)},
 		{key: "conns", required: true, set: intValue(&u.Conns, 1, maxConns)},
 		{key: "dial", set: durationValue(&u.Dial, 0, maxDial)},
+		{key: "state", set: stateValue(&u.State)},
 	})
 	u.Zone = model.Zone(zone)
 	return u, err
@@ -148,6 +178,7 @@
 		{key: "capacity", required: true, set: shareValue(&c.Capacity)},
 		{key: "extra", required: true, set: shareValue(&c.Extra)},
 		{key: "retention", required: true, set: durationValue(&c.Retention, time.Second, model.MaxRetention)},
+		{key: "retired", set: boolValue(&c.Retired)},
 	})
 	if err != nil {
 		return c, err
--- a/io/conf/value.go
+++ b/io/conf/value.go
@@ -6,6 +6,8 @@
 	"strconv"
 	"strings"
 	"time"
+
+	"comfreypulley/core/model"
 )
 
 func textValue(to *string) func(string) error {
@@ -112,3 +114,15 @@
 		return nil
 	}
 }
+
+func stateValue(to *model.UpstreamState) func(string) error {
+	return func(text string) error {
+		for _, state := range []model.UpstreamState{model.StateActive, model.StateDraining} {
+			if text == state.String() {
+				*to = state
+				return nil
+			}
+		}
+		return fmt.Errorf("must be active or draining, not %q", text)
+	}
+}
