Serve operators over HTTP

Cause: contracts could only be changed in the fleet file.

The counters moved there from io/serve. On shutdown the control loop is drained after the traffic loops, so that leadership is handed over.

Conclusion: tested over HTTP with a control state and a log of one replica that commits at once.

--- a/core/plane/control.go
+++ b/core/plane/control.go
@@ -51,7 +51,8 @@
 	if start.Genesis == nil {
 		return out
 	}
-	c.store.Restore(genesis(start.Genesis))
+	g := genesis(start.Genesis)
+	c.store.Apply(at, entry.Change{Genesis: &g})
 	return c.publish(at, out)
 }
 
@@ -152,7 +153,7 @@
 
 // genesis turns the settings' configuration into the first one of the log.
 func genesis(t *model.Topology) entry.Config {
-	g := entry.Config{Revision: max(1, t.Revision)}
+	var g entry.Config
 	for _, id := range slices.Sorted(maps.Keys(t.Contracts)) {
 		g.Contracts = append(g.Contracts, t.Contracts[id])
 	}
--- /dev/null
+++ b/io/admin/server_test.go
@@ -0,0 +1,258 @@
+package admin_test
+
+import (
+	"errors"
+	"expvar"
+	"io"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"reflect"
+	"strings"
+	"testing"
+	"time"
+
+	"comfreypulley/core/effect"
+	"comfreypulley/core/entry"
+	"comfreypulley/core/event"
+	"comfreypulley/core/model"
+	"comfreypulley/core/plane"
+	"comfreypulley/io/admin"
+)
+
+// fakeLog is a log of one replica that commits at once, or refuses.
+type fakeLog struct {
+	plane.Replicator
+	refuse  bool
+	entries []entry.Entry
+	last    uint64
+	reads   []uint64
+}
+
+func (l *fakeLog) Standing() plane.Standing {
+	return plane.Standing{Leader: "vm0", Leading: true, Term: 1, Commit: l.last, Heard: time.Now()}
+}
+
+func (l *fakeLog) Propose(at time.Time, c entry.Command, out []effect.Effect) (uint64, entry.Status, []effect.Effect) {
+	if l.refuse {
+		return 0, entry.StatusNoMajority, out
+	}
+	l.last++
+	l.entries = append(l.entries, entry.Entry{Index: l.last, Term: 1, At: at, Command: c})
+	return l.last, entry.StatusOK, out
+}
+
+func (l *fakeLog) Committed() (*entry.Image, []entry.Entry) {
+	entries := l.entries
+	l.entries = nil
+	return nil, entries
+}
+
+func (l *fakeLog) Synced(_ time.Time, _ event.Synced, out []effect.Effect) []effect.Effect {
+	return out
+}
+
+func (l *fakeLog) Want(_ time.Time, _ []model.VMID, out []effect.Effect) []effect.Effect { return out }
+
+func (l *fakeLog) Confirm(_ time.Time, n uint64, out []effect.Effect) (entry.Status, []effect.Effect) {
+	if l.refuse {
+		return entry.StatusNoMajority, out
+	}
+	l.reads = append(l.reads, n)
+	return entry.StatusOK, out
+}
+
+func (l *fakeLog) Confirmed() []uint64 {
+	reads := l.reads
+	l.reads = nil
+	return reads
+}
+
+// fixture is an admin server in front of a control state. Nothing is sent at the
+// same time, so the state needs no loop.
+type fixture struct {
+	control plane.Control
+	log     *fakeLog
+	server  *admin.Server
+	client  *admin.Client
+	http    *httptest.Server
+}
+
+func newFixture(t *testing.T) *fixture {
+	f := &fixture{log: &fakeLog{}}
+	f.server = &admin.Server{Post: f.post, Vars: new(expvar.Map)}
+	f.http = httptest.NewServer(f.server)
+	t.Cleanup(f.http.Close)
+	f.client = &admin.Client{Addr: netip.MustParseAddrPort(strings.TrimPrefix(f.http.URL, "http://"))}
+	f.control.Replicate(f.log)
+	vm := model.VM{ID: "vm0", Zone: "a", Disk: true, Peer: netip.MustParseAddrPort("127.0.0.1:7000")}
+	f.control.Start(time.Now(), event.Start{VM: vm, Loops: 1, Genesis: &model.Topology{VMs: map[model.VMID]model.VM{"vm0": vm}}}, nil)
+	f.control.Synced(time.Now(), event.Synced{}, nil)
+	return f
+}
+
+// post lets a command without an answer run out of time at once.
+func (f *fixture) post(body event.Body) {
+	now := time.Now()
+	var out []effect.Effect
+	switch body := body.(type) {
+	case event.Command:
+		out = f.control.Command(now, body, nil)
+		out = f.control.Synced(now, event.Synced{}, out)
+		out = f.control.Timer(now.Add(time.Hour), event.TimerID{Kind: event.TimerPropose}, out)
+	case event.Inquiry:
+		out = f.control.Inquiry(now, body, nil)
+	}
+	for _, e := range out {
+		if r, ok := e.(effect.Respond); ok {
+			f.server.Respond(r)
+		}
+	}
+}
+
+func contract() model.Contract {
+	return model.Contract{
+		Customer: "acme", Credential: [32]byte{1, 2}, Indexes: []string{"pairing", "portal"}, Concurrency: 30, Capacity: 0.5,
+		Extra: 0.05, Retention: 90 * time.Minute,
+		Classes: []model.Class{
+			{Name: "now", Wait: 50 * time.Millisecond, Price: 5, Weight: 2, Coverage: 0.5},
+			{Name: "later", Wait: 2 * time.Second, Price: 1, Weight: 0.5, Coverage: 1},
+		},
+	}
+}
+
+func wantCode(t *testing.T, err error, want int) admin.Result {
+	t.Helper()
+	var problem *admin.ResultError
+	if !errors.As(err, &problem) || problem.Code != want {
+		t.Fatalf("got %v, want HTTP %d", err, want)
+	}
+	return problem.Result
+}
+
+// Guards against fields lost between the command line and the store, lost
+// conflicts, and resends that are applied twice.
+func TestContract(t *testing.T) {
+	f := newFixture(t)
+	ctx := t.Context()
+	want := contract()
+	first, err := f.client.PutContract(ctx, admin.Change{Operation: "op1"}, want)
+	if err != nil {
+		t.Fatal(err)
+	}
+	want.Revision = model.Revision(first.Revision)
+	got, err := f.client.Contract(ctx, "acme")
+	if err != nil || !reflect.DeepEqual(got, want) {
+		t.Fatalf("got %+v, %v, want %+v", got, err, want)
+	}
+	_, err = f.client.PutContract(ctx, admin.Change{}, want)
+	if r := wantCode(t, err, http.StatusConflict); r.Revision != first.Revision {
+		t.Errorf("a conflict named revision %d, want %d", r.Revision, first.Revision)
+	}
+	again, err := f.client.PutContract(ctx, admin.Change{Operation: "op1"}, contract())
+	if err != nil || again != first {
+		t.Errorf("a resend got %+v, %v, want %+v", again, err, first)
+	}
+	_, err = f.client.RetireContract(ctx, admin.Change{}, "acme")
+	wantCode(t, err, http.StatusPreconditionRequired)
+	retired, err := f.client.RetireContract(ctx, admin.Change{Expect: want.Revision}, "acme")
+	if err != nil {
+		t.Fatal(err)
+	}
+	want.Retired, want.Revision = true, model.Revision(retired.Revision)
+	all, err := f.client.Contracts(ctx)
+	if err != nil || !reflect.DeepEqual(all, []model.Contract{want}) {
+		t.Errorf("got %+v, %v, want %+v", all, err, want)
+	}
+	bad := contract()
+	bad.Customer, bad.Concurrency = "bolt", 0
+	_, err = f.client.PutContract(ctx, admin.Change{}, bad)
+	if r := wantCode(t, err, http.StatusBadRequest); !strings.Contains(r.Detail, "concurrency") {
+		t.Errorf("got detail %q, want the field", r.Detail)
+	}
+}
+
+// Guards against upstreams and VMs that are drained or removed without the
+// revision, or lose fields when they are drained.
+func TestUpstreamAndVM(t *testing.T) {
+	f := newFixture(t)
+	ctx := t.Context()
+	u := model.Upstream{
+		ID: "u1", Addr: netip.MustParseAddrPort("127.0.0.1:9000"), Zone: "a", Index: "pairing", Slots: 3, Conns: 65, Dial: 6 * time.Millisecond,
+	}
+	added, err := f.client.PutUpstream(ctx, admin.Change{}, u)
+	if err != nil {
+		t.Fatal(err)
+	}
+	drained, err := f.client.Drain(ctx, admin.Change{Expect: model.Revision(added.Revision)}, "upstream", "u1")
+	if err != nil {
+		t.Fatal(err)
+	}
+	u.State, u.Revision = model.StateDraining, model.Revision(drained.Revision)
+	if got, err := f.client.Upstreams(ctx); err != nil || !reflect.DeepEqual(got, []model.Upstream{u}) {
+		t.Errorf("got %+v, %v, want %+v", got, err, u)
+	}
+	if _, err := f.client.Remove(ctx, admin.Change{Expect: u.Revision}, "upstream", "u1"); err != nil {
+		t.Fatal(err)
+	}
+	if got, err := f.client.Upstreams(ctx); err != nil || len(got) != 0 {
+		t.Errorf("got %+v, %v, want none", got, err)
+	}
+	if _, err := f.client.PutVM(ctx, admin.Change{}, model.VM{ID: "vm1", Zone: "b", Peer: netip.MustParseAddrPort("127.0.0.1:7001")}); err != nil {
+		t.Fatal(err)
+	}
+	_, err = f.client.Remove(ctx, admin.Change{Expect: 1}, "vm", "vm0")
+	wantCode(t, err, http.StatusBadRequest)
+	if got, err := f.client.VMs(ctx); err != nil || len(got) != 2 {
+		t.Errorf("got %+v, %v, want two VMs", got, err)
+	}
+}
+
+// Guards against an operator who takes a change without a majority for made, or
+// an old configuration for the newest.
+func TestNoMajority(t *testing.T) {
+	f := newFixture(t)
+	if s, err := f.client.Status(t.Context(), true); err != nil || !s.Current || s.Leader != "vm0" || s.Revision != 1 {
+		t.Errorf("got %+v, %v, want a current status", s, err)
+	}
+	f.log.refuse = true
+	_, err := f.client.PutContract(t.Context(), admin.Change{}, contract())
+	if r := wantCode(t, err, http.StatusServiceUnavailable); r.Status != entry.StatusNoMajority.String() {
+		t.Errorf("got status %q, want majority", r.Status)
+	}
+	_, err = f.client.Status(t.Context(), true)
+	wantCode(t, err, http.StatusServiceUnavailable)
+}
+
+// Guards against decisions that cannot be explained, and against a body for
+// another object than the path names.
+func TestExplainAndBadBodies(t *testing.T) {
+	f := newFixture(t)
+	if _, err := f.client.PutContract(t.Context(), admin.Change{Operation: "op7"}, contract()); err != nil {
+		t.Fatal(err)
+	}
+	notes, err := f.client.Explain(t.Context(), "contract acme")
+	if err != nil || len(notes) != 1 || !strings.Contains(notes[0].Cause, "op7") {
+		t.Errorf("got %+v, %v, want one note that names the operation", notes, err)
+	}
+	for name, body := range map[string]string{
+		"another customer": `{"customer":"bolt"}`,
+		"unknown field":    `{"customer":"acme","color":1}`,
+		"no JSON":          `{`,
+		"bad wait":         `{"customer":"acme","classes":[{"wait":"soon"}]}`,
+	} {
+		request, err := http.NewRequestWithContext(t.Context(), http.MethodPut, f.http.URL+"/v1/contract/acme", strings.NewReader(body))
+		if err != nil {
+			t.Fatal(err)
+		}
+		response, err := f.http.Client().Do(request)
+		if err != nil {
+			t.Fatal(err)
+		}
+		text, _ := io.ReadAll(response.Body)
+		response.Body.Close()
+		if got, want := response.StatusCode, http.StatusBadRequest; got != want {
+			t.Errorf("%s: got %d %s, want %d", name, got, text, want)
+		}
+	}
+}
--- a/io/serve/control.go
+++ b/io/serve/control.go
@@ -4,14 +4,17 @@
 	"github.com/apex/log"
 
 	"comfreypulley/core/effect"
+	"comfreypulley/io/admin"
 	"comfreypulley/io/loop"
 )
 
 // control carries out the effects of the control loop.
 type control struct {
-	loops    []*loop.Loop
-	counters *Counters
-	logger   log.Interface
+	loops     []*loop.Loop
+	counters  *Counters
+	logger    log.Interface
+	operators *admin.Server
+	drained   chan struct{}
 }
 
 // Execute implements loop.Executor.
@@ -23,6 +26,14 @@
 				l.Post(e.Body)
 			}
 		}
+	case effect.Respond:
+		c.operators.Respond(e)
+	case effect.Drained:
+		select {
+		case <-c.drained:
+		default:
+			close(c.drained)
+		}
 	case effect.Count:
 		c.counters.Add(e)
 	case effect.Note:
--- a/io/serve/drainer.go
+++ b/io/serve/drainer.go
@@ -33,19 +33,31 @@
 	deadline := time.NewTimer(vm.settings.Finish)
 	defer deadline.Stop()
 	for _, t := range vm.traffics {
-		select {
-		case <-t.drained:
-		case <-deadline.C:
-			vm.logger.Warn("drain time is over; requests in flight are cut off")
-			return nil
-		case <-d.stopped:
+		if !d.await(t.drained, deadline) {
 			return nil
 		}
 	}
+	vm.control.Post(event.Drain{})
+	if !d.await(vm.drained, deadline) {
+		return nil
+	}
 	vm.logger.Info("drained")
 	return nil
 }
 
+// await returns false when the drain time is over or the group stops meanwhile.
+func (d *drainer) await(drained chan struct{}, deadline *time.Timer) bool {
+	select {
+	case <-drained:
+		return true
+	case <-deadline.C:
+		d.vm.logger.Warn("drain time is over; requests in flight are cut off")
+		return false
+	case <-d.stopped:
+		return false
+	}
+}
+
 // wait returns false when the group stops meanwhile.
 func (d *drainer) wait(period time.Duration) bool {
 	timer := time.NewTimer(period)
--- a/io/serve/vm.go
+++ b/io/serve/vm.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"errors"
-	"expvar"
 	"fmt"
 	"net"
 	"net/http"
@@ -15,6 +14,7 @@
 
 	"comfreypulley/core/event"
 	"comfreypulley/core/model"
+	"comfreypulley/io/admin"
 	"comfreypulley/io/caller"
 	"comfreypulley/io/conf"
 	"comfreypulley/io/dialer"
@@ -37,9 +37,12 @@
 	usage    *Usage
 	caller   *caller.Server
 	control  *loop.Loop
+	drained  chan struct{} // closed when the control loop has drained
 	traffics []*traffic
 	listener net.Listener
 	admin    net.Listener
+
+	operators *admin.Server
 }
 
 // New opens the listeners and files of a VM.
@@ -69,8 +72,11 @@
 }
 
 func (vm *VM) assemble() {
-	executor := &control{counters: vm.counters, logger: vm.logger}
+	executor := &control{counters: vm.counters, logger: vm.logger, drained: make(chan struct{})}
 	vm.control = loop.New(executor)
+	vm.drained = executor.drained
+	vm.operators = &admin.Server{Post: vm.control.Post, Vars: vm.counters}
+	executor.operators = vm.operators
 	vm.caller = &caller.Server{}
 	began := time.Now()
 	for range vm.settings.Loops {
@@ -106,8 +112,8 @@
 	group.Add(func() error { return vm.control.Run(start) }, vm.control.Stop)
 	callers := newServer(vm.caller)
 	group.Add(func() error { return serveHTTP(callers, vm.listener) }, func(error) { shutdown(callers) })
-	admin := newServer(vm.adminHandler())
-	group.Add(func() error { return serveHTTP(admin, vm.admin) }, func(error) { shutdown(admin) })
+	operators := newServer(vm.operators)
+	group.Add(func() error { return serveHTTP(operators, vm.admin) }, func(error) { shutdown(operators) })
 	d := &drainer{vm: vm, ctx: ctx, stopped: make(chan struct{})}
 	group.Add(d.run, d.stop)
 	err = group.Run()
@@ -124,15 +130,6 @@
 	return uint64(time.Now().UnixNano())
 }
 
-func (vm *VM) adminHandler() http.Handler {
-	mux := http.NewServeMux()
-	mux.HandleFunc("GET /debug/vars", func(w http.ResponseWriter, _ *http.Request) {
-		w.Header().Set("Content-Type", "application/json")
-		fmt.Fprintf(w, "{\"comfreypulley\": %s, \"memstats\": %s}\n", vm.counters.String(), expvar.Get("memstats").String())
-	})
-	return mux
-}
-
 func newServer(handler http.Handler) *http.Server {
 	return &http.Server{Handler: handler, ReadHeaderTimeout: headerTimeout, MaxHeaderBytes: maxHeader}
 }
