Add operators' subcommands

Cause: operators had no command line.

Change: contract put, retire, list and show; fleet upstream and fleet vm with add, drain, remove and list; status; explain. The group is called fleet, as upstream runs a stand-in.

--- a/io/cmds/main.go
+++ b/io/cmds/main.go
@@ -18,6 +18,10 @@
 	Upstream upstreamCommand `cmd:"" help:"Run a stand-in upstream."`
 	Load     loadCommand     `cmd:"" help:"Send queries as callers do and report latencies."`
 	Check    checkCommand    `cmd:"" help:"Check a settings or fleet file."`
+	Contract contractCommand `cmd:"" help:"Create, change, retire and list contracts."`
+	Fleet    fleetCommand    `cmd:"" help:"Add, drain and remove the upstreams and VMs of a fleet."`
+	Status   statusCommand   `cmd:"" help:"Print what a VM knows of the fleet."`
+	Explain  explainCommand  `cmd:"" help:"Print a VM's decisions and their causes."`
 	Demo     demoCommand     `cmd:"" help:"Run zones of VMs, stand-in upstreams and a load in one process."`
 }
 
--- /dev/null
+++ b/io/cmds/operator.go
@@ -0,0 +1,48 @@
+package cmds
+
+import (
+	"encoding/json"
+	"fmt"
+	"net/netip"
+	"os"
+
+	"comfreypulley/core/model"
+	"comfreypulley/io/admin"
+)
+
+// adminFlags name the VM that an operator talks to.
+type adminFlags struct {
+	Admin string `required:"" placeholder:"ADDR" help:"Admin address of any VM, such as 127.0.0.1:7100."`
+}
+
+func (f adminFlags) client() (*admin.Client, error) {
+	addr, err := netip.ParseAddrPort(f.Admin)
+	if err != nil {
+		return nil, fmt.Errorf("--admin: %w", err)
+	}
+	return &admin.Client{Addr: addr}, nil
+}
+
+// changeFlags are those of every change.
+type changeFlags struct {
+	adminFlags
+	Expect    uint64 `placeholder:"REVISION" help:"Revision of the object that the change is based on; without it the object must not exist."`
+	Operation string `placeholder:"ID" help:"Operation id. A resend with the same id gets the first result."`
+}
+
+func (f changeFlags) change() admin.Change {
+	return admin.Change{Operation: f.Operation, Expect: model.Revision(f.Expect)}
+}
+
+// send makes a change and prints its result.
+func (f changeFlags) send(change func(c *admin.Client) (admin.Result, error)) (err error) {
+	client, err := f.client()
+	if err != nil {
+		return err
+	}
+	result, err := change(client)
+	if err != nil {
+		return err
+	}
+	return json.NewEncoder(os.Stdout).Encode(result)
+}
