Refuse copies of forwarded commands; hold views after a restart

Cause: a copy of a forward that was answered "not leader" could reach the same VM after it became leader and commit, although its sender had been told that it was certainly not appended. A restarted VM published the configuration of its image before the entries after it were applied, which could be older than the one it had served.

Change: a VM takes each forward number of another VM once and in rising order. A VM with entries in its data folder publishes only when the last one or an entry of a later leader is applied. Addresses of VMs are looked up without sharing the maps, so that a batch of entries copies nothing.

--- a/core/config/store.go
+++ b/core/config/store.go
@@ -77,6 +77,13 @@
 	return s.topology
 }
 
+// VM returns one VM. Unlike Topology it shares nothing, so that a later change
+// copies nothing.
+func (s *Store) VM(id model.VMID) (model.VM, bool) {
+	vm, ok := s.vms.rows[id]
+	return vm, ok
+}
+
 // Image returns the configuration in a fixed order.
 func (s *Store) Image() entry.Config {
 	return entry.Config{
--- a/core/plane/control.go
+++ b/core/plane/control.go
@@ -25,6 +25,7 @@
 	log        Replicator // nil on a VM without a disk
 	applied    position
 	queue      queue
+	taken      map[model.VMID]uint64 // number of the last command that a VM forwarded here
 	reads      []read
 	history    history
 	tree       tree
@@ -35,6 +36,7 @@
 	lead       Standing   // as last seen
 	wanted     model.Revision
 	draining   bool
+	stale      bool // left the log before everything on its disk was applied; waits for the tree
 }
 
 // Start takes over the settings. A fleet without VMs with disks serves the
@@ -89,7 +91,7 @@
 // committed and publishes the configuration when it has a new revision.
 func (c *Control) moved(at time.Time, out []effect.Effect) []effect.Effect {
 	out = c.advance(at, out)
-	if c.store.Revision() != c.published {
+	if c.store.Revision() != c.published && !c.behind() {
 		out = c.publish(at, out)
 		out = c.changedTree(at, out)
 	}
@@ -145,7 +147,7 @@
 
 // addr returns where a VM listens for its peers.
 func (c *Control) addr(id model.VMID) netip.AddrPort {
-	if vm, ok := c.store.Topology().VMs[id]; ok {
+	if vm, ok := c.store.VM(id); ok {
 		return vm.Peer
 	}
 	return c.known()[id].Peer
--- a/core/plane/log.go
+++ b/core/plane/log.go
@@ -47,6 +47,7 @@
 	at      time.Time // highest entry time
 	members entry.Members
 	imaged  uint64 // index of the last image
+	loaded  slot   // last entry in the data folder at start
 }
 
 // Replicate sets the log of a VM with a disk. It is called before Start.
@@ -59,6 +60,9 @@
 	if c.log == nil {
 		return out
 	}
+	if n := len(loaded.Entries); n > 0 {
+		c.applied.loaded = slot{index: loaded.Entries[n-1].Index, term: loaded.Entries[n-1].Term}
+	}
 	out = c.log.Loaded(at, c.start.VM.ID, c.start.Seed, c.first(), loaded, out)
 	return c.moved(at, out)
 }
@@ -81,11 +85,20 @@
 	out = c.log.DiskFailed(at, out)
 	out = c.moved(at, out)
 	c.heard = c.log.Standing().Heard
+	c.stale = c.behind()
 	c.log = nil
 	c.lead = Standing{}
 	return c.note(effect.Note{At: at, Subject: "log", Action: "left the log", Cause: f.Problem, Alert: true}, out)
 }
 
+// behind reports whether entries that were in force before the start of the
+// process may still be missing. Publishing before would go back behind a
+// revision that this VM served. All of them are applied once the last one in the
+// data folder is, or an entry of a later leader.
+func (c *Control) behind() bool {
+	return c.stale || c.log != nil && c.applied.index < c.applied.loaded.index && c.applied.term <= c.applied.loaded.term
+}
+
 // first lists the replicas of an empty log: the disk VMs of the settings.
 func (c *Control) first() []model.VMID {
 	var ids []model.VMID
@@ -123,7 +136,7 @@
 	if image != nil && image.Index > c.applied.index {
 		c.store.Restore(image.Config)
 		c.book.Restore(image.Ledger, image.At)
-		c.applied = position{index: image.Index, term: image.Term, at: image.At, members: image.Log, imaged: image.Index}
+		c.applied = position{index: image.Index, term: image.Term, at: image.At, members: image.Log, imaged: image.Index, loaded: c.applied.loaded}
 		c.queue.skipped(image.Index)
 	}
 	for _, e := range entries {
--- a/core/plane/peer.go
+++ b/core/plane/peer.go
@@ -10,6 +10,10 @@
 	"comfreypulley/core/model"
 )
 
+// sameProcess bounds how many commands a process forwards. Numbers start at the
+// time of its start in nanoseconds, so it is also a second of clock error.
+const sameProcess = uint64(time.Second)
+
 // Peer takes a message from another VM.
 func (c *Control) Peer(at time.Time, p event.Peer, out []effect.Effect) []effect.Effect {
 	switch m := p.Message.(type) {
@@ -55,6 +59,9 @@
 // forwarded appends another VM's command. The answer follows when the entry is
 // applied, or at once when it was not appended.
 func (c *Control) forwarded(at time.Time, from model.VMID, m frame.Propose, out []effect.Effect) []effect.Effect {
+	if c.repeated(from, m.N) {
+		return out
+	}
 	to := peerReceiver{vm: from, n: m.N}
 	if !c.leading() {
 		return to.answer(at, c, m.Command, entry.Result{Status: entry.StatusNotLeader, Leader: c.leader()}, out)
@@ -73,6 +80,21 @@
 	return c.wake(at, p, out)
 }
 
+// repeated reports whether a forward is a copy, or was overtaken by a later one.
+// A copy that came after the sender was told that its command was not appended
+// must not append it. A number far below starts a new process of the sender
+// whose clock went back.
+func (c *Control) repeated(from model.VMID, n uint64) bool {
+	if last, ok := c.taken[from]; ok && n <= last && last-n < sameProcess {
+		return true
+	}
+	if c.taken == nil {
+		c.taken = make(map[model.VMID]uint64)
+	}
+	c.taken[from] = n
+	return false
+}
+
 // returned takes the answer of a forwarded command. Without a decision it is
 // tried again, until its time is over.
 func (c *Control) returned(at time.Time, m frame.Proposed, out []effect.Effect) []effect.Effect {
--- a/core/plane/tree.go
+++ b/core/plane/tree.go
@@ -39,13 +39,16 @@
 	if f.control.log != nil {
 		return nil
 	}
-	return f.control.store.Follow(d)
+	err := f.control.store.Follow(d)
+	f.control.stale = f.control.stale && err != nil
+	return err
 }
 
 // Restore replaces the configuration; see config.Store.
 func (f Follower) Restore(g entry.Config) {
 	if f.control.log == nil {
 		f.control.store.Restore(g)
+		f.control.stale = false
 	}
 }
 
