--- a/core/config/store_test.go
+++ b/core/config/store_test.go
@@ -307,3 +307,28 @@
 		})
 	}
 }
+
+// BenchmarkPublish shows the cost of a change that is published at once, for a
+// contract and for an upstream among the given number of upstreams.
+func BenchmarkPublish(b *testing.B) {
+	for _, n := range []int{100, 34_000} {
+		var s config.Store
+		for i := range n {
+			u := upstream(i)
+			s.Apply(began, entry.Change{Upstream: &u})
+		}
+		v, u := contract("acme"), upstream(0)
+		b.Run("contract/"+strconv.Itoa(n), func(b *testing.B) {
+			for range b.N {
+				s.Apply(began, entry.Change{Contract: &v, Expect: s.Topology().Contracts["acme"].Revision})
+				s.Topology()
+			}
+		})
+		b.Run("upstream/"+strconv.Itoa(n), func(b *testing.B) {
+			for range b.N {
+				s.Apply(began, entry.Change{Upstream: &u, Expect: s.Topology().Upstreams[u.ID].Revision})
+				s.Topology()
+			}
+		})
+	}
+}
--- a/core/ledger/book_test.go
+++ b/core/ledger/book_test.go
@@ -4,6 +4,7 @@
 	"flag"
 	"os"
 	"reflect"
+	"strconv"
 	"testing"
 	"time"
 
@@ -183,3 +184,27 @@
 		}
 	})
 }
+
+// BenchmarkClaim shows the cost of a claim while as many records expire, at
+// different numbers of records.
+func BenchmarkClaim(b *testing.B) {
+	for _, n := range []int{1_000, 1_000_000} {
+		b.Run(strconv.Itoa(n), func(b *testing.B) {
+			var book ledger.Book
+			gap := time.Hour / time.Duration(n)
+			at := func(i int) time.Time { return began.Add(time.Duration(i) * gap) }
+			one := func(i int) {
+				now := at(i)
+				k := model.NewKey(now, [10]byte{byte(i), byte(i >> 8), byte(i >> 16), byte(i >> 24)})
+				book.Apply(now, claim(k, 1, i))
+			}
+			for i := range n {
+				one(i)
+			}
+			b.ResetTimer()
+			for i := range b.N {
+				one(n + i)
+			}
+		})
+	}
+}
--- a/core/plane/control.go
+++ b/core/plane/control.go
@@ -34,6 +34,7 @@
 	hint       model.VMID // last leader heard of outside the log
 	heard      time.Time  // when a majority was last heard of outside the log
 	lead       Standing   // as last seen
+	platform   event.Platform
 	wanted     model.Revision
 	draining   bool
 	stale      bool // left the log before everything on its disk was applied; waits for the tree
--- a/core/plane/peer.go
+++ b/core/plane/peer.go
@@ -1,6 +1,7 @@
 package plane
 
 import (
+	"slices"
 	"time"
 
 	"comfreypulley/core/effect"
@@ -47,12 +48,15 @@
 	return c.moved(at, c.downTree(at, vm, out))
 }
 
-// Platform takes the platform's list of VMs. Leaving VMs are noted; the list
-// lags, so nothing is decided from it alone.
+// Platform takes the platform's list of VMs. VMs that begin to leave are noted;
+// the list lags, so nothing is decided from it alone.
 func (c *Control) Platform(at time.Time, p event.Platform, out []effect.Effect) []effect.Effect {
 	for _, id := range p.Leaving {
-		out = c.note(effect.Note{At: at, Subject: "vm " + string(id), Action: "leaving", Cause: "the platform's list"}, out)
+		if !slices.Contains(c.platform.Leaving, id) {
+			out = c.note(effect.Note{At: at, Subject: "vm " + string(id), Action: "leaving", Cause: "the platform's list"}, out)
+		}
 	}
+	c.platform = p
 	return out
 }
 
