Complete the effects of the control state's parts

Cause: the log tells other VMs without their addresses and writes notes that did not reach the history; its reads are under way with StatusUnknown.

Change: after each event the control state fills in missing addresses and keeps every note in the history. A read under way waits for its confirmation. The tree sees no topology before there is a configuration.

Conclusion: the parts need no knowledge of addresses or of the history.

--- a/core/plane/control.go
+++ b/core/plane/control.go
@@ -44,33 +44,36 @@
 // configuration in its settings; any other VM waits for one from the log or its
 // parent and publishes no view before.
 func (c *Control) Start(at time.Time, start event.Start, out []effect.Effect) []effect.Effect {
+	from := len(out)
 	c.start = start
 	c.heard = at
 	c.queue.next = uint64(start.Began.UnixNano())
 	c.replicated = start.VM.Disk || len(c.disks()) > 0
 	if c.replicated {
-		return c.startTree(at, out)
+		return c.seal(from, c.startTree(at, out))
 	}
 	if start.Genesis == nil {
 		return out
 	}
 	g := genesis(start.Genesis)
 	c.store.Apply(at, entry.Change{Genesis: &g})
-	return c.publish(at, out)
+	return c.seal(from, c.publish(at, out))
 }
 
 // Drain hands over leadership and reports effect.Drained once no command is
 // waiting for its answer.
 func (c *Control) Drain(at time.Time, out []effect.Effect) []effect.Effect {
+	from := len(out)
 	c.draining = true
 	if c.leading() {
 		out = c.log.Resign(at, out)
 	}
-	return c.moved(at, out)
+	return c.seal(from, c.moved(at, out))
 }
 
 // Timer takes a timer of the control state.
 func (c *Control) Timer(at time.Time, id event.TimerID, out []effect.Effect) []effect.Effect {
+	from := len(out)
 	switch id.Kind {
 	case event.TimerElection, event.TimerBeat:
 		if c.log != nil {
@@ -85,7 +88,7 @@
 	default:
 		return out
 	}
-	return c.moved(at, out)
+	return c.seal(from, c.moved(at, out))
 }
 
 // moved carries on after a part changed its state: it applies what the log
@@ -109,9 +112,9 @@
 	c.published = c.store.Revision()
 	topology := c.store.Topology()
 	if c.log == nil {
-		out = c.note(effect.Note{
+		out = append(out, effect.Note{
 			At: at, Subject: "configuration", Action: fmt.Sprintf("revision %d in force", c.published), Cause: "received",
-		}, out)
+		})
 	}
 	return append(out, effect.ToTraffic{Loop: effect.AllLoops, Body: event.View{
 		Topology: topology, Share: c.share(at, topology),
--- a/core/plane/control_test.go
+++ b/core/plane/control_test.go
@@ -55,7 +55,7 @@
 
 func (l *fakeLog) DiskFailed(_ time.Time, out []effect.Effect) []effect.Effect {
 	l.standing = plane.Standing{Heard: l.standing.Heard}
-	return out
+	return append(out, effect.Note{Subject: "log", Action: "replica stopped"}, effect.Tell{To: "vm1", Message: frame.Append{}})
 }
 
 func (l *fakeLog) Confirm(_ time.Time, n uint64, out []effect.Effect) (entry.Status, []effect.Effect) {
@@ -441,12 +441,20 @@
 }
 
 // Guards against a VM with a broken disk that keeps an old configuration: it
-// follows the tree from then on.
+// follows the tree from then on. Guards too against a log whose messages have no
+// address and whose notes are missing in the history.
 func TestDiskFailed(t *testing.T) {
 	f := newFixture("vm0", true)
 	f.lead(1)
 	f.commit()
-	f.take(f.c.DiskFailed(f.now, event.DiskFailed{Problem: "no space"}, nil))
+	out := f.take(f.c.DiskFailed(f.now, event.DiskFailed{Problem: "no space"}, nil))
+	if got := all[effect.Tell](out); len(got) != 1 || !got[0].Addr.IsValid() {
+		t.Errorf("got messages %+v, want one with an address", got)
+	}
+	status := all[effect.Respond](f.c.Inquiry(f.now, event.Inquiry{}, nil))[0].Status
+	if !slices.ContainsFunc(status.History, func(n effect.Note) bool { return n.Action == "replica stopped" }) {
+		t.Errorf("got history %+v, want the log's note", status.History)
+	}
 	follower := f.c.Follower()
 	image := follower.Image()
 	image.Revision = 9
--- a/core/plane/history.go
+++ b/core/plane/history.go
@@ -26,7 +26,20 @@
 	return slices.Clone(h.kept[max(0, len(h.kept)-maxNotes):])
 }
 
-func (c *Control) note(n effect.Note, out []effect.Effect) []effect.Effect {
-	c.history.add(n)
-	return append(out, n)
+// seal completes the effects of one event, from an index on: it keeps the notes
+// of every part in the history, and fills in addresses that a part such as the
+// log does not know.
+func (c *Control) seal(from int, out []effect.Effect) []effect.Effect {
+	for i, e := range out[from:] {
+		switch e := e.(type) {
+		case effect.Note:
+			c.history.add(e)
+		case effect.Tell:
+			if !e.Addr.IsValid() {
+				e.Addr = c.addr(e.To)
+				out[from+i] = e
+			}
+		}
+	}
+	return out
 }
--- a/core/plane/log.go
+++ b/core/plane/log.go
@@ -14,7 +14,9 @@
 // compactEvery is how many entries are applied between two images of the log.
 const compactEvery = 4096
 
-// Replicator is the replicated log as the control state uses it.
+// Replicator is the replicated log as the control state uses it. Propose gives
+// index 0 when it appended nothing; Confirm gives StatusUnknown while a read is
+// under way. Effects that tell another VM need no address.
 type Replicator interface {
 	Loaded(at time.Time, self model.VMID, seed uint64, first []model.VMID, loaded event.Loaded, out []effect.Effect) []effect.Effect
 	Peer(at time.Time, from model.VMID, m frame.Message, out []effect.Effect) []effect.Effect
@@ -57,6 +59,7 @@
 
 // Loaded starts the log from the data folder.
 func (c *Control) Loaded(at time.Time, loaded event.Loaded, out []effect.Effect) []effect.Effect {
+	from := len(out)
 	if c.log == nil {
 		return out
 	}
@@ -64,21 +67,23 @@
 		c.applied.loaded = slot{index: loaded.Entries[n-1].Index, term: loaded.Entries[n-1].Term}
 	}
 	out = c.log.Loaded(at, c.start.VM.ID, c.start.Seed, c.first(), loaded, out)
-	return c.moved(at, out)
+	return c.seal(from, c.moved(at, out))
 }
 
 // Synced takes the progress of the disk.
 func (c *Control) Synced(at time.Time, s event.Synced, out []effect.Effect) []effect.Effect {
+	from := len(out)
 	if c.log == nil {
 		return out
 	}
 	out = c.log.Synced(at, s, out)
-	return c.moved(at, out)
+	return c.seal(from, c.moved(at, out))
 }
 
 // DiskFailed ends this VM's part in the log. It goes on serving queries and
 // follows the distribution tree from now on.
 func (c *Control) DiskFailed(at time.Time, f event.DiskFailed, out []effect.Effect) []effect.Effect {
+	from := len(out)
 	if c.log == nil {
 		return out
 	}
@@ -88,7 +93,7 @@
 	c.stale = c.behind()
 	c.log = nil
 	c.lead = Standing{}
-	return c.note(effect.Note{At: at, Subject: "log", Action: "left the log", Cause: f.Problem, Alert: true}, out)
+	return c.seal(from, append(out, effect.Note{At: at, Subject: "log", Action: "left the log", Cause: f.Problem, Alert: true}))
 }
 
 // behind reports whether entries that were in force before the start of the
@@ -164,7 +169,7 @@
 	switch command := e.Command.(type) {
 	case entry.Change:
 		result = c.store.Apply(e.At, command)
-		out = c.note(noteChange(at, command, result), out)
+		out = append(out, noteChange(at, command, result))
 	case entry.Claim, entry.Settle, entry.Release:
 		result = c.book.Apply(e.At, command)
 	case entry.Members:
@@ -195,7 +200,7 @@
 	before := c.lead
 	c.lead = c.log.Standing()
 	if before.Leader != c.lead.Leader || before.Leading != c.lead.Leading {
-		out = c.note(noteLeader(at, before, c.lead), out)
+		out = append(out, noteLeader(at, before, c.lead))
 		out = c.hurry(at, out)
 	}
 	if !c.lead.Leading {
--- a/core/plane/operator.go
+++ b/core/plane/operator.go
@@ -24,27 +24,28 @@
 // Command takes an operator's change. The answer is an effect.Respond.
 func (c *Control) Command(at time.Time, e event.Command, out []effect.Effect) []effect.Effect {
 	p := &proposal{command: e.Command, until: at.Add(commandPeriod), to: operatorReceiver{n: e.N}}
-	return c.moved(at, c.submit(at, p, out))
+	return c.seal(len(out), c.moved(at, c.submit(at, p, out)))
 }
 
 // Inquiry takes an operator's question. A linearizable one is answered as
 // current once the leader confirmed that it still leads: in the log of the
 // leader itself by a round of heartbeats, from another VM by an empty entry.
 func (c *Control) Inquiry(at time.Time, e event.Inquiry, out []effect.Effect) []effect.Effect {
+	from := len(out)
 	if !e.Linearizable || !c.replicated {
-		return c.respond(at, e.N, !c.replicated, out)
+		return c.seal(from, c.respond(at, e.N, !c.replicated, out))
 	}
 	if !c.leading() {
 		p := &proposal{command: entry.Noop{}, until: at.Add(readPeriod), to: readReceiver{n: e.N}}
-		return c.moved(at, c.submit(at, p, out))
+		return c.seal(from, c.moved(at, c.submit(at, p, out)))
 	}
 	status, out := c.log.Confirm(at, e.N, out)
-	if status != entry.StatusOK {
-		return c.respond(at, e.N, false, out)
+	if status != entry.StatusOK && status != entry.StatusUnknown {
+		return c.seal(from, c.respond(at, e.N, false, out))
 	}
 	r := read{n: e.N, until: at.Add(readPeriod)}
 	c.reads = append(c.reads, r)
-	return c.moved(at, c.alarm(at, r.until, out))
+	return c.seal(from, c.moved(at, c.alarm(at, r.until, out)))
 }
 
 // confirmed answers a read that the log confirmed.
--- a/core/plane/peer.go
+++ b/core/plane/peer.go
@@ -17,6 +17,7 @@
 
 // Peer takes a message from another VM.
 func (c *Control) Peer(at time.Time, p event.Peer, out []effect.Effect) []effect.Effect {
+	from := len(out)
 	switch m := p.Message.(type) {
 	case frame.Vote, frame.Voted, frame.Append, frame.Appended, frame.Snap, frame.Snapped:
 		if c.log != nil {
@@ -35,29 +36,31 @@
 	default:
 		return out
 	}
-	return c.moved(at, c.heardFrom(at, p.From, out))
+	return c.seal(from, c.moved(at, c.heardFrom(at, p.From, out)))
 }
 
 // PeerDown takes the loss of a connection. Commands that wait for an answer of
 // that VM are tried elsewhere at once.
 func (c *Control) PeerDown(at time.Time, vm model.VMID, out []effect.Effect) []effect.Effect {
+	from := len(out)
 	if vm == c.hint {
 		c.hint = ""
 		out = c.hurry(at, out)
 	}
-	return c.moved(at, c.downTree(at, vm, out))
+	return c.seal(from, c.moved(at, c.downTree(at, vm, out)))
 }
 
 // Platform takes the platform's list of VMs. VMs that begin to leave are noted;
 // the list lags, so nothing is decided from it alone.
 func (c *Control) Platform(at time.Time, p event.Platform, out []effect.Effect) []effect.Effect {
+	from := len(out)
 	for _, id := range p.Leaving {
 		if !slices.Contains(c.platform.Leaving, id) {
-			out = c.note(effect.Note{At: at, Subject: "vm " + string(id), Action: "leaving", Cause: "the platform's list"}, out)
+			out = append(out, effect.Note{At: at, Subject: "vm " + string(id), Action: "leaving", Cause: "the platform's list"})
 		}
 	}
 	c.platform = p
-	return out
+	return c.seal(from, out)
 }
 
 // forwarded appends another VM's command. The answer follows when the entry is
@@ -118,8 +121,8 @@
 	return c.wake(at, p, out)
 }
 
-func (c *Control) tell(to model.VMID, n uint64, command entry.Command) effect.Effect {
-	return effect.Tell{To: to, Addr: c.addr(to), Message: frame.Propose{N: n, Command: command}}
+func tell(to model.VMID, n uint64, command entry.Command) effect.Effect {
+	return effect.Tell{To: to, Message: frame.Propose{N: n, Command: command}}
 }
 
 // peerReceiver answers another VM.
@@ -128,9 +131,9 @@
 	n  uint64
 }
 
-func (p peerReceiver) answer(_ time.Time, c *Control, _ entry.Command, r entry.Result, out []effect.Effect) []effect.Effect {
+func (p peerReceiver) answer(_ time.Time, _ *Control, _ entry.Command, r entry.Result, out []effect.Effect) []effect.Effect {
 	if r.Status == entry.StatusUnknown {
 		return out
 	}
-	return append(out, effect.Tell{To: p.vm, Addr: c.addr(p.vm), Message: frame.Proposed{N: p.n, Result: r}})
+	return append(out, effect.Tell{To: p.vm, Message: frame.Proposed{N: p.n, Result: r}})
 }
--- a/core/plane/queue.go
+++ b/core/plane/queue.go
@@ -179,7 +179,7 @@
 		p.next = at.Add(blindRetry)
 		return out
 	}
-	return append(out, c.tell(to, c.queue.forward(p), p.command))
+	return append(out, tell(to, c.queue.forward(p), p.command))
 }
 
 func (c *Control) append(at time.Time, p *proposal, out []effect.Effect) []effect.Effect {
--- a/core/plane/traffic.go
+++ b/core/plane/traffic.go
@@ -13,7 +13,7 @@
 // event.Proposed when it is applied or the time it states has come.
 func (c *Control) Propose(at time.Time, e event.Propose, out []effect.Effect) []effect.Effect {
 	p := &proposal{command: e.Command, until: e.Until, to: loopReceiver{loop: e.Loop, request: e.Request}}
-	return c.moved(at, c.submit(at, p, out))
+	return c.seal(len(out), c.moved(at, c.submit(at, p, out)))
 }
 
 // loopReceiver answers a traffic state.
@@ -22,11 +22,11 @@
 	request model.RequestID
 }
 
-func (l loopReceiver) answer(at time.Time, c *Control, command entry.Command, r entry.Result, out []effect.Effect) []effect.Effect {
+func (l loopReceiver) answer(at time.Time, _ *Control, command entry.Command, r entry.Result, out []effect.Effect) []effect.Effect {
 	if mustCommit(command) && !r.Status.Applied() {
-		out = c.note(effect.Note{
+		out = append(out, effect.Note{
 			At: at, Subject: "ledger", Action: "gave up recording an outcome", Cause: r.Status.String() + ": " + r.Detail, Alert: true,
-		}, out)
+		})
 	}
 	return append(out, effect.ToTraffic{Loop: l.loop, Body: event.Proposed{Request: l.request, Command: command, Result: r}})
 }
--- a/core/plane/tree.go
+++ b/core/plane/tree.go
@@ -60,8 +60,13 @@
 	return f.control.store.Since(from)
 }
 
-// Topology returns the configuration in force.
-func (f Follower) Topology() *model.Topology { return f.control.store.Topology() }
+// Topology returns the configuration in force, nil when there is none.
+func (f Follower) Topology() *model.Topology {
+	if f.control.store.Revision() == 0 {
+		return nil
+	}
+	return f.control.store.Topology()
+}
 
 // Revision returns the revision in force.
 func (f Follower) Revision() model.Revision { return f.control.store.Revision() }
