Attach the tree, the liveness watch and the leases

Cause: the control state had empty hooks for parts that exist now.

Change: small interfaces for the tree, the watch, the holder and the granter, one file each. A VM without a log publishes its first view when the tree is ready, suspicions go up the tree, and shares are published for each traffic loop. A leader asks itself for leases without a message. event.Summary reaches the control state.

--- a/core/node/bridge.go
+++ b/core/node/bridge.go
@@ -15,6 +15,8 @@
 		return s.traffic.View(at, body, out)
 	case event.Proposed:
 		return s.traffic.Proposed(at, body, out)
+	case event.Summary:
+		return s.control.Summary(at, body, out)
 	case event.Propose:
 		return s.control.Propose(at, body, out)
 	default:
--- a/core/plane/control.go
+++ b/core/plane/control.go
@@ -31,9 +31,14 @@
 	tree       tree
 	watch      watch
 	published  model.Revision
-	hint       model.VMID // last leader heard of outside the log
-	heard      time.Time  // when a majority was last heard of outside the log
-	lead       Standing   // as last seen
+	suspects   []model.VMID
+	holder     holder
+	granter    granter
+	demand     map[int]map[string]int // by traffic loop and customer
+	changes    time.Time              // when the shares change by themselves
+	named      model.VMID             // leader that another VM named in an answer
+	heard      time.Time              // when a majority was last heard of, without a log and a tree
+	lead       Standing               // as last seen
 	platform   event.Platform
 	wanted     model.Revision
 	draining   bool
@@ -85,6 +90,8 @@
 		out = c.timerTree(at, out)
 	case event.TimerMember:
 		out = c.timerMember(at, out)
+	case event.TimerLease:
+		out = c.timerLease(at, out)
 	default:
 		return out
 	}
@@ -95,11 +102,13 @@
 // committed and publishes the configuration when it has a new revision.
 func (c *Control) moved(at time.Time, out []effect.Effect) []effect.Effect {
 	out = c.advance(at, out)
-	if c.store.Revision() != c.published && !c.behind() {
+	out = c.feedTree(at, out)
+	if c.store.Revision() != c.published && !c.behind() && c.readyTree(at) {
 		out = c.publish(at, out)
 		out = c.changedTree(at, out)
 	}
 	out = c.observe(at, out)
+	c.report(at)
 	if c.draining && c.queue.idle() {
 		c.draining = false
 		out = append(out, effect.Drained{})
@@ -116,9 +125,12 @@
 			At: at, Subject: "configuration", Action: fmt.Sprintf("revision %d in force", c.published), Cause: "received",
 		})
 	}
-	return append(out, effect.ToTraffic{Loop: effect.AllLoops, Body: event.View{
-		Topology: topology, Share: c.share(at, topology),
-	}})
+	c.register(topology.VMs)
+	out = c.views(at, topology, out)
+	if c.holder != nil {
+		c.changes = c.holder.Next(at)
+	}
+	return out
 }
 
 // disks lists the VMs that should replicate the log: those of the configuration
--- a/core/plane/doc.go
+++ b/core/plane/doc.go
@@ -6,6 +6,9 @@
 //
 //	var c plane.Control
 //	c.Replicate(log)                   // on a VM with a disk, before Start
+//	c.Distribute(tree)                 // whose store is c.Follower()
+//	c.Observe(watch)
+//	c.Lease(holder, granter)
 //	out = c.Start(at, start, out)      // effect.ToTraffic when a view is in force
 //	out = c.Propose(at, propose, out)  // answered by an event.Proposed
 //	out = c.Command(at, command, out)  // answered by an effect.Respond
--- a/core/plane/log.go
+++ b/core/plane/log.go
@@ -129,7 +129,10 @@
 			return s.Leader
 		}
 	}
-	return c.hint
+	if c.named == "" && c.tree != nil {
+		return c.tree.Leader()
+	}
+	return c.named
 }
 
 // advance applies what the log committed.
@@ -209,7 +212,7 @@
 	}
 	began := !before.Leading || before.Term != c.lead.Term
 	if began {
-		out = c.leads(at, out)
+		c.leads(at)
 	}
 	if began && c.store.Revision() == 0 && c.start.Genesis != nil {
 		g := genesis(c.start.Genesis)
--- a/core/plane/operator.go
+++ b/core/plane/operator.go
@@ -80,7 +80,10 @@
 func (c *Control) status(at time.Time) *effect.Status {
 	s := &effect.Status{
 		VM: c.start.VM.ID, Zone: c.start.VM.Zone, Leader: c.leader(),
-		Topology: c.store.Topology(), Heard: c.suspects(at), History: c.history.notes(),
+		Topology: c.store.Topology(), History: c.history.notes(),
+	}
+	if c.tree != nil {
+		s.Heard = c.tree.Heard(at)
 	}
 	heard := c.heard
 	if c.log != nil {
@@ -90,7 +93,11 @@
 			heard = c.start.Began
 		}
 	}
-	if c.replicated {
+	switch {
+	case !c.replicated:
+	case c.log == nil && c.tree != nil:
+		s.Age = c.tree.Age(at)
+	default:
 		s.Age = max(0, at.Sub(heard))
 	}
 	return s
--- a/core/plane/peer.go
+++ b/core/plane/peer.go
@@ -27,7 +27,10 @@
 		out = c.forwarded(at, p.From, m, out)
 	case frame.Proposed:
 		out = c.returned(at, m, out)
-	case frame.Digest, frame.Delta, frame.Full:
+	case frame.Digest:
+		out = c.heardFrom(at, p.From, out)
+		out = c.peerTree(at, p.From, m, out)
+	case frame.Delta, frame.Full:
 		out = c.peerTree(at, p.From, m, out)
 	case frame.Ping, frame.Pong, frame.Probe, frame.Probed:
 		out = c.peerMember(at, p.From, m, out)
@@ -36,15 +39,15 @@
 	default:
 		return out
 	}
-	return c.seal(from, c.moved(at, c.heardFrom(at, p.From, out)))
+	return c.seal(from, c.moved(at, out))
 }
 
 // PeerDown takes the loss of a connection. Commands that wait for an answer of
 // that VM are tried elsewhere at once.
 func (c *Control) PeerDown(at time.Time, vm model.VMID, out []effect.Effect) []effect.Effect {
 	from := len(out)
-	if vm == c.hint {
-		c.hint = ""
+	if vm == c.named {
+		c.named = ""
 		out = c.hurry(at, out)
 	}
 	return c.seal(from, c.moved(at, c.downTree(at, vm, out)))
@@ -60,7 +63,7 @@
 		}
 	}
 	c.platform = p
-	return c.seal(from, out)
+	return c.seal(from, c.moved(at, c.hint(at, p, out)))
 }
 
 // forwarded appends another VM's command. The answer follows when the entry is
@@ -113,8 +116,8 @@
 		return c.finish(at, p, m.Result, out)
 	}
 	p.next = at.Add(blindRetry)
-	if m.Result.Leader != "" && m.Result.Leader != c.hint {
-		c.hint = m.Result.Leader
+	if m.Result.Leader != "" && m.Result.Leader != c.named {
+		c.named = m.Result.Leader
 		p.attempts = 0
 		p.next = at.Add(redirected)
 	}
--- a/core/plane/tree.go
+++ b/core/plane/tree.go
@@ -13,10 +13,16 @@
 // configuration through the Follower.
 type tree interface {
 	Start(at time.Time, self model.VM, began time.Time, out []effect.Effect) []effect.Effect
+	Log(at time.Time, replica bool, leader model.VMID, heard time.Time, out []effect.Effect) []effect.Effect
 	Peer(at time.Time, from model.VMID, m frame.Message, out []effect.Effect) []effect.Effect
 	Timer(at time.Time, out []effect.Effect) []effect.Effect
 	Down(at time.Time, vm model.VMID, out []effect.Effect) []effect.Effect
 	Changed(at time.Time, out []effect.Effect) []effect.Effect
+	Ready(at time.Time) bool // what it brought may be served
+	Leader() model.VMID
+	Age(at time.Time) time.Duration // since a majority was last heard of
+	Suspect(vm model.VMID, suspect bool)
+	Heard(at time.Time) []frame.Heard
 }
 
 // Distribute sets the distribution tree. It is called before Start.
@@ -81,30 +87,30 @@
 	return c.tree.Start(at, c.start.VM, c.start.Began, out)
 }
 
-// peerTree also learns from a parent's message who leads and how old the
-// parent's state is.
-func (c *Control) peerTree(at time.Time, from model.VMID, m frame.Message, out []effect.Effect) []effect.Effect {
-	switch m := m.(type) {
-	case frame.Delta:
-		c.learn(at, m.Leader, m.Age)
-	case frame.Full:
-		c.learn(at, m.Leader, m.Age)
-	}
+// feedTree tells the tree what the log knows.
+func (c *Control) feedTree(at time.Time, out []effect.Effect) []effect.Effect {
 	if c.tree == nil {
 		return out
 	}
-	return c.tree.Peer(at, from, m, out)
+	if c.log == nil {
+		return c.tree.Log(at, false, "", time.Time{}, out)
+	}
+	s := c.log.Standing()
+	return c.tree.Log(at, true, s.Leader, s.Heard, out)
 }
 
-func (c *Control) learn(at time.Time, leader model.VMID, age time.Duration) {
-	heard := at.Add(-age)
-	if heard.Before(c.heard) {
-		return
-	}
-	c.heard = heard
-	if leader != "" {
-		c.hint = leader
+// readyTree reports whether the first view may be published: a VM without a log
+// waits until the tree has asked around, as it must not go back behind a
+// revision that it served before a restart.
+func (c *Control) readyTree(at time.Time) bool {
+	return c.published > 0 || c.tree == nil || c.log != nil || c.tree.Ready(at)
+}
+
+func (c *Control) peerTree(at time.Time, from model.VMID, m frame.Message, out []effect.Effect) []effect.Effect {
+	if c.tree == nil {
+		return out
 	}
+	return c.tree.Peer(at, from, m, out)
 }
 
 func (c *Control) timerTree(at time.Time, out []effect.Effect) []effect.Effect {
