Inject network faults with a TCP proxy

Cause: the promises about late, reordered and lost bytes and about partitions need a network that fails on demand.

Change: io/fault forwards TCP connections under rules that can be replaced at run time: delay, jitter and skew, stall, loss in one direction, partition, refusal, reset, and delivery in small pieces. io/span is the text form of durations that the JSON of the tools uses.

--- /dev/null
+++ b/io/fault/doc.go
@@ -0,0 +1,15 @@
+// Package fault is a TCP proxy that injects faults of a network between two
+// processes: delays, stalls, partitions, resets, loss in one direction and late
+// bytes.
+//
+// # Usage
+//
+//	p, err := fault.Listen(addr, target, seed)
+//	go p.Run() // until p.Close()
+//	p.Set(fault.Rules{Cut: true}) // a partition
+//	p.Set(fault.Rules{Down: fault.Flow{Delay: time.Second, Pieces: 5}})
+//	p.Reset() // resets the open connections
+//
+// Up is the direction from the client to the target, down the other one. Times
+// are durations. Random times come from a seeded source.
+package fault
--- /dev/null
+++ b/io/span/span.go
@@ -0,0 +1,24 @@
+package span
+
+import (
+	"fmt"
+	"time"
+)
+
+// Span is a duration that is written as text. It is never negative.
+type Span time.Duration
+
+// MarshalText implements encoding.TextMarshaler.
+func (s Span) MarshalText() ([]byte, error) {
+	return []byte(time.Duration(s).String()), nil
+}
+
+// UnmarshalText implements encoding.TextUnmarshaler.
+func (s *Span) UnmarshalText(text []byte) error {
+	d, err := time.ParseDuration(string(text))
+	if err != nil || d < 0 {
+		return fmt.Errorf("must be a duration such as 80ms, not %q", text)
+	}
+	*s = Span(d)
+	return nil
+}
