State the origin of an answer in a header

Cause: request ids are unique within one entry VM only, so a checker could not tell which run of an upstream belongs to which answer.

Change: io/caller sends its Origin field as the response header Origin. It is the prefix that upstreams see in the Request header.

--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -16,10 +16,11 @@
 	maxRequests = 8192 // in hand at once
 )
 
-// Server takes callers' requests and answers them. Posts is set before use and
-// has one entry for each traffic loop.
+// Server takes callers' requests and answers them. Posts and Origin are set
+// before use. Posts has one entry for each traffic loop.
 type Server struct {
-	Posts []func(event.Body)
+	Posts  []func(event.Body)
+	Origin string // prefix that makes request ids unique across VMs and restarts
 
 	next    atomic.Uint64
 	ready   atomic.Bool
@@ -75,6 +76,9 @@
 }
 
 func (s *Server) serveRequest(w http.ResponseWriter, r *http.Request, run bool) {
+	if s.Origin != "" {
+		w.Header().Set("Origin", s.Origin)
+	}
 	if r.Method != http.MethodPost {
 		w.Header().Set("Allow", http.MethodPost)
 		w.WriteHeader(http.StatusMethodNotAllowed)
--- a/io/serve/vm.go
+++ b/io/serve/vm.go
@@ -71,14 +71,14 @@
 func (vm *VM) assemble() {
 	executor := &control{counters: vm.counters, logger: vm.logger}
 	vm.control = loop.New(executor)
-	vm.caller = &caller.Server{}
-	began := time.Now()
+	origin := fmt.Sprintf("%s-%d", vm.settings.VM.ID, time.Now().UnixNano())
+	vm.caller = &caller.Server{Origin: origin}
 	for range vm.settings.Loops {
 		t := &traffic{
 			control: vm.control, caller: vm.caller, counters: vm.counters, usage: vm.usage, drained: make(chan struct{}),
 		}
 		t.loop = loop.New(t)
-		t.dialer = &dialer.Dialer{Post: t.loop.Post, Origin: fmt.Sprintf("%s-%d", vm.settings.VM.ID, began.UnixNano())}
+		t.dialer = &dialer.Dialer{Post: t.loop.Post, Origin: origin}
 		vm.traffics = append(vm.traffics, t)
 		vm.caller.Posts = append(vm.caller.Posts, t.loop.Post)
 		executor.loops = append(executor.loops, t.loop)
