--- /dev/null
+++ b/io/bench/bench_test.go
@@ -0,0 +1,195 @@
+package bench
+
+import (
+	"fmt"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	"comfreypulley/core/model"
+	"comfreypulley/io/stub"
+)
+
+const (
+	testIndex  = "pairing"
+	testShards = 3
+)
+
+// answered returns a true whole answer and its runs.
+func answered() (Result, []stub.Run) {
+	r := Result{Caller: &Caller{Index: testIndex}, Query: []byte(`{"n":1}`)}
+	a := Answer{Request: 7, Snapshot: 2, Ran: "yes", Coverage: Coverage{Answered: testShards, Total: testShards}}
+	var runs []stub.Run
+	for shard := range testShards {
+		a.Items = append(a.Items, itemsOf(stub.Content(testIndex, 2, testShards, shard, r.Query))...)
+		runs = append(runs, stub.Run{
+			ID: fmt.Sprint("u-", shard), Request: "vm-7", Index: testIndex, Version: 2, Shards: testShards, Shard: shard, End: stub.EndFinished,
+		})
+	}
+	a.Items = sorted(a.Items)
+	r.Tries = []Try{{Origin: "vm", Status: http.StatusOK, Answer: a}}
+	return r, runs
+}
+
+// Guards against a checker that accepts a wrong answer or rejects a true one.
+func TestCheckFindsEachFault(t *testing.T) {
+	for _, c := range []struct {
+		name  string
+		spoil func(r *Result, runs []stub.Run) []stub.Run
+		want  Report
+	}{
+		{"true", func(_ *Result, runs []stub.Run) []stub.Run { return runs }, Report{}},
+		{"true partial", func(r *Result, runs []stub.Run) []stub.Run {
+			a := &r.Tries[0].Answer
+			a.Items = keep(a.Items, func(i Item) bool { id, _ := parseItem(i.ID); return id.shard != 1 })
+			a.Coverage = Coverage{Answered: 2, Total: testShards, Missing: []int{1}}
+			return runs
+		}, Report{}},
+		{"item of another query", func(r *Result, runs []stub.Run) []stub.Run {
+			r.Tries[0].Answer.Items[0] = Item(stub.Content(testIndex, 2, testShards, 0, []byte("other"))[0])
+			return runs
+		}, Report{Crossed: 1}},
+		{"item of another version", func(r *Result, runs []stub.Run) []stub.Run {
+			r.Tries[0].Answer.Items[0] = Item(stub.Content(testIndex, 1, testShards, 0, r.Query)[0])
+			return runs
+		}, Report{Mixed: 1}},
+		{"missing item", func(r *Result, runs []stub.Run) []stub.Run {
+			r.Tries[0].Answer.Items = r.Tries[0].Answer.Items[1:]
+			return runs
+		}, Report{Untrue: 1}},
+		{"smaller total", func(r *Result, runs []stub.Run) []stub.Run {
+			for i := range runs {
+				runs[i].Shards = testShards + 1
+			}
+			return runs
+		}, Report{Untrue: 1}},
+		{"shard that was not run", func(_ *Result, runs []stub.Run) []stub.Run { return runs[1:] }, Report{Untrue: 1}},
+		{"shard that was cancelled", func(_ *Result, runs []stub.Run) []stub.Run {
+			runs[0].End = stub.EndCancelled
+			return runs
+		}, Report{Untrue: 1}},
+		{"refused and run", func(r *Result, runs []stub.Run) []stub.Run {
+			r.Tries[0].Status, r.Tries[0].Answer = http.StatusServiceUnavailable, Answer{Request: 7, Ran: "no"}
+			return runs
+		}, Report{FalseRefusals: 1}},
+		{"refused as unknown and run", func(r *Result, runs []stub.Run) []stub.Run {
+			r.Tries[0].Status, r.Tries[0].Answer = http.StatusServiceUnavailable, Answer{Request: 7, Ran: "unknown"}
+			return runs
+		}, Report{}},
+		{"same id at another VM", func(r *Result, runs []stub.Run) []stub.Run {
+			r.Tries[0] = Try{Origin: "vm2", Status: http.StatusServiceUnavailable, Answer: Answer{Request: 7, Ran: "no"}}
+			return runs
+		}, Report{}},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			r, runs := answered()
+			runs = c.spoil(&r, runs)
+			var got Report
+			NewEvidence([]stub.Log{{Runs: runs}}).Check(&got, []Result{r})
+			if got.Mixed != c.want.Mixed || got.Crossed != c.want.Crossed || got.Untrue != c.want.Untrue || got.FalseRefusals != c.want.FalseRefusals {
+				t.Errorf("got %+v, want %+v", got, c.want)
+			}
+		})
+	}
+}
+
+// keep keeps the items that meet a condition.
+func keep(items []Item, met func(Item) bool) []Item {
+	var list []Item
+	for _, i := range items {
+		if met(i) {
+			list = append(list, i)
+		}
+	}
+	return list
+}
+
+// Guards against a checker that misses a lost or doubled run, or that counts
+// a run twice because it read two copies of a log.
+func TestCheckRuns(t *testing.T) {
+	key := model.NewKey(time.Unix(1, 0), [10]byte{1})
+	query := []byte(`{"n":1}`)
+	run := stub.Run{ID: "u-0", Request: "vm-7", Key: key.String(), Index: testIndex, Version: 2, Shards: 1, End: stub.EndFinished}
+	again := run
+	again.ID, again.Request = "w-0", "vm2-1"
+	items := itemsOf(stub.Content(testIndex, 2, 1, 0, query))
+	result := Result{Caller: &Caller{Index: testIndex, Run: true}, Query: query, Key: key, Tries: []Try{
+		{}, {Origin: "vm2", Status: http.StatusOK, Answer: Answer{Request: 1, Snapshot: 2, Items: items, Coverage: Coverage{Answered: 1, Total: 1}}},
+	}}
+	for _, c := range []struct {
+		name          string
+		logs          []stub.Log
+		doubled, lost int
+	}{
+		{"once", []stub.Log{{Runs: []stub.Run{run}}}, 0, 0},
+		{"two copies", []stub.Log{{Runs: []stub.Run{run}}, {Runs: []stub.Run{run}}}, 0, 0},
+		{"twice", []stub.Log{{Runs: []stub.Run{run}}, {Runs: []stub.Run{again}}}, 1, 0},
+		{"never", nil, 0, 1},
+	} {
+		var got Report
+		NewEvidence(c.logs).Check(&got, []Result{result})
+		if got.Doubled != c.doubled || got.Lost != c.lost || got.Confirmed != 1 || got.Crossed != 0 {
+			t.Errorf("%s: got %+v, want doubled %d, lost %d, confirmed 1", c.name, got, c.doubled, c.lost)
+		}
+	}
+}
+
+// barrier answers no request before all have arrived.
+type barrier struct {
+	mu   sync.Mutex
+	left int
+	open chan struct{}
+}
+
+func (b *barrier) ServeHTTP(w http.ResponseWriter, _ *http.Request) {
+	b.mu.Lock()
+	b.left--
+	if b.left == 0 {
+		close(b.open)
+	}
+	b.mu.Unlock()
+	<-b.open
+	fmt.Fprint(w, `{"coverage":{"answered":1,"total":1}}`)
+}
+
+// Guards against coordinated omission: a load that waits for answers before it
+// sends on, which would never end here.
+func TestLoadIsOpen(t *testing.T) {
+	l := &Load{Callers: []Caller{{Index: testIndex, Wait: time.Minute}}, Rate: 1000, Period: 100 * time.Millisecond, Seed: 1}
+	planned := len(l.plan())
+	b := &barrier{left: planned, open: make(chan struct{})}
+	server := httptest.NewServer(b)
+	defer server.Close()
+	l.Targets = []netip.AddrPort{netip.MustParseAddrPort(server.Listener.Addr().String())}
+	results, err := l.Run(t.Context())
+	if err != nil || len(results) != planned {
+		t.Fatalf("got %d results and %v, want the %d planned", len(results), err, planned)
+	}
+	// The first request waited for the last one, so its latency covers the plan.
+	if first, last := results[0], results[planned-1]; first.Took < last.Planned-first.Planned {
+		t.Errorf("first request took %v, want at least the %v until the last was sent", first.Took, last.Planned-first.Planned)
+	}
+}
+
+// Guards against a load that differs between two runs of the same seed, which
+// would make plain and full policies incomparable.
+func TestPlanIsSeeded(t *testing.T) {
+	plan := func(seed uint64) string {
+		l := &Load{Callers: []Caller{{Name: "a", Share: 2, Bodies: 9}, {Name: "b", Run: true}, {Name: "c", Once: time.Second, Crash: true}}, Rate: 50, Period: 2 * time.Second, Seed: seed}
+		l.Targets = make([]netip.AddrPort, 3)
+		text := ""
+		for _, s := range l.plan() {
+			text += fmt.Sprint(s.result.Planned, s.first, s.random, string(s.result.Query), "\n")
+		}
+		return text
+	}
+	if plan(1) != plan(1) {
+		t.Error("two plans of the same seed differ")
+	}
+	if plan(1) == plan(2) {
+		t.Error("plans of different seeds are the same")
+	}
+}
--- a/io/bench/doc.go
+++ b/io/bench/doc.go
@@ -3,8 +3,12 @@
 //
 // # Usage
 //
-//	l := &bench.Load{Targets: targets, Customer: "tabadul", Secret: "secret", Index: "pairing", Rate: 200, Period: 10 * time.Second}
-//	report, err := l.Run(ctx)
+//	l := &bench.Load{Targets: targets, Callers: []bench.Caller{{Customer: "tabadul", Secret: "secret", Index: "pairing"}}, Rate: 200, Period: 10 * time.Second}
+//	results, err := l.Run(ctx)
+//	report := bench.Measure(results)
+//	bench.NewEvidence(logs).Check(report, results)
 //
-// Latencies are reported in milliseconds.
+// The load is open: requests are planned ahead and sent whether or not earlier
+// ones were answered, and latencies count from the planned time. They are
+// reported in milliseconds.
 package bench
--- a/io/bench/load.go
+++ b/io/bench/load.go
@@ -1,163 +1,123 @@
 package bench
 
 import (
-	"bytes"
+	"cmp"
 	"context"
-	"encoding/json"
 	"fmt"
-	"io"
+	"math/rand/v2"
 	"net/http"
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 )
 
-// Load sends queries at a steady rate, spread over the targets in turn.
+// idleConns is high enough that a load reuses its connections at any rate that
+// one machine can offer.
+const idleConns = 4096
+
+// Load sends requests at a planned rate, spread over the targets in turn.
 type Load struct {
-	Targets  []netip.AddrPort
-	Customer string
-	Secret   string
-	Index    string
-	Wait     time.Duration
-	Rate     float64 // queries a second
-	Period   time.Duration
-	Bodies   int // distinct queries; 0 means every query differs
-	Limit    int
+	Targets []netip.AddrPort
+	Callers []Caller
+	Rate    float64 // requests a second, at random intervals
+	Period  time.Duration
+	Seed    uint64
 
+	client  *http.Client
+	began   time.Time
 	mu      sync.Mutex
-	report  *Report
 	results []Result
 	wg      sync.WaitGroup
 }
 
-// Result is one request as its caller saw it.
-type Result struct {
-	Query  []byte
-	Status int // 0 when no answer came
-	Took   time.Duration
-	Target netip.AddrPort
-	Answer Answer
-}
-
-// Answer is the body of an answer or refusal.
-type Answer struct {
-	Request  uint64 `json:"request"`
-	Snapshot uint64 `json:"snapshot"`
-	Items    []struct {
-		ID   string  `json:"id"`
-		Rank float64 `json:"rank"`
-		Data string  `json:"data"`
-	} `json:"items"`
-	Coverage struct {
-		Answered int   `json:"answered"`
-		Total    int   `json:"total"`
-		Missing  []int `json:"missing"`
-	} `json:"coverage"`
-	Class  string `json:"class"`
-	Price  int64  `json:"price"`
-	Ran    string `json:"ran"`
-	Reason string `json:"reason"`
-	Detail string `json:"detail"`
+// shot is one planned request.
+type shot struct {
+	load   *Load
+	first  int // target of the first send, modulo their number
+	result Result
+	random [10]byte // of the key
 }
 
-// Run sends the load and waits for the last answer.
-func (l *Load) Run(ctx context.Context) (report *Report, results []Result, err error) {
-	if len(l.Targets) == 0 || l.Rate <= 0 {
-		return nil, nil, fmt.Errorf("load: needs targets and a rate above 0, not %d and %v", len(l.Targets), l.Rate)
+// Run sends the load and waits for the last answer. Results are in the order of
+// their planned times.
+func (l *Load) Run(ctx context.Context) (results []Result, err error) {
+	if len(l.Targets) == 0 || len(l.Callers) == 0 || l.Rate <= 0 {
+		return nil, fmt.Errorf("load: needs targets, callers and a rate above 0, not %d, %d and %v", len(l.Targets), len(l.Callers), l.Rate)
 	}
-	l.report = newReport()
-	client := &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: 1024, MaxIdleConns: 4096}}
-	defer client.CloseIdleConnections()
-	interval := time.Duration(float64(time.Second) / l.Rate)
-	ticker := time.NewTicker(interval)
-	defer ticker.Stop()
-	end := time.NewTimer(l.Period)
-	defer end.Stop()
-	for n := 0; ; n++ {
+	l.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idleConns, MaxIdleConns: idleConns}}
+	defer l.client.CloseIdleConnections()
+	l.results = nil
+	l.began = time.Now()
+	timer := time.NewTimer(0)
+	defer timer.Stop()
+	for _, s := range l.plan() {
+		timer.Reset(time.Until(l.began.Add(s.result.Planned)))
 		select {
-		case <-ticker.C:
-			c := &shot{load: l, client: client, n: n}
+		case <-timer.C:
 			l.wg.Add(1)
-			go c.run(ctx)
+			go s.run(ctx)
 			continue
-		case <-end.C:
 		case <-ctx.Done():
 		}
 		break
 	}
 	l.wg.Wait()
-	l.report.finish()
-	return l.report, l.results, nil
-}
-
-// shot is one request of a load.
-type shot struct {
-	load   *Load
-	client *http.Client
-	n      int
+	slices.SortFunc(l.results, func(a, b Result) int { return cmp.Compare(a.Planned, b.Planned) })
+	return l.results, ctx.Err()
 }
 
-func (s *shot) run(ctx context.Context) {
-	defer s.load.wg.Done()
-	l := s.load
-	r := Result{Target: l.Targets[s.n%len(l.Targets)], Query: s.query()}
-	began := time.Now()
-	r.Status, r.Answer = s.exchange(ctx, r)
-	r.Took = time.Since(began)
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	l.results = append(l.results, r)
-	l.report.count(r)
-}
-
-func (s *shot) query() []byte {
-	n := s.n
-	if s.load.Bodies > 0 {
-		n %= s.load.Bodies
+// plan draws all requests before the first one is sent, so that the load is the
+// same whatever the answers.
+func (l *Load) plan() []*shot {
+	random := rand.New(rand.NewPCG(l.Seed, 2))
+	var shots []*shot
+	total := 0.0
+	for i := range l.Callers {
+		c := &l.Callers[i]
+		total += c.share()
+		if c.Once > 0 {
+			shots = append(shots, l.shot(random, c, c.Once, len(shots)))
+		}
+	}
+	at := time.Duration(0)
+	for total > 0 {
+		at += time.Duration(random.ExpFloat64() / l.Rate * float64(time.Second))
+		if at >= l.Period {
+			break
+		}
+		shots = append(shots, l.shot(random, l.pick(random.Float64()*total), at, len(shots)))
 	}
-	return fmt.Appendf(nil, `{"n":%d}`, n)
+	slices.SortStableFunc(shots, func(a, b *shot) int { return cmp.Compare(a.result.Planned, b.result.Planned) })
+	return shots
 }
 
-func (s *shot) exchange(ctx context.Context, r Result) (int, Answer) {
-	l := s.load
-	var a Answer
-	body := fmt.Appendf(nil, `{"index":%q,"query":%s,"limit":%d}`, l.Index, r.Query, l.Limit)
-	request, err := http.NewRequestWithContext(ctx, http.MethodPost, fmt.Sprintf("http://%s/v1/query", r.Target), bytes.NewReader(body))
-	if err != nil {
-		return 0, a
+func (l *Load) shot(random *rand.Rand, c *Caller, at time.Duration, n int) *shot {
+	body := n
+	if c.Bodies > 0 {
+		body = random.IntN(c.Bodies)
 	}
-	request.Header.Set("Authorization", "Bearer "+l.Customer+"."+l.Secret)
-	request.Header.Set("Wait", l.Wait.String())
-	response, err := s.client.Do(request)
-	if err != nil {
-		return 0, a
+	s := &shot{load: l, first: n, result: Result{Caller: c, Query: query(c, body), Planned: at}}
+	for i := range s.random {
+		s.random[i] = byte(random.Uint32())
 	}
-	defer response.Body.Close()
-	raw, err := io.ReadAll(response.Body)
-	if err != nil || json.Unmarshal(raw, &a) != nil {
-		return 0, a
+	return s
+}
+
+func (l *Load) pick(at float64) *Caller {
+	for i := range l.Callers {
+		at -= l.Callers[i].share()
+		if at < 0 {
+			return &l.Callers[i]
+		}
 	}
-	return response.StatusCode, a
+	return &l.Callers[len(l.Callers)-1]
 }
 
-// count adds a result to the report.
-func (r *Report) count(result Result) {
-	r.Queries++
-	switch {
-	case result.Status == 0:
-		r.Failed++
-		return
-	case result.Status != http.StatusOK:
-		r.Refused++
-		r.Reasons[result.Answer.Reason]++
-		return
-	case result.Answer.Coverage.Answered == result.Answer.Coverage.Total:
-		r.Whole++
-	default:
-		r.Partial++
+// query makes the query of a caller. The same number gives the same query.
+func query(c *Caller, n int) []byte {
+	if c.Crash {
+		return fmt.Appendf(nil, `{"caller":%q,"n":%d,"crash":true}`, c.Name, n)
 	}
-	c := result.Answer.Coverage
-	r.covered += float64(c.Answered) / float64(c.Total)
-	r.needed += c.Answered
-	_ = r.latencies.RecordValue(result.Took.Microseconds())
+	return fmt.Appendf(nil, `{"caller":%q,"n":%d}`, c.Name, n)
 }
--- /dev/null
+++ b/io/bench/scatter.go
@@ -0,0 +1,120 @@
+package bench
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net/http"
+	"net/netip"
+	"strconv"
+	"sync"
+	"sync/atomic"
+	"time"
+)
+
+// Scatter is the baseline of the tier: a loop that sends each query to one
+// upstream of every shard with net/http, decodes the answers, and does nothing
+// else. Its queries follow each other, so it measures throughput only.
+type Scatter struct {
+	Upstreams []netip.AddrPort // one for each shard, in order
+	Index     string
+	Version   uint64
+	Workers   int // queries at once
+	Period    time.Duration
+
+	client  *http.Client
+	queries atomic.Int64
+	failed  atomic.Int64
+}
+
+// Throughput is the result of a closed loop.
+type Throughput struct {
+	Queries     int     `json:"queries"`
+	Failed      int     `json:"failed"` // sub-requests of a Scatter, queries of a Closed
+	PerSecond   float64 `json:"persecond"`
+	Subrequests float64 `json:"subrequests"` // a second
+}
+
+const scatterTimeout = 10 * time.Second
+
+// Run scatters queries for the period.
+func (s *Scatter) Run(ctx context.Context) (t *Throughput, err error) {
+	if len(s.Upstreams) == 0 || s.Workers < 1 {
+		return nil, fmt.Errorf("scatter: needs upstreams and workers, not %d and %d", len(s.Upstreams), s.Workers)
+	}
+	s.client = &http.Client{Transport: &http.Transport{MaxIdleConnsPerHost: idleConns, MaxIdleConns: idleConns}}
+	defer s.client.CloseIdleConnections()
+	ctx, cancel := context.WithTimeout(ctx, s.Period)
+	defer cancel()
+	began := time.Now()
+	var wg sync.WaitGroup
+	for range s.Workers {
+		w := &scatterer{scatter: s}
+		wg.Go(func() { w.loop(ctx) })
+	}
+	wg.Wait()
+	return throughput(s.queries.Load(), s.failed.Load(), time.Since(began), len(s.Upstreams)), nil
+}
+
+func throughput(queries, failed int64, took time.Duration, shards int) *Throughput {
+	rate := float64(queries) / took.Seconds()
+	return &Throughput{Queries: int(queries), Failed: int(failed), PerSecond: rate, Subrequests: rate * float64(shards)}
+}
+
+// scatterer sends one query after the other.
+type scatterer struct {
+	scatter *Scatter
+	n       int
+}
+
+func (w *scatterer) loop(ctx context.Context) {
+	s := w.scatter
+	for ctx.Err() == nil {
+		w.n++
+		var wg sync.WaitGroup
+		for shard := range s.Upstreams {
+			wg.Go(func() { s.ask(ctx, shard, w.n) })
+		}
+		wg.Wait()
+		if ctx.Err() == nil {
+			s.queries.Add(1)
+		}
+	}
+}
+
+// ask sends one sub-request and decodes its answer.
+func (s *Scatter) ask(ctx context.Context, shard, n int) {
+	url := fmt.Sprintf("http://%s/v1/shard/%s/%d/%d", s.Upstreams[shard], s.Index, s.Version, shard)
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(fmt.Appendf(nil, `{"n":%d}`, n)))
+	if err != nil {
+		s.failed.Add(1)
+		return
+	}
+	r.Header.Set("Request", "scatter-"+strconv.Itoa(n))
+	r.Header.Set("Attempt", strconv.Itoa(shard))
+	r.Header.Set("Timeout", strconv.FormatInt(scatterTimeout.Milliseconds(), 10))
+	response, err := s.client.Do(r)
+	if err == nil {
+		err = decode(response)
+	}
+	if err != nil && ctx.Err() == nil {
+		s.failed.Add(1)
+	}
+}
+
+func decode(response *http.Response) (err error) {
+	defer response.Body.Close()
+	raw, err := io.ReadAll(response.Body)
+	if err != nil {
+		return err
+	}
+	if response.StatusCode != http.StatusOK {
+		return fmt.Errorf("status %d", response.StatusCode)
+	}
+	var body struct {
+		Items []Item `json:"items"`
+	}
+	return json.Unmarshal(raw, &body)
+}
--- a/io/cmds/demo.go
+++ b/io/cmds/demo.go
@@ -7,54 +7,78 @@
 	"text/tabwriter"
 	"time"
 
+	"github.com/apex/log"
+
 	"comfreypulley/io/bench"
 	"comfreypulley/io/demo"
 )
 
 // demoCommand runs the whole system in one process.
 type demoCommand struct {
-	For   time.Duration `default:"5s" help:"Length of the load."`
-	Rate  float64       `default:"200" help:"Queries a second."`
-	JSON  bool          `help:"Print one JSON object instead of a table."`
-	Plain bool          `help:"Use the plain baseline policy."`
+	Like    string        `default:"tabadul" enum:"kilimo,tabadul" help:"Shape: ${enum}."`
+	Profile string        `default:"steady" enum:"confirm,crash,flood,overload,replica,steady,straggler,versions,zone" help:"Faults and load: ${enum}."`
+	For     time.Duration `default:"10s" help:"Length of each load."`
+	Rate    float64       `default:"0" help:"Requests a second; 0 takes that of the profile."`
+	Seed    uint64        `default:"1" help:"Seed of times, queries and faults."`
+	VMs     int           `default:"0" help:"Entry VMs; 0 takes all of the shape."`
+	JSON    bool          `help:"Print one JSON object instead of a table."`
 }
 
 // Run implements the subcommand.
 func (c *demoCommand) Run(s *scope) (err error) {
-	d := &demo.Demo{Period: c.For, Rate: c.Rate, Plain: c.Plain, Logger: s.logger}
-	report, err := d.Run(s.ctx)
+	quiet := &log.Logger{Handler: s.handler, Level: log.WarnLevel}
+	d := &demo.Demo{
+		Examples: s.examples, Like: c.Like, Profile: c.Profile, Period: c.For, Rate: c.Rate, Seed: c.Seed, VMs: c.VMs, Logger: quiet,
+	}
+	result, err := d.Run(s.ctx)
 	if err != nil {
 		return err
 	}
 	if c.JSON {
-		return json.NewEncoder(os.Stdout).Encode(report)
+		return json.NewEncoder(os.Stdout).Encode(result)
 	}
-	return printReport(report)
+	return printResult(result)
 }
 
-func printReport(r *bench.Report) error {
+func printResult(r *demo.Result) error {
 	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
+	fmt.Fprintf(w, "%s, %s, seed %d, %d VMs\tplain\tfull\n", r.Like, r.Profile, r.Seed, r.VMs)
 	rows := []struct {
-		name  string
-		value any
+		name string
+		get  func(*bench.Report) any
 	}{
-		{"queries", r.Queries},
-		{"whole", r.Whole},
-		{"partial", r.Partial},
-		{"refused", r.Refused},
-		{"failed", r.Failed},
-		{"mixed", r.Mixed},
-		{"crossed", r.Crossed},
-		{"untrue", r.Untrue},
-		{"doubled", r.Doubled},
-		{"false refusals", r.FalseRefusals},
-		{"p50 ms", r.P50},
-		{"p99 ms", r.P99},
-		{"coverage", r.Coverage},
-		{"extra", r.Extra},
+		{"queries", func(r *bench.Report) any { return r.Queries }},
+		{"whole", func(r *bench.Report) any { return r.Whole }},
+		{"partial", func(r *bench.Report) any { return r.Partial }},
+		{"refused", func(r *bench.Report) any { return r.Refused }},
+		{"failed", func(r *bench.Report) any { return r.Failed }},
+		{"in time", func(r *bench.Report) any { return r.InTime }},
+		{"mixed", func(r *bench.Report) any { return r.Mixed }},
+		{"crossed", func(r *bench.Report) any { return r.Crossed }},
+		{"untrue", func(r *bench.Report) any { return r.Untrue }},
+		{"doubled", func(r *bench.Report) any { return r.Doubled }},
+		{"lost", func(r *bench.Report) any { return r.Lost }},
+		{"confirmed", func(r *bench.Report) any { return r.Confirmed }},
+		{"false refusals", func(r *bench.Report) any { return r.FalseRefusals }},
+		{"p50 ms", func(r *bench.Report) any { return r.P50 }},
+		{"p99 ms", func(r *bench.Report) any { return r.P99 }},
+		{"refusals p99 ms", func(r *bench.Report) any { return r.RefusalP99 }},
+		{"coverage", func(r *bench.Report) any { return fmt.Sprintf("%.4f", r.Coverage) }},
+		{"extra", func(r *bench.Report) any { return fmt.Sprintf("%.4f", r.Extra) }},
+		{"refusals", func(r *bench.Report) any { return r.Reasons }},
 	}
 	for _, row := range rows {
-		fmt.Fprintf(w, "%s\t%v\n", row.name, row.value)
+		fmt.Fprintf(w, "%s\t%v\t%v\n", row.name, row.get(r.Plain), row.get(r.Report))
+	}
+	fmt.Fprintln(w, "\ntarget\tfull\tmet")
+	for _, t := range r.Targets {
+		fmt.Fprintf(w, "%s: %s\t%.4g\t%v\n", t.Name, t.Bound, t.Value, t.Met)
+	}
+	if err := w.Flush(); err != nil {
+		return err
+	}
+	for _, text := range append(r.Plain.Faults, r.Faults...) {
+		fmt.Println("fault:", text)
 	}
-	return w.Flush()
+	return nil
 }
--- a/io/cmds/doc.go
+++ b/io/cmds/doc.go
@@ -2,7 +2,7 @@
 //
 // # Usage
 //
-//	os.Exit(cmds.Main(os.Args[1:]))
+//	os.Exit(cmds.Main(os.Args[1:], examples))
 //
 // Every subcommand writes results to standard output and logs, as JSON lines, to
 // standard error. The exit status is 0 on success, 1 on failure and 2 for a
--- a/io/cmds/load.go
+++ b/io/cmds/load.go
@@ -2,6 +2,7 @@
 
 import (
 	"encoding/json"
+	"fmt"
 	"net/netip"
 	"os"
 	"time"
@@ -11,31 +12,55 @@
 
 // loadCommand sends queries.
 type loadCommand struct {
-	Target   []string      `required:"" help:"Callers' addresses of the entry VMs."`
-	Customer string        `required:"" help:"Customer of the contract."`
-	Secret   string        `required:"" help:"Secret of the contract."`
+	Target   []string      `required:"" help:"Callers' addresses of the entry VMs; with --scatter, one upstream for each shard in order."`
+	Customer string        `help:"Customer of the contract."`
+	Secret   string        `help:"Secret of the contract."`
 	Index    string        `required:"" help:"Index to query."`
+	Version  uint64        `default:"1" help:"Version to query with --scatter."`
 	Wait     time.Duration `default:"200ms" help:"How long a caller can wait."`
-	Rate     float64       `default:"100" help:"Queries a second."`
+	Rate     float64       `default:"100" help:"Requests a second, at random intervals."`
 	For      time.Duration `default:"10s" help:"Length of the load."`
-	Bodies   int           `default:"1000" help:"Distinct queries."`
+	Bodies   int           `default:"1000" help:"Distinct queries; 0 makes every query differ."`
+	Runs     bool          `help:"Send non-idempotent requests, each with a new key."`
+	Resends  int           `default:"0" help:"Further sends of a request whose answer was lost, under the same key."`
+	Closed   int           `default:"0" help:"Send this many queries at once, one after the other, instead of the rate."`
+	Scatter  int           `default:"0" help:"Baseline: scatter this many queries at once straight to the upstreams."`
+	Seed     uint64        `default:"1" help:"Seed of times and queries."`
 }
 
 // Run implements the subcommand.
 func (c *loadCommand) Run(s *scope) (err error) {
-	l := &bench.Load{
-		Customer: c.Customer, Secret: c.Secret, Index: c.Index, Wait: c.Wait, Rate: c.Rate, Period: c.For, Bodies: c.Bodies,
-	}
+	var targets []netip.AddrPort
 	for _, text := range c.Target {
 		addr, err := netip.ParseAddrPort(text)
 		if err != nil {
-			return err
+			return fmt.Errorf("target: %w", err)
 		}
-		l.Targets = append(l.Targets, addr)
+		targets = append(targets, addr)
 	}
-	report, _, err := l.Run(s.ctx)
+	result, err := c.send(s, targets)
 	if err != nil {
 		return err
 	}
-	return json.NewEncoder(os.Stdout).Encode(report)
+	return json.NewEncoder(os.Stdout).Encode(result)
+}
+
+func (c *loadCommand) send(s *scope, targets []netip.AddrPort) (result any, err error) {
+	if c.Scatter > 0 {
+		l := &bench.Scatter{Upstreams: targets, Index: c.Index, Version: c.Version, Workers: c.Scatter, Period: c.For}
+		return l.Run(s.ctx)
+	}
+	l := &bench.Load{Targets: targets, Rate: c.Rate, Period: c.For, Seed: c.Seed, Callers: []bench.Caller{{
+		Name: "load", Customer: c.Customer, Secret: c.Secret, Index: c.Index, Wait: c.Wait, Bodies: c.Bodies,
+		Run: c.Runs, Resends: c.Resends,
+	}}}
+	if c.Closed > 0 {
+		closed := &bench.Closed{Load: l, Workers: c.Closed}
+		return closed.Run(s.ctx)
+	}
+	results, err := l.Run(s.ctx)
+	if err != nil {
+		return nil, err
+	}
+	return bench.Measure(results), nil
 }
--- a/io/cmds/main.go
+++ b/io/cmds/main.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"fmt"
+	"io/fs"
 	"os"
 	"os/signal"
 	"syscall"
@@ -16,6 +17,7 @@
 type commands struct {
 	Serve    serveCommand    `cmd:"" help:"Run an entry VM."`
 	Upstream upstreamCommand `cmd:"" help:"Run a stand-in upstream."`
+	Fault    faultCommand    `cmd:"" help:"Run a fault-injecting TCP proxy."`
 	Load     loadCommand     `cmd:"" help:"Send queries as callers do and report latencies."`
 	Check    checkCommand    `cmd:"" help:"Check a settings or fleet file."`
 	Demo     demoCommand     `cmd:"" help:"Run zones of VMs, stand-in upstreams and a load in one process."`
@@ -23,12 +25,15 @@
 
 // scope is what every subcommand gets.
 type scope struct {
-	ctx    context.Context
-	logger log.Interface
+	ctx      context.Context
+	handler  log.Handler
+	logger   log.Interface
+	examples fs.FS // folders of docs/examples
 }
 
-// Main runs the command line and returns the exit status.
-func Main(args []string) int {
+// Main runs the command line and returns the exit status. The folders of
+// docs/examples are in examples.
+func Main(args []string, examples fs.FS) int {
 	var c commands
 	status := 0
 	parser, err := kong.New(&c,
@@ -50,8 +55,9 @@
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
-	logger := &log.Logger{Handler: json.New(os.Stderr), Level: log.InfoLevel}
-	if err := parsed.Run(&scope{ctx: ctx, logger: logger}); err != nil {
+	handler := json.New(os.Stderr)
+	logger := &log.Logger{Handler: handler, Level: log.InfoLevel}
+	if err := parsed.Run(&scope{ctx: ctx, handler: handler, logger: logger, examples: examples}); err != nil {
 		fmt.Fprintln(os.Stderr, "comfreypulley:", err)
 		return 1
 	}
--- a/io/cmds/upstream.go
+++ b/io/cmds/upstream.go
@@ -3,49 +3,101 @@
 import (
 	"context"
 	"errors"
-	"net"
+	"fmt"
 	"net/http"
 	"net/netip"
 	"time"
 
+	"github.com/oklog/run"
+
 	"comfreypulley/io/stub"
 )
 
+const controlTimeout = 5 * time.Second // to read a header on a control address
+
 // upstreamCommand runs a stand-in upstream.
 type upstreamCommand struct {
-	Listen  string        `default:"127.0.0.1:0" help:"Address."`
-	Index   string        `required:"" help:"Index it holds."`
-	Version uint64        `default:"1" help:"Version it holds."`
-	Shards  int           `default:"1" help:"Shards of the version."`
-	Holds   []int         `default:"0" help:"Shards it holds."`
-	Slots   int           `default:"3" help:"Requests run at once."`
-	Queue   int           `default:"6" help:"Requests that wait for a slot."`
-	Conns   int           `default:"65" help:"Connections it reports to accept."`
-	Service time.Duration `default:"3ms" help:"Median service time."`
-	Spread  float64       `default:"0.3" help:"Sigma of the log-normal service time."`
-	Seed    uint64        `default:"1" help:"Seed of its random source."`
+	Listen   string        `default:"127.0.0.1:0" help:"Address."`
+	Control  string        `help:"Second address, which a crash does not close and the connection cap does not bound."`
+	Name     string        `default:"upstream" help:"Name in run ids."`
+	Hold     []string      `required:"" sep:"none" help:"Holdings, such as pairing/1/10/0,3 for shards 0 and 3 of 10."`
+	State    string        `default:"active" enum:"active,cold,drained" help:"State: ${enum}."`
+	Slots    int           `default:"3" help:"Requests run at once."`
+	Queue    int           `default:"6" help:"Requests that wait for a slot; more are shed."`
+	Conns    int           `default:"65" help:"Connections accepted at once; 0 means no cap."`
+	Dial     time.Duration `default:"0s" help:"Time from accepting a connection to its first request."`
+	Distance time.Duration `default:"0s" help:"One-way latency added in each direction."`
+	Service  time.Duration `default:"3ms" help:"Median service time."`
+	Spread   float64       `default:"0.3" help:"Sigma of the log-normal service time."`
+	Slow     float64       `default:"1" help:"Factor on every service time."`
+	Rare     float64       `default:"0" help:"Share of requests that take rare-by times as long."`
+	RareBy   float64       `default:"10" help:"Factor on rare requests."`
+	Cold     time.Duration `default:"0s" help:"Cold time after a start."`
+	Warm     time.Duration `default:"0s" help:"Slower time after the cold time."`
+	WarmBy   float64       `default:"4" help:"Factor on service times when the warm time begins."`
+	Restart  time.Duration `default:"0s" help:"Time from a crash to the next start; 0 means never."`
+	Lag      time.Duration `default:"0s" help:"Age of the loads and reports it gives."`
+	Log      string        `help:"File that the run log is appended to."`
+	Seed     uint64        `default:"1" help:"Seed of its random source."`
 }
 
 // Run implements the subcommand.
 func (c *upstreamCommand) Run(s *scope) (err error) {
 	addr, err := netip.ParseAddrPort(c.Listen)
 	if err != nil {
-		return err
+		return fmt.Errorf("listen: %w", err)
 	}
-	l, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(addr))
+	cfg := stub.Config{ID: c.Name, Seed: c.Seed, Log: c.Log, Settings: stub.Settings{
+		State: c.State, Slots: c.Slots, Queue: c.Queue, Conns: c.Conns, Dial: c.Dial, Service: c.Service, Spread: c.Spread,
+		Slow: c.Slow, Rare: c.Rare, RareBy: c.RareBy, Cold: c.Cold, Warm: c.Warm, WarmBy: c.WarmBy, Restart: c.Restart, Lag: c.Lag,
+	}}
+	for _, text := range c.Hold {
+		h, err := stub.ParseHolding(text)
+		if err != nil {
+			return err
+		}
+		cfg.Settings.Holds = append(cfg.Settings.Holds, h)
+	}
+	stand, err := stub.New(cfg)
 	if err != nil {
 		return err
 	}
-	stand := stub.New(stub.Config{
-		ID: c.Listen, Slots: c.Slots, Queue: c.Queue, Conns: c.Conns, Service: c.Service, Spread: c.Spread, Seed: c.Seed,
-		Holds: []stub.Holding{{Index: c.Index, Version: c.Version, Shards: c.Shards, Shard: c.Holds}},
-	})
-	server := &http.Server{Handler: stand, ReadHeaderTimeout: time.Second}
-	stop := context.AfterFunc(s.ctx, func() { _ = server.Close() })
-	defer stop()
-	s.logger.WithField("addr", l.Addr().String()).Info("serving")
-	if err := server.Serve(l); !errors.Is(err, http.ErrServerClosed) {
+	defer func() { err = errors.Join(err, stand.Close()) }()
+	host, err := stub.Listen(stand, stub.Door{Addr: addr, Distance: c.Distance})
+	if err != nil {
 		return err
 	}
+	var group run.Group
+	group.Add(host.Run, func(error) { host.Close() })
+	if c.Control != "" {
+		if err := addControl(&group, c.Control, stand, s, "control"); err != nil {
+			host.Close()
+			return err
+		}
+	}
+	addStop(s.ctx, &group)
+	s.logger.WithField("addr", host.Addr(0).String()).Info("serving")
+	return group.Run()
+}
+
+// addControl serves a handler on an address of its own and logs the address
+// under a name.
+func addControl(group *run.Group, text string, handler http.Handler, s *scope, name string) error {
+	l, err := listen(text)
+	if err != nil {
+		return fmt.Errorf("%s: %w", name, err)
+	}
+	server := &http.Server{Handler: handler, ReadHeaderTimeout: controlTimeout}
+	group.Add(func() error { return server.Serve(l) }, func(error) { _ = server.Close() })
+	s.logger.WithField("addr", l.Addr().String()).Info(name)
 	return nil
 }
+
+// addStop ends a group when ctx ends.
+func addStop(ctx context.Context, group *run.Group) {
+	stop, cancel := context.WithCancel(ctx)
+	group.Add(func() error {
+		<-stop.Done()
+		return nil
+	}, func(error) { cancel() })
+}
--- /dev/null
+++ b/io/stub/holding.go
@@ -0,0 +1,45 @@
+package stub
+
+import (
+	"fmt"
+	"strconv"
+	"strings"
+)
+
+// ParseHolding reads the text form of a holding, INDEX/VERSION/SHARDS/LIST, in
+// which LIST has the shards held, separated by commas.
+func ParseHolding(text string) (h Holding, err error) {
+	defer func() {
+		if err != nil {
+			err = fmt.Errorf("holding %q is not of the form pairing/1/10/0,3: %w", text, err)
+		}
+	}()
+	parts := strings.Split(text, "/")
+	if len(parts) != 4 {
+		return h, fmt.Errorf("has %d parts", len(parts))
+	}
+	h.Index = parts[0]
+	if h.Version, err = strconv.ParseUint(parts[1], 10, 64); err != nil {
+		return h, err
+	}
+	if h.Shards, err = strconv.Atoi(parts[2]); err != nil {
+		return h, err
+	}
+	for _, part := range strings.Split(parts[3], ",") {
+		n, err := strconv.Atoi(part)
+		if err != nil {
+			return h, err
+		}
+		h.Shard = append(h.Shard, n)
+	}
+	return h, nil
+}
+
+// String returns the text form.
+func (h Holding) String() string {
+	list := make([]string, len(h.Shard))
+	for i, n := range h.Shard {
+		list[i] = strconv.Itoa(n)
+	}
+	return fmt.Sprintf("%s/%d/%d/%s", h.Index, h.Version, h.Shards, strings.Join(list, ","))
+}
--- /dev/null
+++ b/io/stub/stub_test.go
@@ -0,0 +1,273 @@
+package stub
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"strings"
+	"testing"
+	"time"
+)
+
+const patience = 20 * time.Second // for events that always come
+
+func start(t *testing.T, cfg Config) (*Stub, *Host) {
+	t.Helper()
+	if cfg.Settings.Holds == nil {
+		cfg.Settings.Holds = []Holding{{Index: "i", Version: 1, Shards: 2, Shard: []int{0}}}
+	}
+	s, err := New(cfg)
+	if err != nil {
+		t.Fatal(err)
+	}
+	h, err := Listen(s, Door{Addr: netip.MustParseAddrPort("127.0.0.1:0")})
+	if err != nil {
+		t.Fatal(err)
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- h.Run() }()
+	t.Cleanup(func() {
+		h.Close()
+		if err := <-ended; err != nil {
+			t.Errorf("Run: %v", err)
+		}
+	})
+	return s, h
+}
+
+// ask sends a shard request and returns its status and headers.
+func ask(ctx context.Context, h *Host, path, query string) (*http.Response, error) {
+	r, err := http.NewRequestWithContext(ctx, http.MethodPost, fmt.Sprintf("http://%s%s", h.Addr(0), path), strings.NewReader(query))
+	if err != nil {
+		return nil, err
+	}
+	r.Header.Set("Timeout", "10000")
+	r.Header.Set("Request", "vm-1")
+	client := &http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: patience}
+	response, err := client.Do(r)
+	if err != nil {
+		return nil, err
+	}
+	defer response.Body.Close()
+	_, err = io.Copy(io.Discard, response.Body)
+	return response, err
+}
+
+// eventually waits for a condition that always comes true.
+func eventually(t *testing.T, what string, met func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(patience); !met(); {
+		if time.Now().After(deadline) {
+			t.Fatalf("%s did not happen within %v", what, patience)
+		}
+		<-time.After(time.Millisecond)
+	}
+}
+
+// Guards against a stand-in that answers in a state in which upstreams refuse.
+func TestStatusByState(t *testing.T) {
+	s, h := start(t, Config{Settings: Settings{Queue: 0}})
+	for _, c := range []struct {
+		change string
+		path   string
+		status int
+		state  string
+		ran    string
+	}{
+		{`{}`, "/v1/shard/i/1/0", 200, "", "yes"},
+		{`{}`, "/v1/shard/i/2/0", 409, "", "no"},
+		{`{}`, "/v1/shard/i/1/1", 409, "", "no"},
+		{`{"state":"drained"}`, "/v1/shard/i/1/0", 503, "drained", "no"},
+		{`{"state":"cold"}`, "/v1/shard/i/1/0", 503, "cold", "no"},
+		{`{"state":"active"}`, "/v1/shard/i/x/0", 400, "", ""},
+		{`{}`, "/v1/shard/i/1", 400, "", ""},
+	} {
+		if r, err := ask(t.Context(), h, "/v1/control", c.change); err != nil || r.StatusCode != http.StatusOK {
+			t.Fatalf("control %s: %v, %v", c.change, r, err)
+		}
+		r, err := ask(t.Context(), h, c.path, "{}")
+		if err != nil {
+			t.Fatal(err)
+		}
+		if r.StatusCode != c.status || r.Header.Get("State") != c.state || r.Header.Get("Ran") != c.ran {
+			t.Errorf("%s after %s: got %d, State %q, Ran %q, want %d, %q, %q",
+				c.path, c.change, r.StatusCode, r.Header.Get("State"), r.Header.Get("Ran"), c.status, c.state, c.ran)
+		}
+	}
+	if got := len(s.Runs()); got != 1 {
+		t.Errorf("run log has %d runs, want the 1 that was answered", got)
+	}
+}
+
+// Guards against a queue without a bound, and against cancelled work that goes
+// on or is logged as finished.
+func TestShedAndCancel(t *testing.T) {
+	s, h := start(t, Config{Settings: Settings{Slots: 1, Queue: 1, Service: time.Hour}})
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan error, 2)
+	for range 2 {
+		go func() {
+			_, err := ask(ctx, h, "/v1/shard/i/1/0", "{}")
+			ended <- err
+		}()
+	}
+	eventually(t, "one running and one queued", func() bool {
+		load := s.slots.load(s.settings.Load())
+		return load.Inflight == 1 && load.Queued == 1
+	})
+	r, err := ask(t.Context(), h, "/v1/shard/i/1/0", "{}")
+	if err != nil || r.StatusCode != http.StatusTooManyRequests || r.Header.Get("Retry-After") == "" {
+		t.Errorf("third request: got %v and %v, want 429 with Retry-After", r, err)
+	}
+	cancel()
+	for range 2 {
+		if err := <-ended; err == nil {
+			t.Error("a cancelled request was answered")
+		}
+	}
+	eventually(t, "empty slots", func() bool { return s.slots.load(s.settings.Load()) == Load{Slots: 1} })
+	for _, r := range s.Runs() {
+		if r.End != EndCancelled {
+			t.Errorf("run %s ended as %q, want cancelled", r.ID, r.End)
+		}
+	}
+}
+
+// Guards against a crash that leaves a connection open or loses its run, and
+// against a restart that is not cold.
+func TestCrashAndRestart(t *testing.T) {
+	name := filepath.Join(t.TempDir(), "runs")
+	s, h := start(t, Config{ID: "u", Log: name, Settings: Settings{Restart: time.Millisecond, Cold: time.Hour}})
+	if err := s.Change(func(next *Settings) { next.Cold = 0 }); err != nil {
+		t.Fatal(err)
+	}
+	if r, err := ask(t.Context(), h, "/v1/shard/i/1/0", `{"crash":true}`); err == nil {
+		t.Fatalf("the crashing request got %d, want a reset", r.StatusCode)
+	}
+	if err := s.Change(func(next *Settings) { next.Cold = time.Hour }); err != nil {
+		t.Fatal(err)
+	}
+	eventually(t, "the restart", func() bool {
+		r, err := ask(t.Context(), h, "/v1/shard/i/1/0", "{}")
+		return err == nil && r.Header.Get("State") == StateCold
+	})
+	runs, err := ReadRuns(name)
+	if err != nil || len(runs) != 1 || runs[0].End != EndCrashed || runs[0].Request != "vm-1" {
+		t.Errorf("run log file has %+v and %v, want one crashed run of vm-1", runs, err)
+	}
+	if got := s.Log().Crashes; got != 1 {
+		t.Errorf("counted %d crashes, want 1", got)
+	}
+}
+
+// Guards against a cap that refuses connections below it or accepts them above.
+func TestConnectionCap(t *testing.T) {
+	s, h := start(t, Config{Settings: Settings{Conns: 2}})
+	var conns []net.Conn
+	for range 2 {
+		c, err := net.Dial("tcp", h.Addr(0).String())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		conns = append(conns, c)
+	}
+	eventually(t, "two connections", func() bool { return h.listeners[0].opened.count() == 2 })
+	third, err := net.Dial("tcp", h.Addr(0).String())
+	if err == nil {
+		// The reset comes during or after the handshake.
+		_ = third.SetReadDeadline(time.Now().Add(patience))
+		_, err = third.Read(make([]byte, 1))
+		_ = third.Close()
+	}
+	if err == nil {
+		t.Error("the third connection got bytes, want a reset")
+	}
+	eventually(t, "a refused connection", func() bool { return s.Log().Refused == 1 })
+	_ = conns[0].Close()
+	eventually(t, "a free place", func() bool {
+		r, err := ask(t.Context(), h, "/v1/shard/i/1/0", "{}")
+		return err == nil && r.StatusCode == http.StatusOK
+	})
+}
+
+func (o *openConns) count() int {
+	o.mu.Lock()
+	defer o.mu.Unlock()
+	return len(o.conns)
+}
+
+// Guards against reports that are fresh or true when they are set not to be.
+func TestReportsLagAndLie(t *testing.T) {
+	s, _ := start(t, Config{Settings: Settings{Slots: 3, Lag: time.Second}})
+	begin := time.Now()
+	s.report(begin)
+	if err := s.Change(func(next *Settings) { next.State = StateDrained }); err != nil {
+		t.Fatal(err)
+	}
+	if got := s.report(begin.Add(999 * time.Millisecond)).State; got != StateActive {
+		t.Errorf("state is %q before the lag has passed, want the old active", got)
+	}
+	if got := s.report(begin.Add(2 * time.Second)).State; got != StateDrained {
+		t.Errorf("state is %q after the lag, want drained", got)
+	}
+	if err := s.Change(func(next *Settings) { next.Lie = &Load{Inflight: 7, Slots: 9} }); err != nil {
+		t.Fatal(err)
+	}
+	if got := s.report(begin); got.Inflight != 7 || got.Slots != 9 {
+		t.Errorf("report is %+v, want the lie 7 of 9", got)
+	}
+}
+
+// Guards against control bodies that are half applied or that reset what they
+// leave out.
+func TestControlBodies(t *testing.T) {
+	s, _ := start(t, Config{Settings: Settings{Slots: 3, Queue: 5, Service: time.Millisecond, Lie: &Load{Slots: 1}}})
+	before, _ := json.Marshal(bodyOf(s.Settings()))
+	for _, text := range []string{
+		``, `[]`, `{"slot":1}`, `{"slots":0}`, `{"queue":7,"state":"gone"}`, `{"rare":2}`, `{"service":"fast"}`, `{"cold":"-1s"}`,
+		`{"holds":[{"index":"i","version":2,"shards":2,"holds":[2]}]}`,
+	} {
+		err := s.change(func(current Settings) (Settings, error) { return parseControl(current, []byte(text)) })
+		if err == nil {
+			t.Errorf("control body %s was accepted", text)
+		}
+	}
+	if after, _ := json.Marshal(bodyOf(s.Settings())); !bytes.Equal(before, after) {
+		t.Errorf("settings are %s after bad bodies, want %s", after, before)
+	}
+	err := s.change(func(current Settings) (Settings, error) {
+		return parseControl(current, []byte(`{"service":"5ms","lie":null}`))
+	})
+	got := s.Settings()
+	if err != nil || got.Service != 5*time.Millisecond || got.Queue != 5 || got.Lie != nil || len(got.Holds) != 1 {
+		t.Errorf("settings are %+v and %v, want service 5ms, queue 5, no lie and the holding kept", got, err)
+	}
+}
+
+// Guards against a run log that a kill in the middle of a line makes unreadable.
+func TestReadRunsAfterKill(t *testing.T) {
+	name := filepath.Join(t.TempDir(), "runs")
+	text := `{"id":"u-1-0","request":"a","end":""}` + "\n" + `{"id":"u-1-1","request":"b","end":""}` + "\n" +
+		`{"id":"u-1-0","request":"a","end":"finished"}` + "\n" + `{"id":"u-1-1","requ`
+	if err := os.WriteFile(name, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	runs, err := ReadRuns(name)
+	if err != nil || len(runs) != 2 || runs[0].End != EndFinished || runs[1].End != "" {
+		t.Errorf("got %+v and %v, want a finished and an unfinished run", runs, err)
+	}
+	if err := os.WriteFile(name, []byte("{\n"+text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	if _, err := ReadRuns(name); err == nil {
+		t.Error("a broken line in the middle was accepted")
+	}
+}
