--- /dev/null
+++ b/io/check/main_test.go
@@ -0,0 +1,46 @@
+package check
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+)
+
+// patience is how long to wait for an event that always comes.
+const patience = 60 * time.Second
+
+// program is the file of the program under test.
+var program string
+
+func TestMain(m *testing.M) {
+	os.Exit(buildAndRun(m))
+}
+
+func buildAndRun(m *testing.M) int {
+	dir, err := os.MkdirTemp("", "comfreypulley-check-")
+	if err != nil {
+		fmt.Fprintln(os.Stderr, err)
+		return 1
+	}
+	defer os.RemoveAll(dir)
+	program = filepath.Join(dir, "comfreypulley")
+	if out, err := exec.Command("go", "build", "-o", program, "comfreypulley").CombinedOutput(); err != nil {
+		fmt.Fprintf(os.Stderr, "build: %v\n%s", err, out)
+		return 1
+	}
+	return m.Run()
+}
+
+// eventually waits for a condition that always comes true.
+func eventually(t *testing.T, what string, met func() bool) {
+	t.Helper()
+	for deadline := time.Now().Add(patience); !met(); {
+		if time.Now().After(deadline) {
+			t.Fatalf("%s did not happen within %v", what, patience)
+		}
+		<-time.After(5 * time.Millisecond)
+	}
+}
--- a/io/cmds/demo.go
+++ b/io/cmds/demo.go
@@ -20,7 +20,7 @@
 	For     time.Duration `default:"10s" help:"Length of each load."`
 	Rate    float64       `default:"0" help:"Requests a second; 0 takes that of the profile."`
 	Seed    uint64        `default:"1" help:"Seed of times, queries and faults."`
-	VMs     int           `default:"0" help:"Entry VMs; 0 takes all of the shape."`
+	VMs     int           `name:"vms" default:"0" help:"Entry VMs; 0 takes all of the shape."`
 	JSON    bool          `help:"Print one JSON object instead of a table."`
 }
 
--- a/io/demo/overload.go
+++ b/io/demo/overload.go
@@ -10,10 +10,11 @@
 
 const (
 	overloadService = 20 * time.Millisecond // long enough that the stand-ins, not this machine, are the limit
-	overloadWait    = 250 * time.Millisecond
+	overloadWait    = time.Second
 )
 
-// overload offers the capacity of the stand-ins and then twice as much.
+// overload offers less than the capacity of the stand-ins, all of it, and then
+// twice as much. The peak is the best goodput of the first two.
 type overload struct{}
 
 func (overload) stages(l *like, _ time.Duration, _ uint64) []stage {
@@ -23,6 +24,7 @@
 	callers := []bench.Caller{l.lookups(overloadWait)}
 	capacity := l.capacity(overloadService)
 	return []stage{
+		{tune: tune, callers: callers, rate: 0.75 * capacity},
 		{tune: tune, callers: callers, rate: capacity},
 		{tune: tune, callers: callers, rate: 2 * capacity},
 	}
@@ -30,8 +32,8 @@
 
 func (overload) judge(_ *like, _, full []outcome) []Target {
 	return append(truthful(full),
-		atLeast("goodput over its peak", ratio(full[1].goodput(), full[0].goodput()), 0.85),
-		atMost("p99 of refusals, ms", full[1].report.RefusalP99, 5),
+		atLeast("goodput over its peak", ratio(full[2].goodput(), max(full[0].goodput(), full[1].goodput())), 0.85),
+		atMost("p99 of refusals, ms", full[2].report.RefusalP99, 5),
 	)
 }
 
