--- a/io/cmds/operator_test.go
+++ b/io/cmds/operator_test.go
@@ -65,7 +65,7 @@
 		{"explain u3", "GET /v1/explain?subject=u3 "},
 	} {
 		got = ""
-		if status := cmds.Main(append(strings.Fields(c.args), "--admin="+addr)); status != 0 {
+		if status := cmds.Main(append(strings.Fields(c.args), "--admin="+addr), nil); status != 0 {
 			t.Errorf("%s: got exit status %d, want 0", c.args, status)
 		}
 		if !strings.HasPrefix(got, c.want) {
@@ -82,7 +82,7 @@
 	}))
 	defer server.Close()
 	addr := strings.TrimPrefix(server.URL, "http://")
-	if got, want := cmds.Main([]string{"contract", "retire", "acme", "--expect=7", "--admin=" + addr}), 1; got != want {
+	if got, want := cmds.Main([]string{"contract", "retire", "acme", "--expect=7", "--admin=" + addr}, nil), 1; got != want {
 		t.Errorf("got exit status %d, want %d", got, want)
 	}
 }
