--- a/core/frame/frame.go
+++ b/core/frame/frame.go
@@ -137,6 +137,7 @@
 	Sum     uint64         // checksum at To
 	Leader  model.VMID     // last known leader, "" when unknown
 	Age     time.Duration  // since the sender last heard of a majority
+	Path    []model.VMID   // VMs that feed the sender, its parent first; empty for a replica of the log
 }
 
 // Full replaces a child's configuration.
@@ -145,6 +146,7 @@
 	Sum    uint64
 	Leader model.VMID
 	Age    time.Duration
+	Path   []model.VMID // as in Delta
 }
 
 // Ping asks a VM directly whether it is alive.
--- /dev/null
+++ b/core/relay/store.go
@@ -0,0 +1,27 @@
+package relay
+
+import (
+	"comfreypulley/core/entry"
+	"comfreypulley/core/frame"
+	"comfreypulley/core/model"
+)
+
+// Store is the configuration in force on this VM.
+type Store interface {
+	// Restore replaces the configuration, never by a lower revision.
+	Restore(c entry.Config)
+	// Image returns the whole configuration.
+	Image() entry.Config
+	// Since returns the changes after a revision, and false when some of them
+	// are no longer retained.
+	Since(from model.Revision) (changes []entry.Change, ok bool)
+	// Follow applies a delta, and fails without effect when it does not start
+	// at the revision in force or does not lead to its checksum.
+	Follow(d frame.Delta) error
+	// Topology returns the configuration in force, nil when there is none.
+	Topology() *model.Topology
+	// Revision returns the revision in force.
+	Revision() model.Revision
+	// Sum returns the checksum of the configuration in force.
+	Sum() uint64
+}
--- /dev/null
+++ b/core/relay/store_test.go
@@ -0,0 +1,74 @@
+package relay
+
+import (
+	"errors"
+	"hash/fnv"
+
+	"comfreypulley/core/entry"
+	"comfreypulley/core/frame"
+	"comfreypulley/core/model"
+)
+
+const retained = 20
+
+// fakeStore keeps the operation ids of its changes and the VMs of the fleet.
+type fakeStore struct {
+	vms   map[model.VMID]model.VM
+	ops   []entry.Op
+	lower bool // the revision went down once
+	topo  *model.Topology
+}
+
+func (s *fakeStore) Restore(c entry.Config) {
+	s.lower = s.lower || len(c.Ops) < len(s.ops)
+	s.ops = append([]entry.Op(nil), c.Ops...)
+}
+
+func (s *fakeStore) Image() entry.Config {
+	return entry.Config{Revision: s.Revision(), Ops: append([]entry.Op(nil), s.ops...)}
+}
+
+func (s *fakeStore) Since(from model.Revision) ([]entry.Change, bool) {
+	if int(from)+retained < len(s.ops) {
+		return nil, false
+	}
+	var list []entry.Change
+	for _, op := range s.ops[from:] {
+		list = append(list, entry.Change{Op: op.ID})
+	}
+	return list, true
+}
+
+func (s *fakeStore) Follow(d frame.Delta) error {
+	if d.From != s.Revision() || int(d.To-d.From) != len(d.Changes) {
+		return errors.New("delta does not fit")
+	}
+	for _, c := range d.Changes {
+		s.ops = append(s.ops, entry.Op{ID: c.Op})
+	}
+	if s.Sum() != d.Sum {
+		s.ops = s.ops[:d.From]
+		return errors.New("checksum differs")
+	}
+	return nil
+}
+
+func (s *fakeStore) Topology() *model.Topology {
+	if len(s.ops) == 0 {
+		return nil
+	}
+	if s.topo == nil {
+		s.topo = &model.Topology{VMs: s.vms}
+	}
+	return s.topo
+}
+
+func (s *fakeStore) Revision() model.Revision { return model.Revision(len(s.ops)) }
+
+func (s *fakeStore) Sum() uint64 {
+	h := fnv.New64a()
+	for _, op := range s.ops {
+		_, _ = h.Write([]byte(op.ID))
+	}
+	return h.Sum64()
+}
