Share fleet-wide limits as floors and leases

Cause: limits hold over the whole fleet, while VMs join, leave, restart and are cut off, and the leader changes.

Change: lease.Holder uses floors, lowered at once and raised after 6 s, and leases that end before the leader stops counting them. lease.Granter divides the rest max-min fairly and counts the largest floor that a VM may still use by the configuration its asks name; Ask carries that revision. A VM that skips configurations takes the lowest floor between them first.

Conclusion: the sum holds for contracts under cuts, and for connections while no VM is cut off.

--- a/core/frame/frame.go
+++ b/core/frame/frame.go
@@ -170,9 +170,10 @@
 
 // Ask asks the leader for shares of fleet-wide limits.
 type Ask struct {
-	N      uint64
-	Start  time.Time
-	Demand map[string]int // requests in flight and queued, by customer
+	N        uint64
+	Start    time.Time
+	Revision model.Revision // in force, whose floors the VM uses
+	Demand   map[string]int // requests in flight and queued beyond the floor, by customer
 }
 
 // Grant answers Ask. The shares end Length after the Ask was sent.
--- /dev/null
+++ b/core/lease/lease_test.go
@@ -0,0 +1,162 @@
+package lease
+
+import (
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"comfreypulley/core/frame"
+	"comfreypulley/core/model"
+)
+
+// Guards against more in use than a contract allows, under loss, duplication,
+// late messages, partitions, restarts, joining and leaving VMs and new leaders.
+// Connections have no leases, and their floors hold while no VM is cut off.
+func TestSumNeverExceedsLimit(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limits := map[string]int{"tiny": 1, "small": 3, "middle": 40, "large": 500}
+		f := newSimFleet(6, limits, rapid.Uint64().Draw(t, "seed"))
+		f.loss = rapid.Float64Range(0, 0.4).Draw(t, "loss")
+		f.dup = rapid.Float64Range(0, 0.4).Draw(t, "dup")
+		f.delay = time.Duration(rapid.IntRange(1, 8000).Draw(t, "delay")) * time.Millisecond
+		cuts := rapid.Bool().Draw(t, "cuts")
+		check := func() {
+			used, conns := f.sums()
+			for customer, limit := range limits {
+				if used[customer] > limit {
+					t.Fatalf("%v: %s uses %d of %d", f.now.Sub(epoch), customer, used[customer], limit)
+				}
+				if n := conns[model.UpstreamID(customer)]; !cuts && n > limit {
+					t.Fatalf("%v: %d connections to %s of %d", f.now.Sub(epoch), n, customer, limit)
+				}
+			}
+		}
+		next := 6
+		for range rapid.IntRange(5, 25).Draw(t, "steps") {
+			registered := slices.Sorted(maps.Keys(f.newest.VMs))
+			vm := rapid.SampledFrom(registered).Draw(t, "vm")
+			switch rapid.IntRange(0, 6).Draw(t, "action") {
+			case 0:
+				f.lead(vmID(rapid.IntRange(0, 2).Draw(t, "leader")))
+			case 1:
+				if cuts {
+					f.vms[vm].cut = !f.vms[vm].cut
+					f.publish(vm)
+				}
+			case 2:
+				if next < 10 {
+					f.commit(append(registered, vmID(next)))
+					next++
+				}
+			case 3:
+				if vm > vmID(2) && !f.vms[vm].cut {
+					f.commit(slices.DeleteFunc(registered, func(id model.VMID) bool { return id == vm }))
+				}
+			case 4:
+				f.restart(vm)
+			default:
+				for _, id := range registered {
+					for customer, limit := range limits {
+						f.vms[id].demand[customer] = f.rng.IntN(limit + 2)
+					}
+				}
+			}
+			f.run(time.Duration(rapid.IntRange(0, 9000).Draw(t, "ms"))*time.Millisecond, check)
+		}
+	})
+}
+
+// Guards against leases that nobody gets, and against a division that gives one
+// VM more than another with the same demand.
+func TestLeasesAreFair(t *testing.T) {
+	f := newSimFleet(5, map[string]int{"c": 100}, 1)
+	f.run(15*time.Second, func() {})
+	f.vms[vmID(1)].demand["c"] = 100
+	f.run(5*time.Second, func() {})
+	if got, want := f.vms[vmID(1)].holder.Share(f.now, f.newest, 1).Concurrency["c"], 60; got != want {
+		t.Errorf("alone: share %d, want %d", got, want)
+	}
+	for i := range 5 {
+		f.vms[vmID(i)].demand["c"] = 100
+	}
+	f.run(10*time.Second, func() {})
+	for i := range 5 {
+		if got, want := f.vms[vmID(i)].holder.Share(f.now, f.newest, 1).Concurrency["c"], 20; got != want {
+			t.Errorf("%s: share %d, want %d", vmID(i), got, want)
+		}
+	}
+}
+
+// Guards against a customer that can run nothing because its limit is smaller
+// than the number of VMs, and against a VM that never has a turn.
+func TestSmallLimitHasTurns(t *testing.T) {
+	f := newSimFleet(7, map[string]int{"c": 2}, 1)
+	for i := range 7 {
+		f.vms[vmID(i)].demand["c"] = 3
+	}
+	turns := map[model.VMID]bool{}
+	f.run(2*time.Minute, func() {
+		for id, vm := range f.vms {
+			if vm.topology != nil && vm.holder.Share(f.now, vm.topology, 1).Concurrency["c"] > 0 {
+				turns[id] = true
+			}
+		}
+	})
+	if got, want := len(turns), 7; got != want {
+		t.Errorf("%d VMs had a turn, want %d", got, want)
+	}
+}
+
+// Guards against a grant of an earlier process or ask that counts, and one that
+// runs longer than its period from the ask.
+func TestHolderIgnoresLateGrants(t *testing.T) {
+	f := newSimFleet(3, map[string]int{"c": 100}, 1)
+	f.run(15*time.Second, func() {})
+	h := f.vms[vmID(2)].holder
+	if h.Granted(f.now, grantOf(h.n+1)) || h.Granted(f.now, grantOf(h.n)) {
+		t.Error("a grant without an open ask counts")
+	}
+	again := &Holder{Self: h.Self, Began: f.now}
+	again.Share(f.now, f.newest, 1)
+	again.Ask(f.now, model.VM{ID: f.leader}, map[string]int{"c": 90}, nil)
+	if again.n <= h.n {
+		t.Errorf("a restarted process asks with number %d, want above %d", again.n, h.n)
+	}
+	h.Ask(f.now.Add(time.Second), model.VM{ID: f.leader}, map[string]int{"c": 90}, nil)
+	if !h.Granted(f.now.Add(2*time.Second), grantOf(h.n)) {
+		t.Error("the answer to an ask does not count")
+	}
+	before := h.Share(f.now.Add(3900*time.Millisecond), f.newest, 1).Concurrency["c"]
+	after := h.Share(f.now.Add(4*time.Second), f.newest, 1).Concurrency["c"]
+	if got, want := before-after, 5; got != want {
+		t.Errorf("the share fell by %d at 3 s after the ask, want %d", got, want)
+	}
+}
+
+func grantOf(n uint64) frame.Grant {
+	return frame.Grant{N: n, Shares: map[string]int{"c": 5}, Length: length}
+}
+
+// Guards against a share that grows or shrinks when it is divided over loops.
+func TestSharesOverLoops(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		limits := map[string]int{"a": rapid.IntRange(0, 50).Draw(t, "a"), "b": rapid.IntRange(0, 50).Draw(t, "b")}
+		loops := rapid.IntRange(1, 6).Draw(t, "loops")
+		f := newSimFleet(1, limits, 1)
+		f.run(15*time.Second, func() {})
+		h := f.vms[vmID(0)].holder
+		whole := h.Share(f.now, f.newest, 1)
+		sum := map[string]int{}
+		for _, share := range h.Shares(f.now, f.newest, loops) {
+			for customer, n := range share.Concurrency {
+				sum[customer] += n
+			}
+		}
+		if !maps.Equal(sum, whole.Concurrency) {
+			t.Fatalf("loops have %v, the process %v", sum, whole.Concurrency)
+		}
+	})
+}
--- /dev/null
+++ b/core/lease/steps.go
@@ -0,0 +1,49 @@
+package lease
+
+import "time"
+
+// steps is the recent course of one floor: the value in use is the least of the
+// last raiseAfter. Values rise from the front to the back.
+type steps []step
+
+type step struct {
+	value int
+	ended time.Time // when another value replaced it, zero for the last
+}
+
+// set takes a new value.
+func (s steps) set(at time.Time, value int) steps {
+	if n := len(s); n > 0 {
+		if s[n-1].value == value {
+			return s
+		}
+		s[n-1].ended = at
+	}
+	// A higher value that ended earlier is never the least again.
+	for len(s) > 0 && s[len(s)-1].value >= value {
+		s = s[:len(s)-1]
+	}
+	return append(s, step{value: value})
+}
+
+// at returns the value in use, and when a higher one comes into use; zero when
+// none is waiting.
+func (s steps) at(at time.Time) (value int, next time.Time) {
+	for i := range s {
+		if s[i].ended.IsZero() {
+			return s[i].value, time.Time{}
+		}
+		if due := s[i].ended.Add(raiseAfter); at.Before(due) {
+			return s[i].value, due
+		}
+	}
+	return 0, time.Time{}
+}
+
+// trim drops the values that are out of use.
+func (s steps) trim(at time.Time) steps {
+	for len(s) > 1 && !at.Before(s[0].ended.Add(raiseAfter)) {
+		s = s[1:]
+	}
+	return s
+}
