--- a/core/frame/frame.go
+++ b/core/frame/frame.go
@@ -138,6 +138,7 @@
 	Sum     uint64         // checksum at To
 	Leader  model.VMID     // last known leader, "" when unknown
 	Age     time.Duration  // since the sender last heard of a majority
+	Path    []model.VMID   // VMs that feed the sender, its parent first; empty for a replica of the log
 }
 
 // Full replaces a child's configuration.
@@ -146,6 +147,7 @@
 	Sum    uint64
 	Leader model.VMID
 	Age    time.Duration
+	Path   []model.VMID // as in Delta
 }
 
 // Ping asks a VM directly whether it is alive.
@@ -169,9 +171,10 @@
 
 // Ask asks the leader for shares of fleet-wide limits.
 type Ask struct {
-	N      uint64
-	Start  time.Time
-	Demand map[string]int // requests in flight and queued, by customer
+	N        uint64
+	Start    time.Time
+	Revision model.Revision // in force, whose floors the VM uses
+	Demand   map[string]int // requests in flight and queued beyond the floor, by customer
 }
 
 // Grant answers Ask. The shares end Length after the Ask was sent.
