--- a/core/node/life.go
+++ b/core/node/life.go
@@ -10,6 +10,7 @@
 func (s *State) begin(at time.Time, start event.Start, out []effect.Effect) []effect.Effect {
 	s.role = start.Role
 	if s.role == event.RoleControl {
+		s.compose(start)
 		return s.control.Start(at, start, out)
 	}
 	return s.traffic.Start(at, start, out)
