--- a/io/serve/control.go
+++ b/io/serve/control.go
@@ -5,7 +5,9 @@
 
 	"comfreypulley/core/effect"
 	"comfreypulley/io/admin"
+	"comfreypulley/io/disk"
 	"comfreypulley/io/loop"
+	"comfreypulley/io/peer"
 )
 
 // control carries out the effects of the control loop.
@@ -14,6 +16,8 @@
 	counters  *Counters
 	logger    log.Interface
 	operators *admin.Server
+	store     *disk.Store     // nil on a VM without a data folder
+	peers     *peer.Transport // nil on a VM without a peer address
 	drained   chan struct{}
 }
 
@@ -26,6 +30,12 @@
 				l.Post(e.Body)
 			}
 		}
+	case effect.Tell:
+		if c.peers != nil {
+			c.peers.Tell(e)
+		}
+	case effect.Append, effect.Vote, effect.Save:
+		c.store.Execute(e)
 	case effect.Respond:
 		c.operators.Respond(e)
 	case effect.Drained:
--- a/io/serve/counters.go
+++ b/io/serve/counters.go
@@ -32,6 +32,13 @@
 	c.group(e.Counter).Add(e.Reason, e.N)
 }
 
+// Share adds a group that another part counts in.
+func (c *Counters) Share(name effect.Counter, group *expvar.Map) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.groups[name] = group
+}
+
 // String returns all counters as one JSON object. It implements expvar.Var.
 func (c *Counters) String() string {
 	c.mu.Lock()
--- a/io/serve/vm.go
+++ b/io/serve/vm.go
@@ -18,7 +18,9 @@
 	"comfreypulley/io/caller"
 	"comfreypulley/io/conf"
 	"comfreypulley/io/dialer"
+	"comfreypulley/io/disk"
 	"comfreypulley/io/loop"
+	"comfreypulley/io/peer"
 )
 
 // Bounds of the HTTP servers.
@@ -36,7 +38,11 @@
 	counters *Counters
 	usage    *Usage
 	caller   *caller.Server
+	store    *disk.Store     // nil on a VM without a data folder
+	peers    *peer.Transport // nil on a VM without a peer address
+	incoming net.Listener    // of the peers
 	control  *loop.Loop
+	executor *control
 	drained  chan struct{} // closed when the control loop has drained
 	traffics []*traffic
 	listener net.Listener
@@ -63,9 +69,43 @@
 		return nil, err
 	}
 	vm.assemble()
+	if settings.Data != "" {
+		if vm.store, err = disk.Open(settings.Data, vm.control.Post); err != nil {
+			return nil, err
+		}
+		vm.executor.store = vm.store
+	}
+	if settings.VM.Peer.IsValid() {
+		if err = vm.openPeers(); err != nil {
+			return nil, err
+		}
+	}
 	return vm, nil
 }
 
+// openPeers opens the listener for the other VMs.
+func (vm *VM) openPeers() (err error) {
+	vm.peers = &peer.Transport{
+		Self: vm.settings.VM, Post: vm.control.Post, Logger: vm.logger,
+		Keys: peer.Keys{Cert: vm.settings.Cert, Key: vm.settings.Key, CA: vm.settings.CA},
+	}
+	if err := vm.peers.Reload(); err != nil {
+		return err
+	}
+	vm.executor.peers = vm.peers
+	vm.counters.Share("peer", vm.peers.Counters())
+	vm.incoming, err = listen(vm.settings.VM.Peer)
+	return err
+}
+
+// Reload reads the TLS keys again. After an error the old ones stay in use.
+func (vm *VM) Reload() error {
+	if vm.peers == nil {
+		return nil
+	}
+	return vm.peers.Reload()
+}
+
 // Addr returns the callers' address.
 func (vm *VM) Addr() netip.AddrPort {
 	return vm.listener.Addr().(*net.TCPAddr).AddrPort()
@@ -73,6 +113,7 @@
 
 func (vm *VM) assemble() {
 	executor := &control{counters: vm.counters, logger: vm.logger, drained: make(chan struct{})}
+	vm.executor = executor
 	vm.control = loop.New(executor)
 	vm.drained = executor.drained
 	vm.operators = &admin.Server{Post: vm.control.Post, Vars: vm.counters}
@@ -114,6 +155,12 @@
 	group.Add(func() error { return serveHTTP(callers, vm.listener) }, func(error) { shutdown(callers) })
 	operators := newServer(vm.operators)
 	group.Add(func() error { return serveHTTP(operators, vm.admin) }, func(error) { shutdown(operators) })
+	if vm.store != nil {
+		group.Add(vm.store.Run, vm.store.Stop)
+	}
+	if vm.peers != nil {
+		group.Add(func() error { return vm.peers.Serve(vm.incoming) }, func(error) { vm.peers.Close() })
+	}
 	d := &drainer{vm: vm, ctx: ctx, stopped: make(chan struct{})}
 	group.Add(d.run, d.stop)
 	err = group.Run()
