--- a/io/serve/vm.go
+++ b/io/serve/vm.go
@@ -87,7 +87,7 @@
 func (vm *VM) openPeers() (err error) {
 	vm.peers = &peer.Transport{
 		Self: vm.settings.VM, Post: vm.control.Post, Logger: vm.logger,
-		Keys: peer.Keys{Cert: vm.settings.Cert, Key: vm.settings.Key, CA: vm.settings.CA},
+		Keys: peer.Keys{Authority: vm.settings.CA, Certificate: vm.settings.Cert, Key: vm.settings.Key},
 	}
 	if err := vm.peers.Reload(); err != nil {
 		return err
