--- a/core/relay/fleet_test.go
+++ b/core/relay/fleet_test.go
@@ -161,8 +161,12 @@
 // run lets a time pass. It returns the first VM whose revision went down.
 func (f *fleet) run(d time.Duration) (lower model.VMID) {
 	end := f.now.Add(d)
-	for next := f.now; f.now.Before(end); {
-		if len(f.queue) == 0 || f.queue[0].at.After(next) {
+	for next := f.now; ; {
+		if len(f.queue) == 0 || f.queue[0].at.After(earlier(next, end)) {
+			if next.After(end) {
+				f.now = end
+				return ""
+			}
 			f.now = next
 			f.replicate()
 			next = next.Add(100 * time.Millisecond)
@@ -181,7 +185,13 @@
 			return i.to
 		}
 	}
-	return ""
+}
+
+func earlier(a, b time.Time) time.Time {
+	if b.Before(a) {
+		return b
+	}
+	return a
 }
 
 // part cuts or joins two VMs.
--- a/core/relay/store_test.go
+++ b/core/relay/store_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"hash/fnv"
+	"time"
 
 	"comfreypulley/core/entry"
 	"comfreypulley/core/frame"
@@ -11,6 +12,15 @@
 
 const retained = 20
 
+// sample is the contract in each change.
+var sample = model.Contract{
+	Customer: "tabadul", Indexes: []string{"pairing", "portal", "records"}, Concurrency: 200, Capacity: 0.5, Extra: 0.05,
+	Retention: 24 * time.Hour, Classes: []model.Class{
+		{Name: "now", Wait: 80 * time.Millisecond, Price: 40, Weight: 4, Coverage: 0.9},
+		{Name: "later", Wait: time.Second, Price: 10, Weight: 1, Coverage: 1},
+	},
+}
+
 // fakeStore keeps the operation ids of its changes and the VMs of the fleet.
 type fakeStore struct {
 	vms   map[model.VMID]model.VM
@@ -34,7 +44,7 @@
 	}
 	var list []entry.Change
 	for _, op := range s.ops[from:] {
-		list = append(list, entry.Change{Op: op.ID})
+		list = append(list, entry.Change{Op: op.ID, Contract: &sample})
 	}
 	return list, true
 }
