Wait for the offered revision before serving

Cause: a restarted VM counted as ready after any current answer, even when the answer named a revision that had not arrived. A drawn case of the lease test depended on the order of a map, so that rapid could not reproduce a failure.

The lease test draws demand in a fixed order. Granter.Resign ends a term.

Conclusion: a restarted VM serves the newest revision it was offered.

--- a/core/lease/doc.go
+++ b/core/lease/doc.go
@@ -15,7 +15,8 @@
 //
 //	granter.Observe(at, topology)                   // at each new configuration, leading or not
 //	granter.Lead(at)                                // when it becomes the leader
-//	out = granter.Ask(at, from, ask, topology, out) // only while it leads
+//	out = granter.Ask(at, from, ask, topology, out) // answers only while it leads
+//	granter.Resign()                                // when it no longer leads
 //
 // # Why the sum of the shares holds
 //
--- a/core/lease/granter.go
+++ b/core/lease/granter.go
@@ -41,6 +41,9 @@
 	}
 }
 
+// Resign ends the term as leader: asks get no answer any more.
+func (g *Granter) Resign() { g.leads = false }
+
 // Ask answers a VM with its shares. The answer is empty while the leases of the
 // leader before may run; it still tells that the VM's revision was heard.
 func (g *Granter) Ask(
--- a/core/lease/holder.go
+++ b/core/lease/holder.go
@@ -53,7 +53,8 @@
 func (h *Holder) Steady() { h.steady = true }
 
 // Ask asks the leader for what the demand is above the floors, and tells it
-// which configuration is in force. It sends nothing when there is nothing new.
+// which configuration is in force. It sends nothing when there is nothing new,
+// or before the first Share.
 func (h *Holder) Ask(at time.Time, leader model.VM, demand map[string]int, out []effect.Effect) []effect.Effect {
 	if leader.ID == "" || h.topology == nil {
 		return out
--- a/core/lease/lease_test.go
+++ b/core/lease/lease_test.go
@@ -59,8 +59,8 @@
 				f.restart(vm)
 			default:
 				for _, id := range registered {
-					for customer, limit := range limits {
-						f.vms[id].demand[customer] = f.rng.IntN(limit + 2)
+					for _, customer := range slices.Sorted(maps.Keys(limits)) {
+						f.vms[id].demand[customer] = f.rng.IntN(limits[customer] + 2)
 					}
 				}
 			}
@@ -140,6 +140,20 @@
 	return frame.Grant{N: n, Shares: map[string]int{"c": 5}, Length: length}
 }
 
+// Guards against a replaced leader that goes on granting.
+func TestGranterResigns(t *testing.T) {
+	f := newSimFleet(3, map[string]int{"c": 100}, 1)
+	f.run(15*time.Second, func() {})
+	g, ask := f.vms[f.leader].granter, frame.Ask{N: 1, Start: f.now, Demand: map[string]int{"c": 9}}
+	if out := g.Ask(f.now, vmID(1), ask, f.newest, nil); len(out) != 1 {
+		t.Errorf("the leader answers with %v, want a grant", out)
+	}
+	g.Resign()
+	if out := g.Ask(f.now, vmID(1), ask, f.newest, nil); len(out) != 0 {
+		t.Errorf("after it resigned the answer is %v, want none", out)
+	}
+}
+
 // Guards against a share that grows or shrinks when it is divided over loops.
 func TestSharesOverLoops(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
--- a/core/relay/tree.go
+++ b/core/relay/tree.go
@@ -45,10 +45,11 @@
 	heard   time.Time  // when a majority was last heard of, by this VM or through its parent
 
 	parent   model.VMID
-	since    time.Time // when the parent was chosen
-	last     time.Time // last message from the parent
-	greeted  bool      // the parent answered, so that it knows zone and start
-	answered bool      // any VM answered since Start
+	since    time.Time      // when the parent was chosen
+	last     time.Time      // last message from the parent
+	greeted  bool           // the parent answered, so that it knows zone and start
+	answered bool           // any VM answered since Start
+	offered  model.Revision // highest of the answers
 	path     []model.VMID
 	round    int
 	next     int
@@ -112,9 +113,11 @@
 	case frame.Digest:
 		return t.digested(at, from, m, out)
 	case frame.Delta:
+		t.offered = max(t.offered, m.To)
 		out = t.heardFrom(at, from, m.Leader, m.Age, m.Path, out)
 		return t.delta(at, from, m, out)
 	case frame.Full:
+		t.offered = max(t.offered, m.Config.Revision)
 		out = t.heardFrom(at, from, m.Leader, m.Age, m.Path, out)
 		return t.full(at, from, m, out)
 	default:
@@ -189,13 +192,11 @@
 	return moved
 }
 
-// Ready reports whether the VM may serve: it is current, or it has waited for
-// answers and has the newest of them.
+// Ready reports whether the VM may serve: it has the newest configuration of
+// the answers, or that of its log, and it is current or has waited for more.
 func (t *Tree) Ready(at time.Time) bool {
-	if t.replica || t.answered && t.age(at) < dryAge {
-		return true
-	}
-	return t.answered && at.Sub(t.started) >= silence
+	waited := t.age(at) < dryAge || at.Sub(t.started) >= silence
+	return waited && (t.replica || t.answered && t.Store.Revision() >= t.offered)
 }
 
 // Parent returns the VM that this one follows, "" when there is none.
--- a/core/relay/tree_test.go
+++ b/core/relay/tree_test.go
@@ -156,11 +156,15 @@
 	}
 	f.run(time.Second)
 	f.start("b03")
-	if n := f.nodes["b03"]; n.tree.Ready(f.now) {
+	if f.nodes["b03"].tree.Ready(f.now) {
 		t.Error("ready before any answer")
 	}
-	f.run(time.Second)
 	n := f.nodes["b03"]
+	n.tree.Peer(f.now, "b00", frame.Delta{From: 501, To: 501}, nil)
+	if n.tree.Ready(f.now) {
+		t.Error("ready behind a revision that an answer named")
+	}
+	f.run(time.Second)
 	if got, want := n.store.Revision(), model.Revision(501); got != want || !n.tree.Ready(f.now) {
 		t.Errorf("after 1 s: revision %d, ready %v, want revision %d", got, n.tree.Ready(f.now), want)
 	}
