Test the replacement of a parent whose connection broke

Cause: no test covered Tree.Down.

Change: the test asks for the next ancestor at once and for no parent that is down.

--- a/core/relay/tree_test.go
+++ b/core/relay/tree_test.go
@@ -119,6 +119,25 @@
 	}
 }
 
+// Guards against a wait for silence after the connection to the parent broke,
+// and against a return to a parent that is still down.
+func TestTreeDown(t *testing.T) {
+	f := newFleet(3, 12, 2, 1)
+	f.run(5 * time.Second)
+	tree := f.nodes["c11"].tree
+	out := tree.Down(f.now, "c01", nil)
+	if got, want := tree.Parent(), model.VMID("c00"); got != want {
+		t.Errorf("parent %s, want %s", got, want)
+	}
+	if !slices.ContainsFunc(out, func(e effect.Effect) bool { tell, ok := e.(effect.Tell); return ok && tell.To == "c00" }) {
+		t.Errorf("effects %v, want a digest to c00", out)
+	}
+	tree.Down(f.now, "c00", nil)
+	if got := tree.Parent(); got == "c00" || got == "c01" {
+		t.Errorf("parent %s, which is down", got)
+	}
+}
+
 // Guards against a zone that loses what only its VMs below know when the VM at
 // their head restarts without contact to a replica.
 func TestTreeAsksBelow(t *testing.T) {
