--- a/core/relay/tree_test.go
+++ b/core/relay/tree_test.go
@@ -119,6 +119,25 @@
 	}
 }
 
+// Guards against a wait for silence after the connection to the parent broke,
+// and against a return to a parent that is still down.
+func TestTreeDown(t *testing.T) {
+	f := newFleet(3, 12, 2, 1)
+	f.run(5 * time.Second)
+	tree := f.nodes["c11"].tree
+	out := tree.Down(f.now, "c01", nil)
+	if got, want := tree.Parent(), model.VMID("c00"); got != want {
+		t.Errorf("parent %s, want %s", got, want)
+	}
+	if !slices.ContainsFunc(out, func(e effect.Effect) bool { tell, ok := e.(effect.Tell); return ok && tell.To == "c00" }) {
+		t.Errorf("effects %v, want a digest to c00", out)
+	}
+	tree.Down(f.now, "c00", nil)
+	if got := tree.Parent(); got == "c00" || got == "c01" {
+		t.Errorf("parent %s, which is down", got)
+	}
+}
+
 // Guards against a zone that loses what only its VMs below know when the VM at
 // their head restarts without contact to a replica.
 func TestTreeAsksBelow(t *testing.T) {
@@ -156,11 +175,15 @@
 	}
 	f.run(time.Second)
 	f.start("b03")
-	if n := f.nodes["b03"]; n.tree.Ready(f.now) {
+	if f.nodes["b03"].tree.Ready(f.now) {
 		t.Error("ready before any answer")
 	}
-	f.run(time.Second)
 	n := f.nodes["b03"]
+	n.tree.Peer(f.now, "b00", frame.Delta{From: 501, To: 501}, nil)
+	if n.tree.Ready(f.now) {
+		t.Error("ready behind a revision that an answer named")
+	}
+	f.run(time.Second)
 	if got, want := n.store.Revision(), model.Revision(501); got != want || !n.tree.Ready(f.now) {
 		t.Errorf("after 1 s: revision %d, ready %v, want revision %d", got, n.tree.Ready(f.now), want)
 	}
