--- a/core/quorum/fault_test.go
+++ b/core/quorum/fault_test.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"comfreypulley/core/entry"
+	"comfreypulley/core/event"
 )
 
 // TestLeaderLost guards against an election that leaves the log without a
@@ -122,6 +123,21 @@
 	}
 }
 
+// TestDiskFailed guards against a replica that leads or votes without a disk.
+func TestDiskFailed(t *testing.T) {
+	w := newWorld(t, 1, 3, 3)
+	lead := w.elect()
+	w.carry(lead, lead.log.DiskFailed(w.now, event.DiskFailed{Problem: "no space"}, nil))
+	if got := w.notes[len(w.notes)-1]; !got.Alert || got.Cause != "the disk failed: no space" {
+		t.Errorf("got %+v, want an alert with the cause", got)
+	}
+	w.stop(w.nodes[(slices.Index(w.nodes, lead)+1)%3])
+	w.run(5 * time.Second)
+	if got := w.leader(); got != nil {
+		t.Errorf("%s leads with one working disk of three", got.vm)
+	}
+}
+
 // TestGroupCommit guards against one sync per proposal.
 func TestGroupCommit(t *testing.T) {
 	w := newWorld(t, 1, 3, 3)
--- a/core/quorum/log.go
+++ b/core/quorum/log.go
@@ -204,22 +204,23 @@
 		}
 	case leader:
 		out = l.advance(at, out)
-	case follower:
+	default:
 		out = l.acknowledge(out)
 	}
 	return l.write(out)
 }
 
 // DiskFailed ends this replica's part in the log.
-func (l *Log) DiskFailed(at time.Time, out []effect.Effect) []effect.Effect {
+func (l *Log) DiskFailed(at time.Time, f event.DiskFailed, out []effect.Effect) []effect.Effect {
 	if l.failed {
 		return out
 	}
+	cause := "the disk failed: " + f.Problem
 	if l.role == leader {
-		out = l.follow(at, "the disk failed", out)
+		out = l.follow(at, cause, out)
 	}
 	l.failed, l.leads, l.held = true, "", nil
-	return append(out, effect.Note{At: at, Subject: "log", Action: "replica stopped", Cause: "the disk failed", Alert: true})
+	return append(out, effect.Note{At: at, Subject: "log", Action: "replica stopped", Cause: cause, Alert: true})
 }
 
 // Propose appends a command when this replica leads. Index is 0 when the
--- a/core/quorum/log_test.go
+++ b/core/quorum/log_test.go
@@ -59,14 +59,7 @@
 	case 8, 9:
 		w.want(w.nodes...)
 	case 10:
-		// Fewer replicas bear fewer lost disks, so an operator checks first.
-		narrow := w.narrow
-		w.narrow = true
-		if w.replaceable(nil) {
-			w.want(w.nodes[:3]...)
-		} else {
-			w.narrow = narrow
-		}
+		w.shrink()
 	case 11:
 		if n.up {
 			read := uint64(len(n.reads))
@@ -75,17 +68,7 @@
 			w.carry(n, out)
 		}
 	case 12, 13:
-		// Power is lost everywhere while entries are on their way to the disks.
-		if lead := w.leader(); lead != nil {
-			w.propose(lead, 1)
-		}
-		w.run(w.delay(15 * time.Millisecond))
-		for _, n := range w.nodes {
-			if n.up {
-				w.stop(n)
-				w.start(n)
-			}
-		}
+		w.blackout()
 	default:
 		if n := w.leader(); n != nil {
 			for i := range 20 {
@@ -95,6 +78,32 @@
 	}
 }
 
+// shrink wants three replicas. Fewer replicas bear fewer lost disks, so an
+// operator checks first.
+func (w *world) shrink() {
+	narrow := w.narrow
+	w.narrow = true
+	if w.replaceable(nil) {
+		w.want(w.nodes[:3]...)
+	} else {
+		w.narrow = narrow
+	}
+}
+
+// blackout crashes every VM while entries are on their way to the disks.
+func (w *world) blackout() {
+	if lead := w.leader(); lead != nil {
+		w.propose(lead, 1)
+	}
+	w.run(w.delay(15 * time.Millisecond))
+	for _, n := range w.nodes {
+		if n.up {
+			w.stop(n)
+			w.start(n)
+		}
+	}
+}
+
 func (w *world) want(nodes ...*node) {
 	var vms []model.VMID
 	for _, n := range nodes {
--- a/core/quorum/members.go
+++ b/core/quorum/members.go
@@ -43,6 +43,24 @@
 			return "removed voter " + name(r), "the VM is silent and should no longer replicate the log"
 		}
 	}
+	if action, cause = l.stepLearner(at, m); action != "" {
+		return action, cause
+	}
+	if action, cause = l.stepNewcomer(at, m); action != "" {
+		return action, cause
+	}
+	for _, r := range m.Voters {
+		if r != l.self && !l.wanted(r.VM) && len(m.Learners) == 0 {
+			remove(m, r)
+			return "removed voter " + name(r), "the VM should no longer replicate the log"
+		}
+	}
+	return "", ""
+}
+
+// stepLearner drops a learner that is of no use or promotes one that has caught
+// up.
+func (l *Log) stepLearner(at time.Time, m *entry.Members) (action, cause string) {
 	for i, r := range m.Learners {
 		if !l.wanted(r.VM) || l.disks[r.VM] != 0 && l.disks[r.VM] != r.Disk {
 			m.Learners = slices.Delete(m.Learners, i, i+1)
@@ -51,8 +69,7 @@
 		if l.silent(at, r) || l.progress[r].match < l.commit {
 			continue
 		}
-		old, ok := replicaOf(m.Voters, r.VM)
-		if ok {
+		if old, ok := replicaOf(m.Voters, r.VM); ok {
 			// Adding and removing in one step would allow majorities that do not overlap.
 			remove(m, old)
 			return "removed voter " + name(old), "its VM has a new disk, which has caught up"
@@ -61,6 +78,11 @@
 		m.Voters = append(m.Voters, r)
 		return "added voter " + name(r), "it has caught up"
 	}
+	return "", ""
+}
+
+// stepNewcomer adds a wanted VM, or the new disk of a voter's VM, as a learner.
+func (l *Log) stepNewcomer(at time.Time, m *entry.Members) (action, cause string) {
 	for _, vm := range l.want {
 		r := entry.Replica{VM: vm, Disk: l.disks[vm]}
 		if vm == l.self.VM || r.Disk == 0 || slices.Contains(m.Learners, r) || slices.Contains(m.Voters, r) {
@@ -72,12 +94,6 @@
 		m.Learners = append(m.Learners, r)
 		return "added learner " + name(r), "the VM should replicate the log"
 	}
-	for _, r := range m.Voters {
-		if r != l.self && !l.wanted(r.VM) && len(m.Learners) == 0 {
-			remove(m, r)
-			return "removed voter " + name(r), "the VM should no longer replicate the log"
-		}
-	}
 	return "", ""
 }
 
--- a/io/disk/content.go
+++ b/io/disk/content.go
@@ -1,7 +1,6 @@
 package disk
 
 import (
-	"bytes"
 	"fmt"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -94,8 +93,7 @@
 }
 
 // apply takes over the payload of a record.
-func (c *content) apply(payload []byte) error {
-	d := codec.NewDecoder(bytes.NewReader(payload))
+func (c *content) apply(d *msgpack.Decoder) error {
 	kind, err := d.DecodeInt()
 	if err != nil {
 		return err
@@ -131,7 +129,7 @@
 			}
 			return 0, &CorruptError{File: file, Offset: int64(at), Problem: "checksum or length does not match"}
 		}
-		if err := c.apply(payload); err != nil {
+		if err := codec.Unmarshal(payload, c.apply); err != nil {
 			return 0, &CorruptError{File: file, Offset: int64(at), Problem: err.Error()}
 		}
 		at += n
--- a/io/disk/errors.go
+++ b/io/disk/errors.go
@@ -28,5 +28,5 @@
 
 // Error implements error.
 func (e *LockedError) Error() string {
-	return fmt.Sprintf("%s is in use by another process", e.Folder)
+	return e.Folder + " is in use by another process"
 }
--- a/io/disk/folder.go
+++ b/io/disk/folder.go
@@ -46,15 +46,15 @@
 
 // replaceFile replaces a file of the folder by one record and returns it open
 // for appending. After a crash the folder has either the old or the new file.
-func replaceFile(folder, name string, encode func(*msgpack.Encoder) error) (f *os.File, size int64, err error) {
+func replaceFile(folder, name string, encode func(*msgpack.Encoder) error) (f *os.File, err error) {
 	var b bytes.Buffer
 	if err := appendRecord(&b, encode); err != nil {
-		return nil, 0, err
+		return nil, err
 	}
 	path := filepath.Join(folder, name)
 	f, err = os.OpenFile(path+newEnding, os.O_WRONLY|os.O_CREATE|os.O_TRUNC, 0o600)
 	if err != nil {
-		return nil, 0, err
+		return nil, err
 	}
 	defer func() {
 		if err != nil {
@@ -62,15 +62,15 @@
 		}
 	}()
 	if _, err = f.Write(b.Bytes()); err != nil {
-		return nil, 0, err
+		return nil, err
 	}
 	if err = f.Sync(); err != nil {
-		return nil, 0, err
+		return nil, err
 	}
 	if err = os.Rename(path+newEnding, path); err != nil {
-		return nil, 0, err
+		return nil, err
 	}
-	return f, int64(b.Len()), syncFolder(folder)
+	return f, syncFolder(folder)
 }
 
 // syncFolder makes the names in a folder durable.
@@ -97,7 +97,7 @@
 	if !ok || size != len(b) {
 		return false, &CorruptError{File: path, Problem: "checksum or length does not match"}
 	}
-	if err := decode(codec.NewDecoder(bytes.NewReader(payload))); err != nil {
+	if err := codec.Unmarshal(payload, decode); err != nil {
 		return false, &CorruptError{File: path, Problem: err.Error()}
 	}
 	return true, nil
--- a/io/disk/store.go
+++ b/io/disk/store.go
@@ -151,7 +151,7 @@
 // save replaces the image and then the log file, which holds entries that the
 // image covers until then.
 func (s *Store) save(w effect.Save) error {
-	f, _, err := replaceFile(s.folder, imageFile, func(e *msgpack.Encoder) error { return codec.EncodeImage(e, w.Image) })
+	f, err := replaceFile(s.folder, imageFile, func(e *msgpack.Encoder) error { return codec.EncodeImage(e, w.Image) })
 	if err != nil {
 		return err
 	}
@@ -164,7 +164,7 @@
 
 // renew replaces the log file by one that begins with the present state.
 func (s *Store) renew() error {
-	f, _, err := replaceFile(s.folder, logFile, s.encodeBase)
+	f, err := replaceFile(s.folder, logFile, s.encodeBase)
 	if err != nil {
 		return err
 	}
@@ -244,7 +244,7 @@
 		return err
 	}
 	id := newIdentity()
-	f, _, err := replaceFile(s.folder, diskFile, func(e *msgpack.Encoder) error { return e.Encode(id) })
+	f, err := replaceFile(s.folder, diskFile, func(e *msgpack.Encoder) error { return e.Encode(id) })
 	if err != nil {
 		return err
 	}
--- a/io/disk/store_test.go
+++ b/io/disk/store_test.go
@@ -3,10 +3,10 @@
 import (
 	"errors"
 	"flag"
-	"fmt"
 	"os"
 	"path/filepath"
 	"reflect"
+	"strconv"
 	"testing"
 	"time"
 
@@ -64,7 +64,7 @@
 	n := 0
 	rapid.Check(t, func(t *rapid.T) {
 		n++
-		folder := filepath.Join(root, fmt.Sprint(n))
+		folder := filepath.Join(root, strconv.Itoa(n))
 		want := reopen(t, folder)
 		want.Fresh = false
 		for range rapid.IntRange(1, 8).Draw(t, "starts") {
@@ -309,7 +309,9 @@
 	}
 	s.Execute(ballot)
 	s.Stop(nil)
-	<-done
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
 	if len(posted) > 0 {
 		t.Errorf("got %+v after the failure, want nothing", <-posted)
 	}
