--- a/core/plane/control_test.go
+++ b/core/plane/control_test.go
@@ -53,7 +53,7 @@
 	return out
 }
 
-func (l *fakeLog) DiskFailed(_ time.Time, out []effect.Effect) []effect.Effect {
+func (l *fakeLog) DiskFailed(_ time.Time, _ event.DiskFailed, out []effect.Effect) []effect.Effect {
 	l.standing = plane.Standing{Heard: l.standing.Heard}
 	return append(out, effect.Note{Subject: "log", Action: "replica stopped"}, effect.Tell{To: "vm1", Message: frame.Append{}})
 }
--- a/core/plane/log.go
+++ b/core/plane/log.go
@@ -22,7 +22,7 @@
 	Peer(at time.Time, from model.VMID, m frame.Message, out []effect.Effect) []effect.Effect
 	Timer(at time.Time, kind event.TimerKind, out []effect.Effect) []effect.Effect
 	Synced(at time.Time, s event.Synced, out []effect.Effect) []effect.Effect
-	DiskFailed(at time.Time, out []effect.Effect) []effect.Effect
+	DiskFailed(at time.Time, f event.DiskFailed, out []effect.Effect) []effect.Effect
 	Propose(at time.Time, c entry.Command, out []effect.Effect) (index uint64, status entry.Status, o []effect.Effect)
 	Confirm(at time.Time, n uint64, out []effect.Effect) (status entry.Status, o []effect.Effect)
 	Confirmed() (reads []uint64)
@@ -87,7 +87,7 @@
 	if c.log == nil {
 		return out
 	}
-	out = c.log.DiskFailed(at, out)
+	out = c.log.DiskFailed(at, f, out)
 	out = c.moved(at, out)
 	c.heard = c.log.Standing().Heard
 	c.stale = c.behind()
