Let a restarted VM use its floors at once when they are settled

Change: the leader states how long it has had the present VMs and limits in force; a VM with the same ones then uses its floors. The first revision of a fleet needs no such statement, since nothing was in force before it.

--- a/core/config/store.go
+++ b/core/config/store.go
@@ -18,6 +18,7 @@
 // revision 0.
 type Store struct {
 	revision  model.Revision
+	moved     model.Revision // last change that may lower or raise a floor in use
 	contracts table[string, model.Contract]
 	upstreams table[model.UpstreamID, model.Upstream]
 	vms       table[model.VMID, model.VM]
@@ -71,7 +72,7 @@
 func (s *Store) Topology() *model.Topology {
 	if s.topology == nil {
 		s.topology = &model.Topology{
-			Revision: s.revision, Contracts: s.contracts.share(), Upstreams: s.upstreams.share(), VMs: s.vms.share(),
+			Revision: s.revision, Moved: s.moved, Contracts: s.contracts.share(), Upstreams: s.upstreams.share(), VMs: s.vms.share(),
 		}
 	}
 	return s.topology
@@ -88,6 +89,7 @@
 func (s *Store) Image() entry.Config {
 	return entry.Config{
 		Revision:  s.revision,
+		Moved:     s.moved,
 		Contracts: sorted(s.contracts.rows),
 		Upstreams: sorted(s.upstreams.rows),
 		VMs:       sorted(s.vms.rows),
@@ -109,7 +111,7 @@
 	if c.Revision < s.revision {
 		return
 	}
-	*s = Store{revision: c.Revision}
+	*s = Store{revision: c.Revision, moved: c.Moved}
 	s.fill(c)
 	s.ops.restore(c.Ops)
 }
@@ -148,10 +150,13 @@
 // advance puts a checked change in force at the next revision and returns how
 // to undo it.
 func (s *Store) advance(c entry.Change) (undo func()) {
-	before := s.revision
+	before, moved := s.revision, s.moved
 	var back func()
 	s.revision++
 	s.topology = nil
+	if s.moves(c) {
+		s.moved = s.revision
+	}
 	switch {
 	case c.Contract != nil:
 		v := *c.Contract
@@ -175,11 +180,29 @@
 	}
 	return func() {
 		back()
-		s.revision = before
+		s.revision, s.moved = before, moved
 		s.topology = nil
 	}
 }
 
+// moves reports whether a change may lower or raise a floor that a VM uses. A
+// limit that is new has no floors yet.
+func (s *Store) moves(c entry.Change) bool {
+	switch {
+	case c.Contract != nil:
+		old, known := s.contracts.rows[c.Contract.Customer]
+		return known && old.Concurrency != c.Contract.Concurrency
+	case c.Upstream != nil:
+		old, known := s.upstreams.rows[c.Upstream.ID]
+		return known && old.Conns != c.Upstream.Conns
+	case c.VM != nil:
+		_, known := s.vms.rows[c.VM.ID]
+		return !known
+	default:
+		return true
+	}
+}
+
 func (s *Store) putContract(id string, v *model.Contract) (undo func()) {
 	return put(&s.contracts, &s.objects, id, v, hashContract, func(*model.Contract, int) {})
 }
--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -169,6 +169,7 @@
 // Config is the replicated configuration in a fixed order.
 type Config struct {
 	Revision  model.Revision
+	Moved     model.Revision   // see model.Topology
 	Contracts []model.Contract // ascending by customer
 	Upstreams []model.Upstream // ascending by id
 	VMs       []model.VM       // ascending by id
--- a/core/frame/frame.go
+++ b/core/frame/frame.go
@@ -182,6 +182,9 @@
 	N      uint64
 	Shares map[string]int // above the floor, by customer
 	Length time.Duration
+
+	Moved   model.Revision // the leader's model.Topology.Moved
+	Settled time.Duration  // how long the leader has had it in force
 }
 
 // Strike shares the fingerprint of a request that ran on upstreams that died.
--- a/core/lease/fleet_test.go
+++ b/core/lease/fleet_test.go
@@ -83,7 +83,7 @@
 // included.
 func (f *simFleet) commit(ids []model.VMID) {
 	t := &model.Topology{
-		Revision: f.newest.Revision + 1, VMs: map[model.VMID]model.VM{}, Contracts: map[string]model.Contract{},
+		Revision: f.newest.Revision + 1, Moved: f.newest.Revision + 1, VMs: map[model.VMID]model.VM{}, Contracts: map[string]model.Contract{},
 		Upstreams: map[model.UpstreamID]model.Upstream{},
 	}
 	for _, id := range ids {
--- a/core/lease/granter.go
+++ b/core/lease/granter.go
@@ -15,7 +15,9 @@
 // zero value has not led.
 type Granter struct {
 	history   history
-	from      time.Time // when it may grant
+	moved     model.Revision // of the configuration in force
+	movedAt   time.Time      // when this VM first had it in force
+	from      time.Time      // when it may grant
 	leads     bool
 	starts    map[model.VMID]time.Time
 	confirmed map[model.VMID]model.Revision
@@ -27,6 +29,9 @@
 
 // Observe takes a new configuration, also on VMs that do not lead.
 func (g *Granter) Observe(at time.Time, t *model.Topology) {
+	if t != nil && (g.movedAt.IsZero() || t.Moved > g.moved) {
+		g.moved, g.movedAt = t.Moved, at
+	}
 	if t != nil && g.history.observe(at, t, g.confirmed) {
 		g.used, g.behind = nil, nil
 	}
@@ -36,7 +41,7 @@
 // period more, in which this one grants nothing.
 func (g *Granter) Lead(at time.Time) {
 	*g = Granter{
-		history: g.history, leads: true, from: at.Add(length + uncertainty), swept: at,
+		history: g.history, moved: g.moved, movedAt: g.movedAt, leads: true, from: at.Add(length + uncertainty), swept: at,
 		starts: make(map[model.VMID]time.Time), confirmed: make(map[model.VMID]model.Revision), pools: make(map[string]*pool),
 	}
 }
@@ -69,7 +74,9 @@
 	if !at.Before(g.from) {
 		g.grant(at, holder{vm: from, start: a.Start}, a.Demand, t, shares)
 	}
-	return append(out, effect.Tell{To: from, Addr: vm.Peer, Message: frame.Grant{N: a.N, Shares: shares, Length: length}})
+	return append(out, effect.Tell{To: from, Addr: vm.Peer, Message: frame.Grant{
+		N: a.N, Shares: shares, Length: length, Moved: g.moved, Settled: at.Sub(g.movedAt),
+	}})
 }
 
 func (g *Granter) grant(at time.Time, who holder, demand map[string]int, t *model.Topology, shares map[string]int) {
--- a/core/lease/holder.go
+++ b/core/lease/holder.go
@@ -15,6 +15,8 @@
 	askAgain = time.Second            // to renew a lease, a third of its length
 	confirm  = 3 * time.Second        // to repeat an ask that only tells the revision
 	maxOpen  = 32                     // asks without an answer; older ones have no use
+
+	firstRevision = 1 // of a fleet's configuration
 )
 
 // Holder is one VM's share of the limits. Self and Began are set before use.
@@ -100,6 +102,11 @@
 	if len(wanted) == 0 && len(h.lease) > 0 && at.Before(h.until) && since >= askAgain {
 		return true
 	}
+	// A VM that has just started asks at once, as the answer may put its floors
+	// into use.
+	if h.granted == 0 && since >= askPause && h.waiting(at) {
+		return true
+	}
 	return h.confirmed < h.current.from && since >= confirm
 }
 
@@ -123,6 +130,7 @@
 	delete(h.open, g.N)
 	h.granted = g.N
 	h.confirmed = max(h.confirmed, asked.revision)
+	settled := h.settle(at, g)
 	before := h.lease
 	if !at.Before(h.until) {
 		before = nil
@@ -131,7 +139,40 @@
 	if !at.Before(h.until) {
 		h.lease = nil
 	}
-	return !maps.Equal(before, h.lease)
+	return settled || !maps.Equal(before, h.lease)
+}
+
+// settle takes the waiting floors into use when the leader has had the same
+// VMs and limits in force for so long that no VM uses older floors. It spares a
+// restarted VM the wait.
+func (h *Holder) settle(at time.Time, g frame.Grant) (changed bool) {
+	if g.Settled < raiseAfter || h.topology == nil || g.Moved != h.topology.Moved {
+		return false
+	}
+	for customer, s := range h.limits {
+		h.limits[customer] = s.last()
+		changed = changed || len(s.trim(at)) > 1
+	}
+	for id, s := range h.conns {
+		h.conns[id] = s.last()
+		changed = changed || len(s.trim(at)) > 1
+	}
+	return changed
+}
+
+// waiting reports whether a floor is not in use yet.
+func (h *Holder) waiting(at time.Time) bool {
+	for _, s := range h.conns {
+		if _, due := s.at(at); !due.IsZero() {
+			return true
+		}
+	}
+	for _, s := range h.limits {
+		if _, due := s.at(at); !due.IsZero() {
+			return true
+		}
+	}
+	return false
 }
 
 // Share returns what each of the traffic loops may use at least: the floors in
@@ -212,7 +253,8 @@
 	if t == nil || h.topology == t {
 		return
 	}
-	first := h.topology == nil && h.steady
+	// Nothing was in force before the first revision of a fleet.
+	first := h.topology == nil && (h.steady || t.Moved == firstRevision)
 	widest := 0
 	if h.topology != nil {
 		widest = between(h.topology, t)
--- a/core/lease/lease_test.go
+++ b/core/lease/lease_test.go
@@ -8,6 +8,7 @@
 
 	"pgregory.net/rapid"
 
+	"comfreypulley/core/effect"
 	"comfreypulley/core/frame"
 	"comfreypulley/core/model"
 )
@@ -174,3 +175,36 @@
 		}
 	})
 }
+
+// Guards against a VM without connections for 6 s after each restart: the
+// leader's statement that the floors are settled puts them into use at once.
+func TestRestartedVMUsesSettledFloors(t *testing.T) {
+	at := epoch
+	topology := &model.Topology{
+		Revision: 9, Moved: 5,
+		VMs: map[model.VMID]model.VM{"vm0": {ID: "vm0", Disk: true}, "vm1": {ID: "vm1", Disk: true}},
+		Upstreams: map[model.UpstreamID]model.Upstream{
+			"u": {ID: "u", Conns: 8},
+		},
+	}
+	var g Granter
+	g.Observe(at, topology)
+	g.Lead(at)
+	at = at.Add(7 * time.Second)
+	h := Holder{Self: topology.VMs["vm1"], Began: at}
+	if got, want := h.Share(at, topology, 1).Conns["u"], 0; got != want {
+		t.Errorf("before the answer: got %d connections, want %d", got, want)
+	}
+	asks := h.Ask(at, topology.VMs["vm0"], nil, nil)
+	if got, want := len(asks), 1; got != want {
+		t.Fatalf("got %d asks at once after the start, want %d", got, want)
+	}
+	ask := asks[0].(effect.Tell).Message.(frame.Ask)
+	grant := g.Ask(at, "vm1", ask, topology, nil)[0].(effect.Tell).Message.(frame.Grant)
+	if got, want := h.Granted(at, grant), true; got != want {
+		t.Errorf("got changed %v, want %v", got, want)
+	}
+	if got, want := h.Share(at, topology, 1).Conns["u"], 4; got != want {
+		t.Errorf("after the answer: got %d connections, want %d", got, want)
+	}
+}
--- a/core/lease/steps.go
+++ b/core/lease/steps.go
@@ -40,6 +40,14 @@
 	return 0, time.Time{}
 }
 
+// last drops all values but the newest.
+func (s steps) last() steps {
+	if len(s) > 1 {
+		return s[len(s)-1:]
+	}
+	return s
+}
+
 // trim drops the values that are out of use.
 func (s steps) trim(at time.Time) steps {
 	for len(s) > 1 && !at.Before(s[0].ended.Add(raiseAfter)) {
--- a/core/model/topology.go
+++ b/core/model/topology.go
@@ -62,6 +62,7 @@
 // Topology is the configuration in force. It is immutable once published.
 type Topology struct {
 	Revision  Revision
+	Moved     Revision // last change of the VMs or of a limit that was in force before
 	Contracts map[string]Contract
 	Upstreams map[UpstreamID]Upstream
 	VMs       map[VMID]VM
