Keep every promise of the query path under faults

Cause: in the thin path a non-idempotent attempt was cancelled at its deadline, a claim that committed late stayed for ever, and an outcome was delivered before it was recorded.

Change: a query outlives its caller until its claim is settled or released, and a drain waits for it. A vanished version leads to other replicas, then to one restart of the whole query. core/crash adds canary requests, strikes and quarantine. core/admit serves tenants in fair turns in one lane for each index, with an adaptive limit. core/route learns distances, doubts reports and probes with backoff. The picker, hedger, guard and limiter are interfaces of core/query with a plain policy each.

The canary request costs an unknown query one more round.

--- a/core/admit/gate.go
+++ b/core/admit/gate.go
@@ -1,6 +1,7 @@
 package admit
 
 import (
+	"slices"
 	"time"
 
 	"comfreypulley/core/event"
@@ -13,6 +14,8 @@
 // Gate admits requests. The zero value knows no contract and refuses all.
 type Gate struct {
 	tenants map[string]*tenant
+	lanes   map[string]*lane // by index
+	names   []string         // of the lanes, ascending
 	ready   bool
 }
 
@@ -20,8 +23,10 @@
 type Ticket struct {
 	Request  model.RequestID
 	Customer string
+	Index    string
 	Class    model.Class
 	Deadline time.Time
+	Cost     int // sub-requests
 }
 
 // Verdict is the answer to a ticket.
@@ -51,8 +56,16 @@
 func (g *Gate) SetTopology(t *model.Topology, share model.Share) {
 	if g.tenants == nil {
 		g.tenants = make(map[string]*tenant)
+		g.lanes = make(map[string]*lane)
 	}
 	g.ready = true
+	slots := make(map[string]int)
+	for id, u := range t.Upstreams {
+		slots[u.Index] += share.Conns[id]
+	}
+	for index, n := range slots {
+		g.lane(index).slots = n
+	}
 	for customer, known := range g.tenants {
 		contract, ok := t.Contracts[customer]
 		if !ok || contract.Retired {
@@ -101,17 +114,27 @@
 // Enter starts a ticket, queues it, or refuses it.
 func (g *Gate) Enter(at time.Time, ticket Ticket) Verdict {
 	t := g.tenants[ticket.Customer]
-	if t.running < t.limit && t.queue.len() == 0 {
-		t.running++
+	l := g.lane(ticket.Index)
+	f := l.flow(t)
+	idle := l.inflight == 0
+	if f.queue.len() == 0 && (l.queued == 0 || l.next(at) == nil) && l.may(at, f, ticket.Cost) {
+		if !idle && at.Add(l.typical()).After(ticket.Deadline) {
+			return Late
+		}
+		l.start(at, f, ticket.Cost)
 		return Started
 	}
-	if t.queue.len() >= maxQueue {
+	if f.queue.len() >= maxQueue {
 		return Full
 	}
-	if at.Add(t.expectedWait()).Add(t.typical()).After(ticket.Deadline) {
+	if at.Add(l.expectedWait(f)).Add(l.typical()).After(ticket.Deadline) {
 		return Late
 	}
-	t.queue.push(ticket)
+	if f.queue.len() == 0 {
+		f.finish = max(f.finish, l.virtual)
+	}
+	f.queue.push(ticket)
+	l.queued++
 	return Queued
 }
 
@@ -122,24 +145,68 @@
 	if !ok {
 		return nil, nil
 	}
+	l := g.lane(ticket.Index)
 	t.running--
-	t.finished(took)
-	return t.start(at)
+	l.finished(at, l.flow(t), ticket.Cost, took)
+	return g.Sweep(at)
+}
+
+// Sweep starts what may start now, and returns the same lists as Leave. A lane
+// with a limit below one opens as time passes.
+func (g *Gate) Sweep(at time.Time) (started, late []Ticket) {
+	for _, index := range g.names {
+		started, late = g.lanes[index].dispatch(at, started, late)
+	}
+	return started, late
+}
+
+// Shed lowers the limit of an index whose upstream shed an attempt.
+func (g *Gate) Shed(at time.Time, index string) {
+	g.lane(index).lower(at, shedDecrease)
+}
+
+// Missed lowers the limit of an index after a missed deadline.
+func (g *Gate) Missed(at time.Time, index string) {
+	g.lane(index).lower(at, missDecrease)
 }
 
 // Abandon removes a queued ticket.
 func (g *Gate) Abandon(ticket Ticket) {
-	if t, ok := g.tenants[ticket.Customer]; ok {
-		t.queue.remove(ticket)
+	t, ok := g.tenants[ticket.Customer]
+	if !ok {
+		return
+	}
+	l := g.lane(ticket.Index)
+	if l.flow(t).queue.remove(ticket) {
+		l.queued--
+	}
+}
+
+// lane returns the lane of an index.
+func (g *Gate) lane(index string) *lane {
+	l, ok := g.lanes[index]
+	if !ok {
+		l = newLane()
+		g.lanes[index] = l
+		i, _ := slices.BinarySearch(g.names, index)
+		g.names = slices.Insert(g.names, i, index)
 	}
+	return l
 }
 
 // Demand returns the requests in flight and queued by customer.
 func (g *Gate) Demand() map[string]int {
 	demand := make(map[string]int, len(g.tenants))
 	for customer, t := range g.tenants {
-		if n := t.running + t.queue.len(); n > 0 {
-			demand[customer] = n
+		if t.running > 0 {
+			demand[customer] = t.running
+		}
+	}
+	for _, l := range g.lanes {
+		for _, f := range l.flows {
+			if n := f.queue.len(); n > 0 {
+				demand[f.tenant.contract.Customer] += n
+			}
 		}
 	}
 	return demand
--- a/core/admit/queue.go
+++ b/core/admit/queue.go
@@ -7,13 +7,13 @@
 // queue is a start-time fair queue over the classes of one contract. Within a
 // class the earliest deadline goes first.
 type queue struct {
-	flows   []flow
+	flows   []turns
 	virtual float64 // start tag of the last ticket served
 	n       int
 }
 
-// flow holds the tickets of one class.
-type flow struct {
+// turns holds the tickets of one class.
+type turns struct {
 	class   string
 	weight  float64
 	finish  float64  // finish tag of the last ticket served
@@ -25,7 +25,7 @@
 }
 
 func (q *queue) push(ticket Ticket) {
-	f := q.flow(ticket)
+	f := q.turns(ticket)
 	if len(f.tickets) == 0 {
 		f.finish = max(f.finish, q.virtual)
 	}
@@ -39,7 +39,17 @@
 	q.n++
 }
 
-func (q *queue) pop() (Ticket, bool) {
+// peek returns the ticket that pop would return.
+func (q *queue) peek() (Ticket, bool) {
+	best := q.best()
+	if best < 0 {
+		return Ticket{}, false
+	}
+	return q.flows[best].tickets[0], true
+}
+
+// best is the flow whose turn it is, -1 when all are empty.
+func (q *queue) best() int {
 	best := -1
 	for i := range q.flows {
 		if len(q.flows[i].tickets) == 0 {
@@ -49,6 +59,11 @@
 			best = i
 		}
 	}
+	return best
+}
+
+func (q *queue) pop() (Ticket, bool) {
+	best := q.best()
 	if best < 0 {
 		return Ticket{}, false
 	}
@@ -61,23 +76,24 @@
 	return ticket, true
 }
 
-func (q *queue) remove(ticket Ticket) {
-	f := q.flow(ticket)
+func (q *queue) remove(ticket Ticket) bool {
+	f := q.turns(ticket)
 	i := slices.IndexFunc(f.tickets, func(t Ticket) bool { return t.Request == ticket.Request })
 	if i < 0 {
-		return
+		return false
 	}
 	f.tickets = slices.Delete(f.tickets, i, i+1)
 	q.n--
+	return true
 }
 
-func (q *queue) flow(ticket Ticket) *flow {
+func (q *queue) turns(ticket Ticket) *turns {
 	for i := range q.flows {
 		if q.flows[i].class == ticket.Class.Name {
 			q.flows[i].weight = ticket.Class.Weight
 			return &q.flows[i]
 		}
 	}
-	q.flows = append(q.flows, flow{class: ticket.Class.Name, weight: ticket.Class.Weight})
+	q.flows = append(q.flows, turns{class: ticket.Class.Name, weight: ticket.Class.Weight})
 	return &q.flows[len(q.flows)-1]
 }
--- /dev/null
+++ b/core/node/query_test.go
@@ -0,0 +1,131 @@
+package node_test
+
+import (
+	"slices"
+	"testing"
+	"time"
+
+	"comfreypulley/core/effect"
+	"comfreypulley/core/event"
+	"comfreypulley/core/model"
+)
+
+// report delivers what an upstream holds.
+func (f *fixture) report(id model.UpstreamID, shard int, versions ...model.Version) []effect.Effect {
+	r := event.Reported{Upstream: id, Reachable: true}
+	for _, v := range versions {
+		r.Holdings = append(r.Holdings, model.Holding{Index: "pairing", Version: v, Shards: 2, Holds: []int{shard}})
+	}
+	return f.reduce(r)
+}
+
+// Guards against a mix of versions and against a needless partial answer when
+// the pinned version vanishes: other replicas come first, then one restart of
+// the whole query at a newer version.
+func TestVanishedVersionRestartsTheWholeQueryOnce(t *testing.T) {
+	f := newFixture()
+	f.warm()
+	sends := all[effect.Send](f.request(1))
+	f.answer(sends[0], 7)
+	for _, id := range []model.UpstreamID{"u0a", "u0b"} {
+		f.report(id, 0, 7, 8)
+	}
+	for _, id := range []model.UpstreamID{"u1a", "u1b"} {
+		f.report(id, 1, 7, 8)
+	}
+	out := f.reduce(event.Failed{Attempt: sends[1].Attempt, Reason: model.FailedVersion, Ran: model.RanNo})
+	retry := all[effect.Send](out)
+	if len(retry) != 1 || retry[0].Version != 7 || retry[0].Upstream == sends[1].Upstream {
+		t.Fatalf("got %+v, want one attempt at version 7 on the other replica", retry)
+	}
+	out = f.reduce(event.Failed{Attempt: retry[0].Attempt, Reason: model.FailedVersion, Ran: model.RanNo})
+	again := all[effect.Send](out)
+	if len(again) == 0 {
+		f.out = f.wait(10 * time.Millisecond)
+		again = all[effect.Send](f.out)
+	}
+	if len(again) != 2 || again[0].Version != 8 || again[1].Version != 8 {
+		t.Fatalf("got %+v, want the whole query at version 8", again)
+	}
+	f.answer(again[0], 8)
+	replies := all[effect.Reply](f.answer(again[1], 8))
+	if len(replies) != 1 || replies[0].Answer.Snapshot != 8 || len(replies[0].Answer.Items) != 2 {
+		t.Fatalf("got replies %+v, want one whole answer of version 8", replies)
+	}
+}
+
+// Guards against overstated coverage: an upstream that knows of more shards
+// raises the denominator, and one that states fewer does not lower it.
+func TestStatedShardsOnlyRaiseTheTotal(t *testing.T) {
+	for _, c := range []struct{ first, second, want int }{{3, 2, 3}, {1, 1, 2}} {
+		f := newFixture()
+		f.warm()
+		sends := all[effect.Send](f.request(1))
+		for i, stated := range []int{c.first, c.second} {
+			f.reduce(event.Answered{Attempt: sends[i].Attempt, Version: 7, Shards: stated, Shard: sends[i].Shard})
+		}
+		replies := all[effect.Reply](f.out)
+		if len(replies) == 0 {
+			replies = all[effect.Reply](f.wait(100 * time.Millisecond))
+		}
+		if len(replies) != 1 || replies[0].Answer.Coverage.Total != c.want {
+			t.Errorf("stated %d and %d: got %+v, want a total of %d", c.first, c.second, replies, c.want)
+		}
+	}
+}
+
+// Guards against answers counted twice: a repeated answer, and the answer of
+// the attempt that lost to a hedge.
+func TestRepeatedAndLateAnswersDoNotCount(t *testing.T) {
+	f := newFixture()
+	f.warm()
+	sends := all[effect.Send](f.request(1))
+	f.answer(sends[0], 7)
+	f.answer(sends[0], 7)
+	replies := all[effect.Reply](f.answer(sends[1], 7))
+	if len(replies) != 1 || replies[0].Answer.Coverage.Answered != 2 {
+		t.Fatalf("got %+v, want one answer of two shards", replies)
+	}
+	if got := len(all[effect.Reply](f.answer(sends[1], 7))); got != 0 {
+		t.Errorf("got %d replies for a late answer, want 0", got)
+	}
+}
+
+// Guards against a queue that serves callers who left.
+func TestCallerThatLeavesTheQueueIsNotServed(t *testing.T) {
+	f := newFixture()
+	f.warm()
+	var first []effect.Send
+	for id := range model.RequestID(11) {
+		if sends := all[effect.Send](f.request(id + 1)); id == 0 {
+			first = sends
+		} else if id == 10 && len(sends) != 0 {
+			t.Fatal("the eleventh request started above the limit of ten")
+		}
+	}
+	f.reduce(event.Gone{Request: 11})
+	f.answer(first[0], 7)
+	for _, s := range all[effect.Send](f.answer(first[1], 7)) {
+		if s.Request == 11 {
+			t.Errorf("attempt %d was sent for a caller that left", s.Attempt)
+		}
+	}
+}
+
+// Guards against new work on an upstream that said it is leaving, by a report
+// or by an answer.
+func TestDrainedUpstreamGetsNothingNew(t *testing.T) {
+	f := newFixture()
+	f.warm()
+	sends := all[effect.Send](f.request(1))
+	f.reduce(event.Failed{Attempt: sends[0].Attempt, Reason: model.FailedDrained, Ran: model.RanNo})
+	f.reduce(event.Reported{Upstream: sends[1].Upstream, Reachable: true, Draining: true})
+	leaving := []model.UpstreamID{sends[0].Upstream, sends[1].Upstream}
+	for id := range model.RequestID(5) {
+		for _, s := range all[effect.Send](f.request(id + 2)) {
+			if slices.Contains(leaving, s.Upstream) {
+				t.Errorf("request %d went to upstream %s, which is leaving", s.Request, s.Upstream)
+			}
+		}
+	}
+}
--- a/core/node/state_test.go
+++ b/core/node/state_test.go
@@ -2,11 +2,13 @@
 
 import (
 	"crypto/sha256"
+	"fmt"
 	"net/netip"
 	"testing"
 	"time"
 
 	"comfreypulley/core/effect"
+	"comfreypulley/core/entry"
 	"comfreypulley/core/event"
 	"comfreypulley/core/model"
 	"comfreypulley/core/node"
@@ -56,12 +58,67 @@
 }
 
 func (f *fixture) request(id model.RequestID) []effect.Effect {
+	return f.run(id, model.Key{})
+}
+
+// run sends a request with an idempotency key.
+func (f *fixture) run(id model.RequestID, key model.Key) []effect.Effect {
 	return f.reduce(event.Request{
 		ID: id, Customer: "acme", Credential: sha256.Sum256([]byte("secret")), Index: "pairing",
-		Body: []byte("q"), Fingerprint: 9, Wait: 100 * time.Millisecond,
+		Body: []byte("q"), Fingerprint: 9, Wait: 100 * time.Millisecond, Key: key,
+	})
+}
+
+// answer answers an attempt as an upstream does that holds the version.
+func (f *fixture) answer(s effect.Send, version model.Version) []effect.Effect {
+	id := fmt.Sprintf("%d/%d", version, s.Shard)
+	return f.reduce(event.Answered{
+		Attempt: s.Attempt, Version: version, Shards: 2, Shard: s.Shard, Items: []model.Item{{ID: id, Rank: float64(s.Shard)}},
 	})
 }
 
+// warm has the fingerprint answered once, so that it needs no canary request.
+func (f *fixture) warm() {
+	for _, canary := range all[effect.Send](f.request(1000)) {
+		for _, s := range all[effect.Send](f.answer(canary, 7)) {
+			f.answer(s, 7)
+		}
+	}
+}
+
+// wait lets time pass and fires the timer of request 1.
+func (f *fixture) wait(d time.Duration) []effect.Effect {
+	f.now = f.now.Add(d)
+	return f.reduce(event.Timer{ID: event.TimerID{Kind: event.TimerQuery, N: 1}})
+}
+
+// proposed returns the commands proposed to the ledger.
+func proposed[C entry.Command](out []effect.Effect) []C {
+	var found []C
+	for _, e := range all[effect.ToControl](out) {
+		if p, ok := e.Body.(event.Propose); ok {
+			if c, ok := p.Command.(C); ok {
+				found = append(found, c)
+			}
+		}
+	}
+	return found
+}
+
+// decide answers a proposal of request 1.
+func (f *fixture) decide(c entry.Command, status entry.Status) []effect.Effect {
+	return f.reduce(event.Proposed{Request: 1, Command: c, Result: entry.Result{Status: status}})
+}
+
+// dispatched sends run request 1 whose claim is granted and returns its
+// attempt.
+func (f *fixture) dispatched() effect.Send {
+	claim := proposed[entry.Claim](f.run(1, testKey))[0]
+	return all[effect.Send](f.decide(claim, entry.StatusOK))[0]
+}
+
+var testKey = model.NewKey(began, [10]byte{1})
+
 // all returns the effects of one type.
 func all[T effect.Effect](out []effect.Effect) []T {
 	var found []T
@@ -77,6 +134,7 @@
 // the pinned one is retried, never merged.
 func TestAnswerOfAnotherVersionIsRetried(t *testing.T) {
 	f := newFixture()
+	f.warm()
 	sends := all[effect.Send](f.request(1))
 	if got, want := len(sends), 2; got != want {
 		t.Fatalf("got %d attempts, want %d", got, want)
--- a/core/query/table.go
+++ b/core/query/table.go
@@ -3,10 +3,10 @@
 import (
 	"errors"
 	"math/rand/v2"
-	"slices"
 	"time"
 
 	"comfreypulley/core/admit"
+	"comfreypulley/core/crash"
 	"comfreypulley/core/effect"
 	"comfreypulley/core/event"
 	"comfreypulley/core/model"
@@ -28,28 +28,37 @@
 	random   *rand.Rand
 	picker   picker
 	hedger   hedger
+	guard    guard
+	limiter  limiter
 	gate     admit.Gate
 	routes   route.Map
 	budgets  map[string]*retry.Budget
 	latency  map[string]*retry.Histogram // of attempts, by index
 	queries  map[model.RequestID]*query
-	attempts map[model.AttemptID]*attempt
-	waiters  map[model.UpstreamID][]waiter
+	claims   map[model.RequestID]struct{} // proposed and not answered by the ledger
+	attempts map[model.AttemptID]attempt
+	waiters  map[model.UpstreamID]*line
+	turns    map[model.Fingerprint]*line
 	next     model.AttemptID
-	ready    bool // a view is in force and every upstream was probed once
+	sent     [kinds]int64 // attempts started by the event in hand
+	ready    bool         // a view is in force and every upstream was probed once
 	draining bool
+	over     bool // the end of the drain was reported
 }
 
-// picker chooses the replica for an attempt.
-type picker interface {
-	Pick(at time.Time, index string, version model.Version, shard int, exclude []model.UpstreamID) (route.Choice, bool)
-}
+// kind is why an attempt was started.
+type kind uint8
 
-// hedger decides how long an attempt may take before it is hedged.
-type hedger interface {
-	// Delay reports false when the attempt is not to be hedged.
-	Delay(index string) (time.Duration, bool)
-}
+const (
+	kindFirst kind = iota
+	kindCanary
+	kindRetry
+	kindHedge
+	kinds
+)
+
+// kindNames are the reasons in the counter of attempts.
+var kindNames = [kinds]string{"first", "canary", "retry", "hedge"}
 
 // Start takes over the settings of the state.
 func (t *Table) Start(at time.Time, start event.Start, out []effect.Effect) []effect.Effect {
@@ -58,20 +67,24 @@
 	t.budgets = make(map[string]*retry.Budget)
 	t.latency = make(map[string]*retry.Histogram)
 	t.queries = make(map[model.RequestID]*query)
-	t.attempts = make(map[model.AttemptID]*attempt)
-	t.waiters = make(map[model.UpstreamID][]waiter)
-	t.picker, t.hedger = &t.routes, (*adaptiveHedger)(t)
+	t.claims = make(map[model.RequestID]struct{})
+	t.attempts = make(map[model.AttemptID]attempt)
+	t.waiters = make(map[model.UpstreamID]*line)
+	t.turns = make(map[model.Fingerprint]*line)
+	t.picker, t.hedger, t.guard, t.limiter = &t.routes, (*adaptiveHedger)(t), &crash.Guard{}, &t.gate
 	if start.Plain {
 		t.picker, t.hedger = &randomPicker{routes: &t.routes, random: t.random}, neverHedger{}
+		t.guard, t.limiter = openGuard{}, fixedLimiter{}
 	}
 	out = append(out, effect.SetTimer{ID: event.TimerID{Kind: event.TimerProbe}, At: at.Add(probePeriod)})
 	return append(out, effect.SetTimer{ID: event.TimerID{Kind: event.TimerSweep}, At: at.Add(sweepPeriod)})
 }
 
 // View takes over a configuration and the shares of this state.
-func (t *Table) View(_ time.Time, view event.View, out []effect.Effect) []effect.Effect {
+func (t *Table) View(at time.Time, view event.View, out []effect.Effect) []effect.Effect {
 	t.gate.SetTopology(view.Topology, view.Share)
-	for _, id := range t.routes.SetTopology(view.Topology, view.Share, t.start.VM.Zone) {
+	changed := t.routes.SetTopology(view.Topology, view.Share, t.start.VM.Zone)
+	for _, id := range changed {
 		u, conns := t.routes.Conns(id)
 		out = append(out, effect.Limit{Upstream: id, Addr: u.Addr, Conns: conns})
 		if conns > 0 {
@@ -85,7 +98,10 @@
 		t.ready = true
 		out = append(out, effect.Ready{Ready: true})
 	}
-	return out
+	for _, id := range changed {
+		out = t.recheck(at, id, out)
+	}
+	return t.finish(out)
 }
 
 // Request takes a caller's request.
@@ -105,8 +121,12 @@
 		ran:      model.RanNo,
 		ticket: admit.Ticket{
 			Request: r.ID, Customer: r.Customer, Class: class, Deadline: at.Add(class.Wait),
+			Index: r.Index, Cost: t.routes.Shards(r.Index),
 		},
 	}
+	if t.guard.Judge(at, r.Fingerprint) == crash.Quarantined {
+		return t.reject(r.ID, model.RefusedQuarantine, "the request crashed upstreams that ran it", model.RanNo, 0, out)
+	}
 	switch t.gate.Enter(at, q.ticket) {
 	case admit.Late:
 		return t.reject(r.ID, model.RefusedDeadline, "the deadline cannot be met", model.RanNo, class.Wait, out)
@@ -114,28 +134,32 @@
 		return t.reject(r.ID, model.RefusedBusy, "the queue is full", model.RanNo, class.Wait, out)
 	case admit.Queued:
 		t.queries[r.ID] = q
-		return t.wakeAt(q, q.deadline(), out)
+		out = t.wakeAt(q, q.deadline(), out)
 	default:
 		t.queries[r.ID] = q
-		return t.begin(at, q, out)
+		out = t.begin(at, q, out)
 	}
+	return t.finish(out)
 }
 
-// Gone drops the request of a caller that left. A non-idempotent request goes
-// on, so that its outcome is recorded.
+// Gone drops the request of a caller that left. A non-idempotent request that
+// was claimed goes on, so that its claim is settled or released.
 func (t *Table) Gone(at time.Time, gone event.Gone, out []effect.Effect) []effect.Effect {
 	q, ok := t.queries[gone.Request]
-	if !ok || (!q.idempotent() && q.phase != phaseQueued) {
+	if !ok || q.closed {
 		return out
 	}
-	return t.drop(at, q, out)
+	if q.idempotent() || q.phase == phaseQueued || q.phase == phaseHolding {
+		return t.finish(t.drop(at, q, out))
+	}
+	return t.finish(t.close(at, q, out))
 }
 
 // Drain refuses new requests and reports when the last one has ended.
 func (t *Table) Drain(_ time.Time, out []effect.Effect) []effect.Effect {
 	t.draining = true
 	out = append(out, effect.Ready{Ready: false})
-	return t.drained(out)
+	return t.finish(out)
 }
 
 // Timer handles the table's timers.
@@ -147,24 +171,55 @@
 			return out
 		}
 		q.wake = time.Time{}
-		return t.advance(at, q, out)
+		out = t.advance(at, q, out)
 	case event.TimerProbe:
-		for _, u := range t.routes.Upstreams() {
-			out = append(out, effect.Probe{Upstream: u.ID, Addr: u.Addr, Timeout: probeTimeout})
+		for _, u := range t.routes.Due(at) {
+			out = t.probe(u, out)
 		}
-		return append(out, effect.SetTimer{ID: id, At: at.Add(probePeriod)})
+		out = append(out, effect.SetTimer{ID: id, At: at.Add(probePeriod)})
 	case event.TimerSweep:
-		out = append(out, effect.ToControl{Body: event.Summary{Loop: t.start.Loop, Demand: t.gate.Demand()}})
-		return append(out, effect.SetTimer{ID: id, At: at.Add(sweepPeriod)})
+		out = t.sweep(at, out)
+		out = append(out, effect.SetTimer{ID: id, At: at.Add(sweepPeriod)})
 	default:
-		return out
 	}
+	return t.finish(out)
+}
+
+// sweep tells the control state the demand and starts what time alone allows.
+func (t *Table) sweep(at time.Time, out []effect.Effect) []effect.Effect {
+	out = append(out, effect.ToControl{Body: event.Summary{Loop: t.start.Loop, Demand: t.gate.Demand()}})
+	for _, fp := range t.guard.Sweep(at) {
+		out = t.wakeTurns(at, fp, out)
+	}
+	started, late := t.gate.Sweep(at)
+	return t.enter(at, started, late, out)
 }
 
 // Reported takes over the result of a probe.
 func (t *Table) Reported(at time.Time, r event.Reported, out []effect.Effect) []effect.Effect {
-	t.routes.Report(at, r)
-	return t.wakeWaiters(at, r.Upstream, out)
+	for _, struck := range t.guard.Reported(at, r.Upstream, !r.Reachable || r.Cold) {
+		out = append(out, effect.ToControl{Body: struck})
+	}
+	if t.routes.Report(at, r) {
+		out = t.recheck(at, r.Upstream, out)
+	}
+	out = t.wakeWaiters(at, r.Upstream, out)
+	return t.finish(out)
+}
+
+// Struck takes over strikes that another traffic state or VM shared.
+func (t *Table) Struck(at time.Time, s event.Struck, out []effect.Effect) []effect.Effect {
+	t.guard.Struck(at, s)
+	out = t.wakeTurns(at, s.Fingerprint, out)
+	return t.finish(out)
+}
+
+func (t *Table) probe(id model.UpstreamID, out []effect.Effect) []effect.Effect {
+	u, conns := t.routes.Conns(id)
+	if conns == 0 {
+		return out
+	}
+	return append(out, effect.Probe{Upstream: id, Addr: u.Addr, Timeout: probeTimeout})
 }
 
 // wakeAt sets the query's timer unless it is already due earlier.
@@ -176,6 +231,22 @@
 	return append(out, effect.SetTimer{ID: timerOf(q), At: due})
 }
 
+// finish counts the attempts that an event started, and reports the end of the
+// last request while draining.
+func (t *Table) finish(out []effect.Effect) []effect.Effect {
+	for k, n := range t.sent {
+		if n > 0 {
+			out = append(out, effect.Count{Counter: effect.CountAttempts, Reason: kindNames[k], N: n})
+			t.sent[k] = 0
+		}
+	}
+	if t.draining && !t.over && len(t.queries) == 0 && len(t.claims) == 0 {
+		t.over = true
+		out = append(out, effect.Drained{})
+	}
+	return out
+}
+
 func (t *Table) budget(customer string) *retry.Budget {
 	b, ok := t.budgets[customer]
 	if !ok {
@@ -194,79 +265,6 @@
 	return h
 }
 
-// drained reports the end of the last request while draining.
-func (t *Table) drained(out []effect.Effect) []effect.Effect {
-	if t.draining && len(t.queries) == 0 {
-		return append(out, effect.Drained{})
-	}
-	return out
-}
-
-// adaptiveHedger hedges after the 95th percentile of the index's latency.
-type adaptiveHedger Table
-
-const hedgeQuantile = 0.95
-
-// Delay implements hedger.
-func (h *adaptiveHedger) Delay(index string) (time.Duration, bool) {
-	histogram, ok := h.latency[index]
-	if !ok {
-		return 0, false
-	}
-	return histogram.Quantile(hedgeQuantile)
-}
-
-// neverHedger is the plain policy.
-type neverHedger struct{}
-
-// Delay implements hedger.
-func (neverHedger) Delay(string) (time.Duration, bool) { return 0, false }
-
-// randomPicker is the plain policy: any usable replica.
-type randomPicker struct {
-	routes *route.Map
-	random *rand.Rand
-}
-
-// Pick implements picker.
-func (p *randomPicker) Pick(at time.Time, index string, version model.Version, shard int, exclude []model.UpstreamID) (route.Choice, bool) {
-	ids := p.routes.Replicas(at, index, version, shard, exclude)
-	if len(ids) == 0 {
-		return route.Choice{}, false
-	}
-	u, _ := p.routes.Conns(ids[p.random.IntN(len(ids))])
-	return route.Choice{Upstream: u}, true
-}
-
-// waiter is a shard that waits for a replica within its limits.
-type waiter struct {
-	request model.RequestID
-	shard   int
-}
-
-// wakeWaiters lets shards that wait for the upstream try again.
-func (t *Table) wakeWaiters(at time.Time, id model.UpstreamID, out []effect.Effect) []effect.Effect {
-	waiting := t.waiters[id]
-	if len(waiting) == 0 {
-		return out
-	}
-	delete(t.waiters, id)
-	for i, w := range waiting {
-		q, ok := t.queries[w.request]
-		if !ok || w.shard >= len(q.shards) || !q.shards[w.shard].waiting {
-			continue
-		}
-		q.shards[w.shard].waiting = false
-		out = t.try(at, q, w.shard, out)
-		if q.shards[w.shard].waiting {
-			// The limit is reached again. The rest keeps its turn.
-			t.waiters[id] = append(slices.Clone(waiting[i+1:]), t.waiters[id]...)
-			return out
-		}
-	}
-	return out
-}
-
 func timerOf(q *query) event.TimerID {
 	return event.TimerID{Kind: event.TimerQuery, N: uint64(q.request.ID)}
 }
--- a/core/retry/doc.go
+++ b/core/retry/doc.go
@@ -6,7 +6,7 @@
 //	var b retry.Budget
 //	b.SetRatio(0.05)
 //	b.Earn(10)        // ten first attempts
-//	if b.Spend() {    // one retry or hedge
+//	if b.Spend(1) {   // one retry or hedge
 //		...
 //	}
 //
--- a/core/route/map.go
+++ b/core/route/map.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"cmp"
 	"slices"
 	"time"
 
@@ -8,22 +9,28 @@
 	"comfreypulley/core/model"
 )
 
-// zoneDistance is the one-way latency to another availability zone that cost
-// estimates assume before it is measured.
-const zoneDistance = 500 * time.Microsecond
+// maxShards bounds the shards of a reported snapshot, so that a malformed
+// report cannot exhaust the memory.
+const maxShards = 1 << 16
 
 // Map holds the upstreams of one traffic state. The zero value knows none.
 type Map struct {
 	zone      model.Zone
 	upstreams map[model.UpstreamID]*upstream
+	sorted    []*upstream // ascending by id
 	holders   map[snapshot]*holders
 	versions  map[string][]model.Version // ascending, by index
+	trips     map[model.Zone]time.Duration
+	epoch     uint64 // grows when an upstream becomes live or stops being so
 }
 
 // holders lists who holds the shards of a snapshot.
 type holders struct {
 	shards   int
-	replicas map[int][]*upstream // by shard, in the order of their ids
+	replicas [][]*upstream // by shard, ascending by id
+	owners   int           // upstreams that report the snapshot
+	covered  int           // shards with a live replica, as of epoch
+	epoch    uint64
 }
 
 // Choice is a replica for an attempt.
@@ -33,15 +40,20 @@
 }
 
 // SetTopology takes over the configured upstreams and the shares of their
-// connection caps. It returns the upstreams whose share changed.
+// connection caps. It returns the upstreams that changed.
 func (m *Map) SetTopology(t *model.Topology, share model.Share, zone model.Zone) []model.UpstreamID {
 	if m.upstreams == nil {
 		m.upstreams = make(map[model.UpstreamID]*upstream)
+		m.holders = make(map[snapshot]*holders)
+		m.versions = make(map[string][]model.Version)
+		m.trips = make(map[model.Zone]time.Duration)
 	}
 	m.zone = zone
+	m.epoch++
 	var changed []model.UpstreamID
-	for id := range m.upstreams {
+	for id, u := range m.upstreams {
 		if _, ok := t.Upstreams[id]; !ok {
+			m.unlink(u)
 			delete(m.upstreams, id)
 			changed = append(changed, id)
 		}
@@ -49,37 +61,39 @@
 	for id, configured := range t.Upstreams {
 		u, ok := m.upstreams[id]
 		if !ok {
-			u = &upstream{latency: firstLatency, holds: make(map[snapshot]held)}
+			u = &upstream{latency: firstLatency, limit: float64(configured.Slots)}
 			m.upstreams[id] = u
 		}
 		conns := share.Conns[id]
-		if !ok || u.conns != conns || u.Addr != configured.Addr {
+		if !ok || u.conns != conns || u.Addr != configured.Addr || u.State != configured.State {
 			changed = append(changed, id)
 		}
+		if u.Index != configured.Index {
+			m.unlink(u)
+		}
 		u.Upstream = configured
 		u.conns = conns
-		if !ok {
-			u.limit = float64(configured.Slots)
-		}
 	}
-	m.index()
+	m.sorted = m.sorted[:0]
+	for _, u := range m.upstreams {
+		m.sorted = append(m.sorted, u)
+	}
+	slices.SortFunc(m.sorted, byID)
 	slices.Sort(changed)
 	return changed
 }
 
-// Upstreams lists the configured upstreams in the order of their ids.
-func (m *Map) Upstreams() []model.Upstream {
-	list := make([]model.Upstream, 0, len(m.upstreams))
-	for _, u := range m.upstreams {
-		list = append(list, u.Upstream)
-	}
-	slices.SortFunc(list, func(a, b model.Upstream) int {
-		if a.ID < b.ID {
-			return -1
+// Due lists the upstreams whose next probe is due, and schedules the one after.
+func (m *Map) Due(at time.Time) []model.UpstreamID {
+	var due []model.UpstreamID
+	for _, u := range m.sorted {
+		if u.conns > 0 && !at.Before(u.probeAt) {
+			u.probeAt = at.Add(u.probeEvery())
+			u.probed = at
+			due = append(due, u.ID)
 		}
-		return 1
-	})
-	return list
+	}
+	return due
 }
 
 // Conns returns the share of an upstream's connection cap, and its address.
@@ -91,45 +105,63 @@
 	return u.Upstream, u.conns
 }
 
-// Report takes over the result of a probe.
-func (m *Map) Report(at time.Time, r event.Reported) {
+// Report takes over the result of a probe. It reports whether the upstream
+// stopped taking attempts or holds other shards than before.
+func (m *Map) Report(at time.Time, r event.Reported) bool {
 	u, ok := m.upstreams[r.Upstream]
 	if !ok {
-		return
+		return false
 	}
+	before := u.live()
+	defer func() {
+		if u.live() != before {
+			m.epoch++
+		}
+	}()
 	if !r.Reachable {
-		u.reachable = false
-		return
+		// A lost report of an upstream that still answers proves nothing.
+		if u.answeredAt.Before(u.probed) || u.probed.IsZero() {
+			u.reachable = false
+			u.misses++
+		}
+		return before && !u.live()
+	}
+	u.misses = 0
+	if !u.probed.IsZero() {
+		m.observeTrip(u.Zone, at.Sub(u.probed))
+		u.probed = time.Time{}
 	}
 	u.leaving = r.Draining
-	u.reachable = !r.Cold
-	if r.Cold {
-		u.coldSince = at
+	if r.Cold || !u.reachable && u.wasDown {
+		u.restart(at)
 	}
+	u.cold = r.Cold
+	u.reachable = true
+	u.wasDown = r.Cold
 	u.report(at, r.Load)
 	if u.sameHoldings(r.Holdings) {
-		return
+		return before && !u.live()
 	}
-	clear(u.holds)
-	for _, h := range r.Holdings {
-		if h.Index != u.Index || h.Shards < 1 {
-			continue
-		}
-		key := snapshot{h.Index, h.Version}
-		u.holds[key] = held{shards: h.Shards, list: slices.Clone(h.Holds)}
-	}
-	m.index()
+	m.unlink(u)
+	m.link(u, r.Holdings)
+	return true
 }
 
 // sameHoldings reports whether a report repeats what is known.
 func (u *upstream) sameHoldings(reported []model.Holding) bool {
+	if u.stale {
+		return false
+	}
 	n := 0
 	for _, h := range reported {
-		if h.Index != u.Index || h.Shards < 1 {
+		if !u.accepts(h) {
 			continue
 		}
-		known, ok := u.holds[snapshot{h.Index, h.Version}]
-		if !ok || known.shards != h.Shards || !slices.Equal(known.list, h.Holds) {
+		if n >= len(u.holds) {
+			return false
+		}
+		known := u.holds[n]
+		if known.Version != h.Version || known.Shards != h.Shards || !slices.Equal(known.Holds, h.Holds) {
 			return false
 		}
 		n++
@@ -137,58 +169,124 @@
 	return n == len(u.holds)
 }
 
-// index rebuilds the lists of holders by snapshot and shard.
-func (m *Map) index() {
-	m.holders = make(map[snapshot]*holders)
-	m.versions = make(map[string][]model.Version)
-	for _, configured := range m.Upstreams() {
-		u := m.upstreams[configured.ID]
-		for key, held := range u.holds {
-			h, ok := m.holders[key]
-			if !ok {
-				h = &holders{replicas: make(map[int][]*upstream)}
-				m.holders[key] = h
-				m.versions[key.index] = append(m.versions[key.index], key.version)
-			}
+func (u *upstream) accepts(h model.Holding) bool {
+	return h.Index == u.Index && h.Shards >= 1 && h.Shards <= maxShards
+}
+
+// link enters what an upstream holds into the lists of holders.
+func (m *Map) link(u *upstream, reported []model.Holding) {
+	for _, r := range reported {
+		if !u.accepts(r) {
+			continue
+		}
+		u.holds = append(u.holds, model.Holding{Index: r.Index, Version: r.Version, Shards: r.Shards, Holds: slices.Clone(r.Holds)})
+		key := snapshot{r.Index, r.Version}
+		h, ok := m.holders[key]
+		if !ok {
+			h = &holders{}
+			m.holders[key] = h
+			versions := m.versions[key.index]
+			i, _ := slices.BinarySearch(versions, key.version)
+			m.versions[key.index] = slices.Insert(versions, i, key.version)
+		}
+		h.owners++
+		if grow := r.Shards - h.shards; grow > 0 {
 			// The largest stated total counts, so that coverage is never overstated.
-			h.shards = max(h.shards, held.shards)
-			for _, shard := range held.list {
-				h.replicas[shard] = append(h.replicas[shard], u)
+			h.shards = r.Shards
+			h.replicas = append(h.replicas, make([][]*upstream, grow)...)
+		}
+		for _, shard := range r.Holds {
+			if shard < 0 || shard >= h.shards {
+				continue
+			}
+			if i, found := slices.BinarySearchFunc(h.replicas[shard], u, byID); !found {
+				h.replicas[shard] = slices.Insert(h.replicas[shard], i, u)
 			}
 		}
 	}
-	for _, versions := range m.versions {
-		slices.Sort(versions)
+	m.epoch++
+}
+
+// unlink takes an upstream out of the lists of holders.
+func (m *Map) unlink(u *upstream) {
+	for _, held := range u.holds {
+		key := snapshot{held.Index, held.Version}
+		h, ok := m.holders[key]
+		if !ok {
+			continue
+		}
+		for _, shard := range held.Holds {
+			if shard >= 0 && shard < h.shards {
+				h.remove(shard, u)
+			}
+		}
+		if h.owners--; h.owners == 0 {
+			delete(m.holders, key)
+			m.versions[key.index] = slices.DeleteFunc(m.versions[key.index], func(v model.Version) bool { return v == key.version })
+		}
+	}
+	u.holds = u.holds[:0]
+	u.stale = false
+	m.epoch++
+}
+
+func (h *holders) remove(shard int, u *upstream) {
+	if i, found := slices.BinarySearchFunc(h.replicas[shard], u, byID); found {
+		h.replicas[shard] = slices.Delete(h.replicas[shard], i, i+1)
 	}
 }
 
-// Pin returns the newest version among those whose usable replicas cover the
-// most shards, and its shard count.
-func (m *Map) Pin(at time.Time, index string) (version model.Version, shards int, ok bool) {
-	best := -1.0
+func byID(a, b *upstream) int {
+	return cmp.Compare(a.ID, b.ID)
+}
+
+// Pin returns the newest version above after among those whose live replicas
+// cover the most shards, and its shard count.
+func (m *Map) Pin(_ time.Time, index string, after model.Version) (version model.Version, shards int, ok bool) {
+	best := 0.0
 	for _, v := range m.versions[index] {
-		h := m.holders[snapshot{index, v}]
-		covered := 0
-		for shard := range h.shards {
-			if slices.ContainsFunc(h.replicas[shard], func(u *upstream) bool { return u.usable(at) }) {
-				covered++
-			}
+		if v <= after && after > 0 {
+			continue
 		}
-		part := float64(covered) / float64(h.shards)
-		if covered > 0 && part >= best {
+		h := m.holders[snapshot{index, v}]
+		if part := h.share(m.epoch); part > 0 && part >= best {
 			best, version, shards, ok = part, v, h.shards, true
 		}
 	}
 	return version, shards, ok
 }
 
-// Shards returns the shard count of a snapshot, 0 when nobody holds it.
-func (m *Map) Shards(index string, version model.Version) int {
+// Covered returns the share of a snapshot's shards that have a live replica.
+func (m *Map) Covered(_ time.Time, index string, version model.Version) float64 {
 	h, ok := m.holders[snapshot{index, version}]
 	if !ok {
 		return 0
 	}
-	return h.shards
+	return h.share(m.epoch)
+}
+
+// share counts the covered shards again only after a replica changed.
+func (h *holders) share(epoch uint64) float64 {
+	if h.epoch != epoch {
+		h.epoch = epoch
+		h.covered = 0
+		for _, replicas := range h.replicas {
+			if slices.ContainsFunc(replicas, (*upstream).live) {
+				h.covered++
+			}
+		}
+	}
+	return float64(h.covered) / float64(max(1, h.shards))
+}
+
+// Shards returns the shard count of the newest snapshot of an index, 0 when
+// none is known.
+func (m *Map) Shards(index string) int {
+	versions := m.versions[index]
+	if len(versions) == 0 {
+		return 0
+	}
+	return m.holders[snapshot{index, versions[len(versions)-1]}].shards
 }
 
 // Replicas returns the usable replicas of a shard that are not excluded,
@@ -203,9 +301,31 @@
 	return list
 }
 
+// Holders returns the replicas of a shard that may take attempts again, and
+// when the first of those left out for a time becomes usable; zero when none
+// is.
+func (m *Map) Holders(at time.Time, index string, version model.Version, shard int) (ids []model.UpstreamID, next time.Time) {
+	for _, u := range m.replicas(index, version, shard) {
+		if u.State != model.StateActive || u.leaving {
+			continue
+		}
+		ids = append(ids, u.ID)
+		if u.live() && at.Before(u.downUntil) && (next.IsZero() || u.downUntil.Before(next)) {
+			next = u.downUntil
+		}
+	}
+	return ids, next
+}
+
+// Free reports whether an upstream takes another attempt.
+func (m *Map) Free(at time.Time, id model.UpstreamID) bool {
+	u, ok := m.upstreams[id]
+	return ok && u.usable(at) && u.free()
+}
+
 func (m *Map) replicas(index string, version model.Version, shard int) []*upstream {
 	h, ok := m.holders[snapshot{index, version}]
-	if !ok {
+	if !ok || shard >= len(h.replicas) {
 		return nil
 	}
 	return h.replicas[shard]
@@ -216,11 +336,13 @@
 func (m *Map) Pick(at time.Time, index string, version model.Version, shard int, exclude []model.UpstreamID) (Choice, bool) {
 	var best *upstream
 	var bestCost time.Duration
-	for _, u := range m.replicas(index, version, shard) {
+	replicas := m.replicas(index, version, shard)
+	floor := typical(replicas)
+	for _, u := range replicas {
 		if !u.usable(at) || !u.free() || slices.Contains(exclude, u.ID) {
 			continue
 		}
-		if cost := u.cost(at, m.zone, zoneDistance); best == nil || cost < bestCost {
+		if cost := u.cost(at, floor, m.distance(u.Zone)); best == nil || cost < bestCost {
 			best, bestCost = u, cost
 		}
 	}
@@ -230,6 +352,42 @@
 	return Choice{Upstream: best.Upstream}, true
 }
 
+// typical is the lowest average latency among replicas.
+func typical(replicas []*upstream) time.Duration {
+	var least time.Duration
+	for _, u := range replicas {
+		if least == 0 || u.latency < least {
+			least = u.latency
+		}
+	}
+	return least
+}
+
+// distance is how much longer a round trip to the zone takes than within the
+// own zone, as learnt from probes.
+func (m *Map) distance(zone model.Zone) time.Duration {
+	trip, ok := m.trips[zone]
+	own, known := m.trips[m.zone]
+	if zone == m.zone || !ok || !known {
+		return 0
+	}
+	return max(0, trip-own)
+}
+
+// observeTrip takes over the round trip of a probe. A probe that waited behind
+// other work tells little, so a longer trip counts less than a shorter one.
+func (m *Map) observeTrip(zone model.Zone, trip time.Duration) {
+	known, ok := m.trips[zone]
+	switch {
+	case !ok:
+		m.trips[zone] = trip
+	case trip < known:
+		m.trips[zone] = known + time.Duration(tripShorter*float64(trip-known))
+	default:
+		m.trips[zone] = known + time.Duration(tripLonger*float64(min(trip, 3*known)-known))
+	}
+}
+
 // Begin counts an attempt that starts.
 func (m *Map) Begin(id model.UpstreamID) {
 	if u, ok := m.upstreams[id]; ok {
@@ -244,14 +402,14 @@
 		return
 	}
 	u.end(fresh)
-	u.observe(latency)
+	u.answered(at, latency)
 	if load != nil {
 		u.report(at, *load)
 	}
 }
 
-// Failed counts an attempt that failed.
-func (m *Map) Failed(at time.Time, id model.UpstreamID, version model.Version, shard int, f event.Failed) {
+// Failed counts an attempt that failed after some time.
+func (m *Map) Failed(at time.Time, id model.UpstreamID, version model.Version, shard int, took time.Duration, f event.Failed) {
 	u, ok := m.upstreams[id]
 	if !ok {
 		return
@@ -263,29 +421,39 @@
 	switch f.Reason {
 	case model.FailedRefused, model.FailedReset:
 		u.warm = 0
-		u.downUntil = at.Add(downFor)
+		u.wasDown = true
+		u.downUntil = at.Add(downFor << min(u.failures, maxDownShift))
+		u.failures++
+		u.probeAt = at
 	case model.FailedShed:
-		u.limit = max(1, u.limit*limitDecrease)
-		u.downUntil = at.Add(f.After)
+		u.shed(at)
+		u.downUntil = at.Add(min(f.After, maxRetryAfter))
 	case model.FailedDrained:
 		u.leaving = true
+		m.epoch++
 	case model.FailedCold:
-		u.coldSince = at
-		u.downUntil = at.Add(max(f.After, downFor))
+		u.restart(at)
+		u.downUntil = at.Add(min(max(f.After, downFor), maxRetryAfter))
 	case model.FailedVersion:
-		key := snapshot{u.Index, version}
-		if h, ok := u.holds[key]; ok {
-			h.list = slices.DeleteFunc(h.list, func(s int) bool { return s == shard })
-			u.holds[key] = h
-			m.index()
+		if h, ok := m.holders[snapshot{u.Index, version}]; ok && shard < len(h.replicas) {
+			h.remove(shard, u)
+			u.stale = true
+			m.epoch++
+		}
+	case model.FailedCancelled, model.FailedTimeout:
+		// The answer would have taken at least as long. Without this a replica
+		// whose attempts all lose to hedges would never look slow.
+		if took > u.latency {
+			u.observe(at, took)
 		}
-	case model.FailedCancelled, model.FailedInvalid, model.FailedTimeout:
+	case model.FailedInvalid:
+		u.observe(at, max(took, 2*u.latency))
 	}
 }
 
 // end counts the end of an attempt.
 func (u *upstream) end(fresh bool) {
-	u.inflight--
+	u.inflight = max(0, u.inflight-1)
 	if fresh {
 		u.warm++
 	}
