Count the bytes of an attempt before they are written

Cause: bytes were counted after the write returned, so an attempt cancelled during the write was reported as not run although the upstream could have read it.

Change: the count grows before the write.

Conclusion: "ran: no" is stated only when no write was begun.

--- a/io/dialer/conn.go
+++ b/io/dialer/conn.go
@@ -5,16 +5,16 @@
 	"sync/atomic"
 )
 
-// countedConn counts the bytes written, so that a failed attempt can tell
-// whether the upstream may have read any of it.
+// countedConn counts the bytes handed to the connection, so that a failed
+// attempt can tell whether the upstream may have read any of it.
 type countedConn struct {
 	net.Conn
 	written atomic.Int64
 }
 
-// Write implements net.Conn.
+// Write implements net.Conn. It counts before it writes: an attempt cancelled
+// during the write would otherwise pass for one that was not sent.
 func (c *countedConn) Write(b []byte) (int, error) {
-	n, err := c.Conn.Write(b)
-	c.written.Add(int64(n))
-	return n, err
+	c.written.Add(int64(len(b)))
+	return c.Conn.Write(b)
 }
