--- a/core/admit/gate.go
+++ b/core/admit/gate.go
@@ -147,7 +147,7 @@
 	}
 	l := g.lane(ticket.Index)
 	t.running--
-	l.finished(at, l.flow(t), ticket.Cost, took)
+	l.finished(l.flow(t), ticket.Cost, took)
 	return g.Sweep(at)
 }
 
@@ -170,6 +170,11 @@
 	g.lane(index).lower(at, missDecrease)
 }
 
+// Finished moves the limit of an index after one of its queries ended.
+func (g *Gate) Finished(at time.Time, index string) {
+	g.lane(index).adapt(at)
+}
+
 // Abandon removes a queued ticket.
 func (g *Gate) Abandon(ticket Ticket) {
 	t, ok := g.tenants[ticket.Customer]
--- a/core/admit/lane.go
+++ b/core/admit/lane.go
@@ -7,9 +7,8 @@
 
 // Tuning of the adaptive limit.
 const (
-	firstLimit    = 64.0 // queries in flight before anything is known
-	maxLimit      = 4096.0
-	leastLimit    = 0.05 // below 1 the limit is a rate: one query per typical duration divided by the limit
+	maxLimit      = 4096.0 // queries in flight; also the limit before anything is known
+	leastLimit    = 0.05   // below 1 the limit is a rate: one query per typical duration divided by the limit
 	shedDecrease  = 0.8
 	missDecrease  = 0.9
 	slowDecrease  = 0.95
@@ -48,7 +47,7 @@
 }
 
 func newLane() *lane {
-	return &lane{limit: firstLimit}
+	return &lane{limit: maxLimit}
 }
 
 // typical is how long a query usually runs at most.
@@ -146,7 +145,7 @@
 }
 
 // finished takes over the end of a query.
-func (l *lane) finished(at time.Time, f *flow, cost int, took time.Duration) {
+func (l *lane) finished(f *flow, cost int, took time.Duration) {
 	f.used -= cost
 	l.used -= cost
 	l.inflight--
@@ -161,6 +160,10 @@
 	} else {
 		l.base += time.Duration(baseRise * float64(took-l.base))
 	}
+}
+
+// adapt moves the limit after the end of a query.
+func (l *lane) adapt(at time.Time) {
 	switch {
 	case l.took > slowFactor*l.base && l.limit > leastSlow:
 		l.lower(at, slowDecrease)
--- a/core/node/state_test.go
+++ b/core/node/state_test.go
@@ -63,10 +63,17 @@
 
 // run sends a request with an idempotency key.
 func (f *fixture) run(id model.RequestID, key model.Key) []effect.Effect {
-	return f.reduce(event.Request{
+	r := f.newRequest(id)
+	r.Key = key
+	return f.reduce(r)
+}
+
+// newRequest is an idempotent request with the fingerprint of all of them.
+func (f *fixture) newRequest(id model.RequestID) event.Request {
+	return event.Request{
 		ID: id, Customer: "acme", Credential: sha256.Sum256([]byte("secret")), Index: "pairing",
-		Body: []byte("q"), Fingerprint: 9, Wait: 100 * time.Millisecond, Key: key,
-	})
+		Body: []byte("q"), Fingerprint: 9, Wait: 100 * time.Millisecond,
+	}
 }
 
 // answer answers an attempt as an upstream does that holds the version.
--- a/core/query/outcome.go
+++ b/core/query/outcome.go
@@ -153,6 +153,7 @@
 		return out
 	}
 	q.admitted = false
+	t.limiter.Finished(at, q.request.Index)
 	started, late := t.gate.Leave(at, q.ticket, at.Sub(q.started))
 	return t.enter(at, started, late, out)
 }
--- a/core/query/policy.go
+++ b/core/query/policy.go
@@ -42,6 +42,7 @@
 type limiter interface {
 	Shed(at time.Time, index string)
 	Missed(at time.Time, index string)
+	Finished(at time.Time, index string)
 }
 
 // adaptiveHedger hedges after the 95th percentile of the index's latency.
@@ -103,6 +104,9 @@
 // Missed implements limiter.
 func (fixedLimiter) Missed(time.Time, string) {}
 
+// Finished implements limiter.
+func (fixedLimiter) Finished(time.Time, string) {}
+
 // randomPicker is the plain policy: any usable replica.
 type randomPicker struct {
 	routes *route.Map
--- a/core/query/query.go
+++ b/core/query/query.go
@@ -148,6 +148,13 @@
 func (q *query) pin(version model.Version, shards int) {
 	q.version = version
 	q.shards = make([]shard, shards)
+	// One array for the first attempt of every shard, rather than one for each.
+	open := make([]model.AttemptID, shards)
+	tried := make([]model.UpstreamID, shards)
+	for i := range q.shards {
+		q.shards[i].open = open[i : i : i+1]
+		q.shards[i].tried = tried[i : i : i+1]
+	}
 	q.canary = int(uint64(q.request.Fingerprint) % uint64(shards))
 	q.answered, q.dead, q.inflight, q.hedged = 0, 0, 0, 0
 	q.agenda = q.agenda[:0]
--- a/core/retry/histogram.go
+++ b/core/retry/histogram.go
@@ -18,8 +18,19 @@
 	counts [buckets]float64
 	total  float64
 	fresh  int
+	memo   memo
 }
 
+// memo is the last quantile asked for. It is computed again after memoFor
+// samples, since every event of a query asks for it.
+type memo struct {
+	q     float64
+	value time.Duration
+	fresh int // fresh when it was computed
+}
+
+const memoFor = 32
+
 // Add counts a latency.
 func (h *Histogram) Add(latency time.Duration) {
 	h.counts[bucket(latency)]++
@@ -42,14 +53,22 @@
 	if h.total < least {
 		return 0, false
 	}
+	if age := h.fresh - h.memo.fresh; h.memo.q == q && age >= 0 && age < memoFor {
+		return h.memo.value, true
+	}
+	h.memo = memo{q: q, value: h.quantile(q), fresh: h.fresh}
+	return h.memo.value, true
+}
+
+func (h *Histogram) quantile(q float64) time.Duration {
 	left := q * h.total
 	for i, n := range h.counts {
 		left -= n
 		if left <= 0 {
-			return upper(i), true
+			return upper(i)
 		}
 	}
-	return upper(buckets - 1), true
+	return upper(buckets - 1)
 }
 
 func bucket(latency time.Duration) int {
