Limit the rate of an index to what its upstreams can take

Cause: with twice the capacity offered, queries lost a shard to shedding after the others had run, and goodput collapsed. A limit on queries in flight did not help: the share of one of 17 VMs is below two queries.

Change: each index has a rate, cut by the share of attempts shed and of queries late, and raised slowly near the rate of the last overload. A tenant uses at most its capacity share of the rate while others want theirs. Requests that cannot be answered in time are refused on arrival.

The rate is cut a little too early after a cold start.

--- a/core/admit/gate.go
+++ b/core/admit/gate.go
@@ -116,18 +116,18 @@
 	t := g.tenants[ticket.Customer]
 	l := g.lane(ticket.Index)
 	f := l.flow(t)
-	idle := l.inflight == 0
-	if f.queue.len() == 0 && (l.queued == 0 || l.next(at) == nil) && l.may(at, f, ticket.Cost) {
-		if !idle && at.Add(l.typical()).After(ticket.Deadline) {
-			return Late
-		}
-		l.start(at, f, ticket.Cost)
+	f.asked = at
+	if l.inflight > 0 && at.Add(l.typical()).After(ticket.Deadline) {
+		return Late
+	}
+	if f.queue.len() == 0 && l.may(at, f, ticket.Cost) && (l.queued == 0 || l.next(at) == nil) {
+		l.start(f, ticket.Cost)
 		return Started
 	}
 	if f.queue.len() >= maxQueue {
 		return Full
 	}
-	if at.Add(l.expectedWait(f)).Add(l.typical()).After(ticket.Deadline) {
+	if at.Add(l.expectedWait(at, f)).Add(l.typical()).After(ticket.Deadline) {
 		return Late
 	}
 	if f.queue.len() == 0 {
@@ -151,8 +151,7 @@
 	return g.Sweep(at)
 }
 
-// Sweep starts what may start now, and returns the same lists as Leave. A lane
-// with a limit below one opens as time passes.
+// Sweep starts what may start now, and returns the same lists as Leave.
 func (g *Gate) Sweep(at time.Time) (started, late []Ticket) {
 	for _, index := range g.names {
 		started, late = g.lanes[index].dispatch(at, started, late)
@@ -160,19 +159,33 @@
 	return started, late
 }
 
-// Shed lowers the limit of an index whose upstream shed an attempt.
-func (g *Gate) Shed(at time.Time, index string) {
-	g.lane(index).lower(at, shedDecrease)
+// Due returns when Sweep may start a queued ticket without another event, zero
+// when no ticket waits for the time alone.
+func (g *Gate) Due(at time.Time) time.Time {
+	var first time.Time
+	for _, l := range g.lanes {
+		if due := l.due(at); !due.IsZero() && (first.IsZero() || due.Before(first)) {
+			first = due
+		}
+	}
+	return first
+}
+
+// Shed notes that an upstream of the index shed an attempt.
+func (g *Gate) Shed(index string) {
+	g.lane(index).window.sheds++
 }
 
-// Missed lowers the limit of an index after a missed deadline.
-func (g *Gate) Missed(at time.Time, index string) {
-	g.lane(index).lower(at, missDecrease)
+// Missed notes that a query on the index missed its deadline.
+func (g *Gate) Missed(index string) {
+	g.lane(index).window.missed++
 }
 
-// Finished moves the limit of an index after one of its queries ended.
-func (g *Gate) Finished(at time.Time, index string) {
-	g.lane(index).adapt(at)
+// Adjust moves the rates of all indexes. It is called at regular times.
+func (g *Gate) Adjust(at time.Time) {
+	for _, l := range g.lanes {
+		l.adjust(at)
+	}
 }
 
 // Abandon removes a queued ticket.
@@ -191,7 +204,7 @@
 func (g *Gate) lane(index string) *lane {
 	l, ok := g.lanes[index]
 	if !ok {
-		l = newLane()
+		l = &lane{}
 		g.lanes[index] = l
 		i, _ := slices.BinarySearch(g.names, index)
 		g.names = slices.Insert(g.names, i, index)
--- a/core/admit/lane.go
+++ b/core/admit/lane.go
@@ -5,37 +5,60 @@
 	"time"
 )
 
-// Tuning of the adaptive limit.
+// Tuning of the adaptive rate.
 const (
-	maxLimit      = 4096.0 // queries in flight; also the limit before anything is known
-	leastLimit    = 0.05   // below 1 the limit is a rate: one query per typical duration divided by the limit
-	shedDecrease  = 0.8
-	missDecrease  = 0.9
-	slowDecrease  = 0.95
-	slowFactor    = 3   // times the unloaded duration, above which queries are taken to queue at the upstreams
-	leastSlow     = 2.0 // slowness alone does not lower the limit below this, since one slow replica causes it too
 	durationDecay = 0.1 // weight of a new duration in the average
 	baseRise      = 0.002
-	overcommit    = 2 // queries hold their sub-request slots for about half of their time
+	overcommit    = 2    // queries hold their sub-request slots for about half of their time
+	mostShed      = 0.01 // share of attempts shed above which the rate falls
+	mostMissed    = 0.05 // share of queries late above which the rate falls
+	leastSeen     = 3    // sheds or misses before their share counts, since one is often bad luck
+	windowDecay   = 0.7  // weight of the windows before
+	leastDecrease = 0.05
+	mostDecrease  = 0.3
+	increase      = 0.02 // for each good window in a row, up to mostIncrease
+	mostIncrease  = 0.2
+	nearCeiling   = 0.85 // share of the rate at the last overload, above which the rate rises slowly
+	nearIncrease  = 0.01
+	keptAfter     = 0.3 // part of the sheds and misses kept after a decrease
+	slowFactor    = 3   // times the unloaded duration, above which queries are taken to queue at the upstreams
+	leastRate     = 0.5
+	burstTime     = 20 * time.Millisecond // of tokens that an unused rate saves
+	leastBurst    = 2                     // tokens
+	activeFor     = time.Second           // a tenant counts as waiting this long after it last asked
+	waitFactor    = 2                     // margin of the estimated wait, so that few queued tickets become late
 )
 
-// lane admits the queries of one index. Its limit follows what the upstreams
-// can take: it grows while it is used and nothing is shed, and shrinks on sheds,
-// on missed deadlines and on durations far above the unloaded one.
+// lane admits the queries of one index. Its rate follows what the upstreams can
+// take. A limit on queries in flight would be too coarse: where many VMs share
+// upstreams with a few slots, the share of one VM is below two queries.
 type lane struct {
-	slots     int // sub-requests of this state that the upstreams' connections allow
-	used      int // sub-requests of the queries in flight
-	inflight  int // queries
-	limit     float64
-	took      time.Duration // decaying average of query durations
-	spread    time.Duration // decaying average of the deviation from it
-	base      time.Duration // slowly rising minimum of query durations
-	lowered   time.Time     // last decrease
-	last      time.Time     // last start
-	flows     []*flow       // by tenant, in the order of their first ticket
-	virtual   float64       // start tag of the last ticket served
-	queued    int
-	saturated bool // the limit held a ticket back since the last completion
+	slots    int     // sub-requests of this state that the upstreams' connections allow
+	used     int     // sub-requests of the queries in flight
+	inflight int     // queries
+	rate     float64 // queries a second; 0 while nothing was shed
+	ceiling  float64 // rate at the last overload
+	tokens   float64
+	filled   time.Time     // when tokens was computed
+	took     time.Duration // decaying average of query durations
+	spread   time.Duration // decaying average of the deviation from it
+	base     time.Duration // slowly rising minimum of query durations
+	flows    []*flow       // by tenant, in the order of their first ticket
+	virtual  float64       // start tag of the last ticket served
+	queued   int
+	window   window
+}
+
+// window is what happened since the last adjustment.
+type window struct {
+	since     time.Time
+	starts    int
+	all       float64 // queries started; this and the next three decay over the windows
+	attempts  float64
+	sheds     float64
+	missed    float64
+	saturated bool // the rate held a ticket back
+	good      int  // windows without overload in a row
 }
 
 // flow holds the queued tickets of one tenant in a lane.
@@ -44,10 +67,9 @@
 	queue  queue
 	finish float64 // finish tag of the last ticket served
 	used   int     // sub-requests in flight
-}
-
-func newLane() *lane {
-	return &lane{limit: maxLimit}
+	asked  time.Time
+	tokens float64 // of the tenant's capacity share
+	filled time.Time
 }
 
 // typical is how long a query usually runs at most.
@@ -55,38 +77,60 @@
 	return l.took + l.spread
 }
 
+// refill adds the tokens of the time that passed.
+func refill(tokens, rate float64, since, at time.Time) float64 {
+	if since.IsZero() {
+		return 1
+	}
+	return min(tokens+rate*at.Sub(since).Seconds(), max(leastBurst, rate*burstTime.Seconds()))
+}
+
 // open reports whether another query is within the limits of the lane.
 func (l *lane) open(at time.Time, cost int) bool {
-	if l.inflight == 0 {
-		if l.limit >= 1 {
+	if l.rate > 0 {
+		l.tokens, l.filled = refill(l.tokens, l.rate, l.filled, at), at
+		if l.tokens < 1 {
+			l.window.saturated = true
+			return false
+		}
+	}
+	return l.inflight == 0 || l.slots == 0 || l.used+cost <= overcommit*l.slots
+}
+
+// contended reports whether another tenant than the flow's wants the lane.
+func (l *lane) contended(at time.Time, f *flow) bool {
+	for _, other := range l.flows {
+		if other != f && (other.queue.len() > 0 || !other.asked.IsZero() && at.Sub(other.asked) < activeFor) {
 			return true
 		}
-		return at.Sub(l.last) >= time.Duration(float64(l.took)/l.limit)
 	}
-	if float64(l.inflight+1) > l.limit {
-		l.saturated = true
-		return false
+	return false
+}
+
+// flowRate is the rate of a flow in its fair turn, 0 when nothing limits it.
+func (l *lane) flowRate(at time.Time, f *flow) float64 {
+	if l.rate == 0 || !l.contended(at, f) {
+		return l.rate
 	}
-	return l.slots == 0 || l.used+cost <= overcommit*l.slots
+	return l.rate * f.tenant.contract.Capacity
 }
 
 // expectedWait estimates how long a new ticket of the flow stays in the queue:
-// the tickets served before it, at the rate at which queries complete.
-func (l *lane) expectedWait(f *flow) time.Duration {
-	ahead := 0
+// the tickets served before it, at the rate at which queries are started.
+func (l *lane) expectedWait(at time.Time, f *flow) time.Duration {
+	ahead := f.queue.len()
 	for _, other := range l.flows {
-		// Fair turns let another tenant go first at most as often as this one.
+		// In fair turns another tenant goes first at most as often as this one.
 		if other != f {
 			ahead += min(other.queue.len(), f.queue.len()+1)
 		}
 	}
-	ahead += f.queue.len()
-	parallel := max(leastLimit, min(l.limit, float64(max(l.inflight, 1))))
-	wait := float64(l.took) * float64(ahead+1) / parallel
-	if own := float64(l.took) * float64(f.queue.len()+1) / float64(max(1, f.tenant.limit)); own > wait {
-		wait = own
+	wait := float64(l.took) * float64(ahead+1) / float64(max(1, min(f.tenant.limit, l.inflight)))
+	if l.rate > 0 {
+		wait = float64(ahead+1) / l.rate * float64(time.Second)
+		wait = max(wait, float64(f.queue.len()+1)/l.flowRate(at, f)*float64(time.Second))
 	}
-	return time.Duration(wait)
+	return time.Duration(waitFactor * wait)
 }
 
 // may reports whether a ticket of the flow can start now.
@@ -95,19 +139,30 @@
 	if t.running >= t.limit || !l.open(at, cost) {
 		return false
 	}
-	// A tenant uses at most its capacity share while others wait.
-	if f.used > 0 && l.slots > 0 && l.queued > f.queue.len() {
-		return float64(f.used+cost) <= t.contract.Capacity*float64(overcommit*l.slots)
+	// A tenant uses at most its capacity share while others want theirs.
+	if !l.contended(at, f) {
+		return true
+	}
+	if l.rate > 0 {
+		f.tokens, f.filled = refill(f.tokens, l.flowRate(at, f), f.filled, at), at
+		if f.tokens < 1 {
+			l.window.saturated = true
+			return false
+		}
 	}
-	return true
+	return f.used == 0 || l.slots == 0 || float64(f.used+cost) <= t.contract.Capacity*float64(overcommit*l.slots)
 }
 
-func (l *lane) start(at time.Time, f *flow, cost int) {
+func (l *lane) start(f *flow, cost int) {
 	f.tenant.running++
 	f.used += cost
+	f.tokens--
 	l.used += cost
 	l.inflight++
-	l.last = at
+	l.tokens--
+	l.window.starts++
+	l.window.all++
+	l.window.attempts += float64(cost)
 	l.virtual = max(l.virtual, f.finish)
 	f.finish = l.virtual + float64(max(1, cost))
 }
@@ -138,7 +193,7 @@
 			late = append(late, ticket)
 			continue
 		}
-		l.start(at, f, ticket.Cost)
+		l.start(f, ticket.Cost)
 		started = append(started, ticket)
 	}
 	return started, late
@@ -162,24 +217,52 @@
 	}
 }
 
-// adapt moves the limit after the end of a query.
-func (l *lane) adapt(at time.Time) {
+// adjust moves the rate after a window.
+func (l *lane) adjust(at time.Time) {
+	w := &l.window
+	period := at.Sub(w.since).Seconds()
+	started := float64(w.starts) / period
+	saturated := w.saturated
+	fresh := w.since.IsZero() || period <= 0
+	w.since, w.starts, w.saturated = at, 0, false
+	if fresh {
+		return
+	}
+	shed := w.sheds >= leastSeen && w.sheds > mostShed*w.attempts
+	missed := w.missed >= leastSeen && w.missed > mostMissed*w.all
+	part := min(max(w.sheds/max(1, w.attempts), w.missed/max(1, w.all)), 1)
+	w.all, w.attempts = windowDecay*w.all, windowDecay*w.attempts
+	w.sheds, w.missed = windowDecay*w.sheds, windowDecay*w.missed
 	switch {
-	case l.took > slowFactor*l.base && l.limit > leastSlow:
-		l.lower(at, slowDecrease)
-	case l.saturated:
-		l.limit = min(l.limit+1/max(1, l.limit), maxLimit)
-		l.saturated = false
+	case shed || missed:
+		w.good = 0
+		if l.rate == 0 {
+			l.rate = started
+		}
+		// What is still to be heard of the same overload counts less.
+		w.sheds, w.missed = keptAfter*w.sheds, keptAfter*w.missed
+		l.ceiling = l.rate
+		l.rate = max(leastRate, l.rate*(1-min(max(2*part, leastDecrease), mostDecrease)))
+	case l.rate > 0 && saturated && l.took > slowFactor*l.base:
+		w.good = 0
+		l.rate = max(leastRate, l.rate*(1-leastDecrease))
+	case l.rate > 0 && saturated:
+		w.good++
+		step := min(increase*float64(w.good), mostIncrease)
+		if l.rate > nearCeiling*l.ceiling && l.rate < l.ceiling/nearCeiling {
+			step = nearIncrease
+		}
+		l.rate *= 1 + step
 	}
 }
 
-// lower decreases the limit, once for the queries that were in flight together.
-func (l *lane) lower(at time.Time, factor float64) {
-	if at.Sub(l.lowered) < l.took {
-		return
+// due is when the rate lets a queued ticket start, zero when none waits for it.
+func (l *lane) due(at time.Time) time.Time {
+	if l.queued == 0 || l.rate == 0 {
+		return time.Time{}
 	}
-	l.lowered = at
-	l.limit = max(leastLimit, min(l.limit, float64(max(1, l.inflight)))*factor)
+	wait := (1 - l.tokens) / l.rate
+	return at.Add(max(time.Duration(wait*float64(time.Second)), time.Millisecond))
 }
 
 // flow returns the tickets of a tenant.
--- a/core/node/reduce_test.go
+++ b/core/node/reduce_test.go
@@ -63,7 +63,7 @@
 		sends = sends[:0]
 		out = state.Reduce(event.Event{At: now, Body: request}, out[:0])
 		events++
-		for answered := 0; answered < shards; answered++ {
+		for answered := range shards {
 			for _, e := range out {
 				if s, ok := e.(effect.Send); ok {
 					sends = append(sends, s)
--- a/core/query/outcome.go
+++ b/core/query/outcome.go
@@ -62,7 +62,7 @@
 		return t.expireRun(at, q, out)
 	}
 	if !at.Before(q.deadline()) {
-		t.limiter.Missed(at, q.request.Index)
+		t.limiter.Missed(q.request.Index)
 	}
 	if q.answered > 0 && q.share() >= q.class.Coverage {
 		return t.reply(at, q, out)
@@ -153,7 +153,6 @@
 		return out
 	}
 	q.admitted = false
-	t.limiter.Finished(at, q.request.Index)
 	started, late := t.gate.Leave(at, q.ticket, at.Sub(q.started))
 	return t.enter(at, started, late, out)
 }
--- a/core/query/policy.go
+++ b/core/query/policy.go
@@ -40,9 +40,10 @@
 
 // limiter adapts the load on an index to what its upstreams can take.
 type limiter interface {
-	Shed(at time.Time, index string)
-	Missed(at time.Time, index string)
-	Finished(at time.Time, index string)
+	Shed(index string)
+	Missed(index string)
+	// Adjust is called at regular times.
+	Adjust(at time.Time)
 }
 
 // adaptiveHedger hedges after the 95th percentile of the index's latency.
@@ -99,13 +100,13 @@
 type fixedLimiter struct{}
 
 // Shed implements limiter.
-func (fixedLimiter) Shed(time.Time, string) {}
+func (fixedLimiter) Shed(string) {}
 
 // Missed implements limiter.
-func (fixedLimiter) Missed(time.Time, string) {}
+func (fixedLimiter) Missed(string) {}
 
-// Finished implements limiter.
-func (fixedLimiter) Finished(time.Time, string) {}
+// Adjust implements limiter.
+func (fixedLimiter) Adjust(time.Time) {}
 
 // randomPicker is the plain policy: any usable replica.
 type randomPicker struct {
--- a/core/query/run.go
+++ b/core/query/run.go
@@ -57,7 +57,7 @@
 			out = t.released(at, q, p.Result, out)
 		}
 	}
-	return t.finish(out)
+	return t.finish(at, out)
 }
 
 // unsettled reports whether a claim with this status is or may be held.
--- a/core/query/scatter.go
+++ b/core/query/scatter.go
@@ -355,7 +355,7 @@
 	}
 	out = t.wakeWaiters(at, known.upstream, out)
 	out = t.wakeTurns(at, known.fp, out)
-	return t.finish(out)
+	return t.finish(at, out)
 }
 
 // accept takes the items of a shard into the query.
@@ -402,7 +402,7 @@
 	t.routes.Failed(at, known.upstream, known.version, known.shard, at.Sub(known.started), f)
 	out = append(out, effect.Count{Counter: effect.CountFailed, Reason: string(f.Reason), N: 1})
 	if f.Reason == model.FailedShed {
-		t.limiter.Shed(at, known.index)
+		t.limiter.Shed(known.index)
 	}
 	struck := false
 	if f.Reason == model.FailedReset && f.Ran != model.RanNo {
@@ -426,7 +426,7 @@
 	if known.turn {
 		out = t.wakeTurns(at, known.fp, out)
 	}
-	return t.finish(out)
+	return t.finish(at, out)
 }
 
 // repeat schedules the retry of a failed shard, if one is allowed.
--- a/core/query/table.go
+++ b/core/query/table.go
@@ -19,6 +19,8 @@
 	probePeriod  = 500 * time.Millisecond // leaves time for a drain to be seen within 2 s
 	probeTimeout = time.Second
 	sweepPeriod  = 100 * time.Millisecond // summaries to the control state
+
+	sweepQueue = 1 // number of the sweep timer that starts queued requests
 )
 
 // Table holds the requests of one traffic state. The zero value refuses every
@@ -42,6 +44,7 @@
 	next     model.AttemptID
 	sent     [kinds]int64 // attempts started by the event in hand
 	ready    bool         // a view is in force and every upstream was probed once
+	queueDue time.Time    // due time of the queue's timer; zero when none is set
 	draining bool
 	over     bool // the end of the drain was reported
 }
@@ -101,7 +104,7 @@
 	for _, id := range changed {
 		out = t.recheck(at, id, out)
 	}
-	return t.finish(out)
+	return t.finish(at, out)
 }
 
 // Request takes a caller's request.
@@ -139,7 +142,7 @@
 		t.queries[r.ID] = q
 		out = t.begin(at, q, out)
 	}
-	return t.finish(out)
+	return t.finish(at, out)
 }
 
 // Gone drops the request of a caller that left. A non-idempotent request that
@@ -150,16 +153,16 @@
 		return out
 	}
 	if q.idempotent() || q.phase == phaseQueued || q.phase == phaseHolding {
-		return t.finish(t.drop(at, q, out))
+		return t.finish(at, t.drop(at, q, out))
 	}
-	return t.finish(t.close(at, q, out))
+	return t.finish(at, t.close(at, q, out))
 }
 
 // Drain refuses new requests and reports when the last one has ended.
-func (t *Table) Drain(_ time.Time, out []effect.Effect) []effect.Effect {
+func (t *Table) Drain(at time.Time, out []effect.Effect) []effect.Effect {
 	t.draining = true
 	out = append(out, effect.Ready{Ready: false})
-	return t.finish(out)
+	return t.finish(at, out)
 }
 
 // Timer handles the table's timers.
@@ -178,11 +181,17 @@
 		}
 		out = append(out, effect.SetTimer{ID: id, At: at.Add(probePeriod)})
 	case event.TimerSweep:
+		if id.N == sweepQueue {
+			t.queueDue = time.Time{}
+			started, late := t.gate.Sweep(at)
+			out = t.enter(at, started, late, out)
+			return t.finish(at, out)
+		}
 		out = t.sweep(at, out)
 		out = append(out, effect.SetTimer{ID: id, At: at.Add(sweepPeriod)})
 	default:
 	}
-	return t.finish(out)
+	return t.finish(at, out)
 }
 
 // sweep tells the control state the demand and starts what time alone allows.
@@ -191,6 +200,7 @@
 	for _, fp := range t.guard.Sweep(at) {
 		out = t.wakeTurns(at, fp, out)
 	}
+	t.limiter.Adjust(at)
 	started, late := t.gate.Sweep(at)
 	return t.enter(at, started, late, out)
 }
@@ -204,14 +214,14 @@
 		out = t.recheck(at, r.Upstream, out)
 	}
 	out = t.wakeWaiters(at, r.Upstream, out)
-	return t.finish(out)
+	return t.finish(at, out)
 }
 
 // Struck takes over strikes that another traffic state or VM shared.
 func (t *Table) Struck(at time.Time, s event.Struck, out []effect.Effect) []effect.Effect {
 	t.guard.Struck(at, s)
 	out = t.wakeTurns(at, s.Fingerprint, out)
-	return t.finish(out)
+	return t.finish(at, out)
 }
 
 func (t *Table) probe(id model.UpstreamID, out []effect.Effect) []effect.Effect {
@@ -231,9 +241,13 @@
 	return append(out, effect.SetTimer{ID: timerOf(q), At: due})
 }
 
-// finish counts the attempts that an event started, and reports the end of the
-// last request while draining.
-func (t *Table) finish(out []effect.Effect) []effect.Effect {
+// finish counts the attempts that an event started, sets the timer of the queue,
+// and reports the end of the last request while draining.
+func (t *Table) finish(at time.Time, out []effect.Effect) []effect.Effect {
+	if due := t.gate.Due(at); !due.IsZero() && (t.queueDue.IsZero() || due.Before(t.queueDue)) {
+		t.queueDue = due
+		out = append(out, effect.SetTimer{ID: event.TimerID{Kind: event.TimerSweep, N: sweepQueue}, At: due})
+	}
 	for k, n := range t.sent {
 		if n > 0 {
 			out = append(out, effect.Count{Counter: effect.CountAttempts, Reason: kindNames[k], N: n})
