Simulate rolling versions, a repartition and a recovered replica

Cause: no test showed that queries survive versions that change while they run, or that a replica that was slow is used again.

Change: simulated upstreams hold versions and split an index; the property test also removes upstreams and adds them again, and runs 1,000 cases. Retry-After has a test.

--- a/core/node/profile_test.go
+++ b/core/node/profile_test.go
@@ -105,3 +105,45 @@
 		t.Errorf("got %.4f of the answers whole 2 s after the loss, want at least 0.999", got)
 	}
 }
+
+// Guards against a replica that was slow once and is never tried again.
+func TestRecoveredReplicaIsNoticed(t *testing.T) {
+	st := &stream{customer: "acme", rate: 600, wait: time.Second}
+	s := tabadul(st)
+	s.slow, s.period, s.warm = map[model.UpstreamID]float64{"u0-0": 20}, 14*time.Second, 13*time.Second
+	s.at = map[time.Duration]func(*sim){2 * time.Second: func(s *sim) { delete(s.slow, "u0-0") }}
+	s.run()
+	if got, want := s.sentTo["u0-0"], s.sentTo["u0-1"]/3; got < want {
+		t.Errorf("got %d attempts in the last second, want at least %d", got, want)
+	}
+}
+
+// Guards against mixed, untrue or lost answers while versions roll over all
+// upstreams, with and without a time in which an upstream holds both, and the
+// last of them splits the index into more shards.
+func TestQueriesSurviveRollsAndARepartition(t *testing.T) {
+	for _, overlap := range []time.Duration{0, 1400 * time.Millisecond} {
+		st := &stream{customer: "acme", rate: 300, wait: 200 * time.Millisecond}
+		s := tabadul(st)
+		s.period, s.warm, s.splitFrom = 8*time.Second, 100*time.Millisecond, 4
+		s.at = make(map[time.Duration]func(*sim))
+		due := time.Second
+		for version := model.Version(2); version <= 4; version++ {
+			for n := range 3 * s.shards {
+				id := simName(n%s.shards, n/s.shards)
+				due += 50 * time.Millisecond
+				s.at[due] = func(s *sim) { s.upstreams[id].versions = []model.Version{version - 1, version} }
+				s.at[due+overlap+time.Microsecond] = func(s *sim) { s.upstreams[id].versions = []model.Version{version} }
+			}
+		}
+		s.run()
+		t.Logf("overlap %v: %d of %d whole, p99 %v, refused %v, extra %.3f",
+			overlap, st.whole, st.requests, quantile(st.took, 0.99), st.refused, s.extra())
+		if got := float64(st.whole) / float64(st.requests); got < 0.99 {
+			t.Errorf("overlap %v: got %.4f of the answers whole, want at least 0.99", overlap, got)
+		}
+		if s.mixed+s.untrue != 0 {
+			t.Errorf("overlap %v: got %d mixed and %d untrue answers, want 0", overlap, s.mixed, s.untrue)
+		}
+	}
+}
--- a/core/node/promise_test.go
+++ b/core/node/promise_test.go
@@ -105,7 +105,12 @@
 			},
 			"view": func(t *rapid.T) {
 				id := rapid.SampledFrom(w.ids()).Draw(t, "upstream")
-				u := w.topology.Upstreams[id]
+				if _, ok := w.topology.Upstreams[id]; ok && rapid.IntRange(0, 3).Draw(t, "remove") == 0 {
+					delete(w.topology.Upstreams, id)
+					w.view()
+					return
+				}
+				u := w.configured[id]
 				u.State = model.UpstreamState(rapid.IntRange(0, 1).Draw(t, "state"))
 				w.topology.Upstreams[id] = u
 				w.share.Conns[id] = rapid.IntRange(0, 3).Draw(t, "conns")
--- a/core/node/query_test.go
+++ b/core/node/query_test.go
@@ -129,3 +129,27 @@
 		}
 	}
 }
+
+// Guards against retries that ignore Retry-After when no other replica is left.
+func TestRetryAfterIsHonouredWithoutAnotherReplica(t *testing.T) {
+	f := newFixture()
+	f.warm()
+	first := all[effect.Send](f.request(1))[0]
+	shed := event.Failed{Attempt: first.Attempt, Reason: model.FailedShed, Ran: model.RanNo, After: 40 * time.Millisecond}
+	again := all[effect.Send](f.reduce(shed))
+	for range 10 {
+		again = append(again, all[effect.Send](f.wait(time.Millisecond))...)
+	}
+	if len(again) != 1 || again[0].Upstream == first.Upstream {
+		t.Fatalf("got %+v, want one retry on the other replica", again)
+	}
+	shed.Attempt = again[0].Attempt
+	sent := f.now
+	again = all[effect.Send](f.reduce(shed))
+	for len(again) == 0 && f.now.Before(sent.Add(60*time.Millisecond)) {
+		again = all[effect.Send](f.wait(time.Millisecond))
+	}
+	if len(again) != 1 || f.now.Sub(began) < shed.After {
+		t.Errorf("got %d retries after %v, want one not before %v", len(again), f.now.Sub(began), shed.After)
+	}
+}
--- a/core/node/sim_test.go
+++ b/core/node/sim_test.go
@@ -19,19 +19,20 @@
 
 // sim runs several VMs and their upstreams in virtual time.
 type sim struct {
-	plain    bool
-	vms      int
-	shards   int
-	slots    int
-	conns    int
-	capacity float64
-	service  time.Duration
-	slow     map[model.UpstreamID]float64
-	rare     float64 // share of answers that take ten times as long
-	streams  []*stream
-	period   time.Duration
-	warm     time.Duration // not measured
-	at       map[time.Duration]func(*sim)
+	plain     bool
+	vms       int
+	shards    int
+	slots     int
+	conns     int
+	capacity  float64
+	service   time.Duration
+	slow      map[model.UpstreamID]float64
+	rare      float64 // share of answers that take ten times as long
+	streams   []*stream
+	period    time.Duration
+	warm      time.Duration // not measured
+	at        map[time.Duration]func(*sim)
+	splitFrom model.Version // first version with two more shards
 
 	now       time.Time
 	random    *rand.Rand
@@ -45,6 +46,8 @@
 	sends     int
 	sentTo    map[model.UpstreamID]int
 	needed    int
+	mixed     int // answers with items of another version
+	untrue    int // answers with another shard count than their version
 	false     int // refused as not run although an attempt ran
 }
 
@@ -77,11 +80,12 @@
 }
 
 type simUpstream struct {
-	id      model.UpstreamID
-	shard   int
-	down    bool
-	running int
-	queued  []*simWork
+	id       model.UpstreamID
+	shard    int
+	versions []model.Version
+	down     bool
+	running  int
+	queued   []*simWork
 }
 
 type simWork struct {
@@ -119,6 +123,10 @@
 	simTrip       = 500 * time.Microsecond
 )
 
+func simName(shard, replica int) model.UpstreamID {
+	return model.UpstreamID(fmt.Sprintf("u%d-%d", shard, replica))
+}
+
 func (s *sim) after(d time.Duration, do func()) {
 	s.sequence++
 	heap.Push(&s.queue, simItem{at: s.now.Add(d), n: s.sequence, do: do})
@@ -143,10 +151,10 @@
 	}
 	for shard := range s.shards {
 		for replica := range 3 {
-			id := model.UpstreamID(fmt.Sprintf("u%d-%d", shard, replica))
+			id := simName(shard, replica)
 			topology.Upstreams[id] = model.Upstream{ID: id, Addr: netip.MustParseAddrPort("127.0.0.1:1"), Index: "pairing", Slots: s.slots}
 			share.Conns[id] = s.conns
-			s.upstreams[id] = &simUpstream{id: id, shard: shard}
+			s.upstreams[id] = &simUpstream{id: id, shard: shard, versions: []model.Version{1}}
 		}
 	}
 	for vm := range s.vms {
@@ -215,20 +223,28 @@
 		u := s.upstreams[e.Upstream]
 		s.after(2*simTrip, func() {
 			s.reduce(vm, event.Reported{
-				Upstream: u.id, Reachable: !u.down, Load: s.load(u),
-				Holdings: []model.Holding{{Index: "pairing", Version: 1, Shards: s.shards, Holds: []int{u.shard}}},
+				Upstream: u.id, Reachable: !u.down, Load: s.load(u), Holdings: s.holdings(u),
 			})
 		})
 	case effect.Reply:
-		s.ended(simID{vm, e.Answer.Request}, "", true)
+		for _, item := range e.Answer.Items {
+			if item.ID != strconv.FormatUint(uint64(e.Answer.Snapshot), 10) {
+				s.mixed++
+				break
+			}
+		}
+		if e.Answer.Coverage.Total != s.total(e.Answer.Snapshot) {
+			s.untrue++
+		}
+		s.ended(simID{vm, e.Answer.Request}, "", true, e.Answer.Coverage.Answered)
 	case effect.Refuse:
-		s.ended(simID{vm, e.Rejection.Request}, e.Rejection.Reason, e.Rejection.Ran != model.RanNo)
+		s.ended(simID{vm, e.Rejection.Request}, e.Rejection.Reason, e.Rejection.Ran != model.RanNo, 0)
 	}
 }
 
 func (s *sim) measured() bool { return s.now.Sub(began) >= s.warm }
 
-func (s *sim) ended(id simID, reason model.Refusal, mayRun bool) {
+func (s *sim) ended(id simID, reason model.Refusal, mayRun bool, needed int) {
 	r := s.requests[id]
 	if r.ran && !mayRun {
 		s.false++
@@ -244,10 +260,31 @@
 		return
 	}
 	r.stream.whole++
-	s.needed += s.shards
+	s.needed += needed
 	r.stream.took = append(r.stream.took, took)
 }
 
+// total is the number of shards of a version.
+func (s *sim) total(v model.Version) int {
+	if s.splitFrom > 0 && v >= s.splitFrom {
+		return s.shards + 2
+	}
+	return s.shards
+}
+
+// holdings is what an upstream reports.
+func (s *sim) holdings(u *simUpstream) []model.Holding {
+	var holdings []model.Holding
+	for _, v := range u.versions {
+		h := model.Holding{Index: "pairing", Version: v, Shards: s.total(v), Holds: []int{u.shard}}
+		if extra := s.shards + u.shard; extra < h.Shards {
+			h.Holds = append(h.Holds, extra)
+		}
+		holdings = append(holdings, h)
+	}
+	return holdings
+}
+
 func (s *sim) load(u *simUpstream) model.Load {
 	return model.Load{Inflight: u.running, Queued: len(u.queued), Slots: s.slots}
 }
@@ -259,6 +296,8 @@
 	case w.ended:
 	case u.down:
 		s.after(simTrip, func() { s.fail(w, model.FailedRefused, model.RanNo) })
+	case !slices.Contains(u.versions, w.send.Version):
+		s.after(simTrip, func() { s.fail(w, model.FailedVersion, model.RanNo) })
 	case u.running < s.slots:
 		s.start(w)
 	case len(u.queued) < simQueueLimit:
@@ -292,8 +331,8 @@
 			w.ended = true
 			delete(s.attempts, w.key)
 			s.reduce(w.key.vm, event.Answered{
-				Attempt: w.key.id, Version: 1, Shards: s.shards, Shard: w.send.Shard, Load: &load,
-				Items: []model.Item{{ID: strconv.Itoa(w.send.Shard)}},
+				Attempt: w.key.id, Version: w.send.Version, Shards: s.total(w.send.Version), Shard: w.send.Shard, Load: &load,
+				Items: []model.Item{{ID: strconv.FormatUint(uint64(w.send.Version), 10)}},
 			})
 		})
 	})
--- a/core/node/world_test.go
+++ b/core/node/world_test.go
@@ -27,6 +27,9 @@
 	if f := flag.Lookup("rapid.seed"); f.Value.String() == f.DefValue {
 		_ = flag.Set("rapid.seed", "20260101")
 	}
+	if f := flag.Lookup("rapid.checks"); f.Value.String() == f.DefValue {
+		_ = flag.Set("rapid.checks", "1000")
+	}
 	_ = flag.Set("rapid.nofailfile", "true")
 	os.Exit(m.Run())
 }
@@ -35,24 +38,25 @@
 // actions deliver events in any order; execute checks every effect against the
 // promises of the design.
 type world struct {
-	t         *rapid.T
-	state     node.State
-	now       time.Time
-	timers    map[event.TimerID]time.Time
-	topology  model.Topology
-	share     model.Share
-	upstreams map[model.UpstreamID]*fakeUpstream
-	flights   map[model.AttemptID]*flight
-	callers   map[model.RequestID]*fakeCaller
-	ledger    map[model.Key]*fakeClaim
-	proposals []event.Propose
-	answers   []event.Answered // delivered, to be repeated
-	probes    []model.UpstreamID
-	runs      map[model.Key]int
-	paid      map[model.Key]int
-	nextID    model.RequestID
-	draining  bool
-	drained   int
+	t          *rapid.T
+	state      node.State
+	now        time.Time
+	timers     map[event.TimerID]time.Time
+	topology   model.Topology
+	share      model.Share
+	configured map[model.UpstreamID]model.Upstream // also those removed for a time
+	upstreams  map[model.UpstreamID]*fakeUpstream
+	flights    map[model.AttemptID]*flight
+	callers    map[model.RequestID]*fakeCaller
+	ledger     map[model.Key]*fakeClaim
+	proposals  []event.Propose
+	answers    []event.Answered // delivered, to be repeated
+	probes     []model.UpstreamID
+	runs       map[model.Key]int
+	paid       map[model.Key]int
+	nextID     model.RequestID
+	draining   bool
+	drained    int
 }
 
 type fakeUpstream struct {
@@ -128,6 +132,7 @@
 			}
 		}
 	}
+	w.configured = maps.Clone(w.topology.Upstreams)
 	w.view()
 	for _, id := range w.ids() {
 		w.report(id)
@@ -211,7 +216,7 @@
 }
 
 func (w *world) send(e effect.Send) {
-	if w.upstreams[e.Upstream].leaving || w.topology.Upstreams[e.Upstream].State == model.StateDraining {
+	if u, ok := w.topology.Upstreams[e.Upstream]; !ok || w.upstreams[e.Upstream].leaving || u.State == model.StateDraining {
 		w.t.Fatalf("attempt %d was sent to upstream %s, which is leaving", e.Attempt, e.Upstream)
 	}
 	c := w.callers[e.Request]
