Cut the rate of an index later and test the parts alone

Cause: at half of the capacity the rate was cut after three sheds in a burst, and 48 of about 3,000 requests were refused.

Conclusion: bursts at half of the capacity no longer cut the rate. Close to the capacity of upstreams with two slots it is still cut too early.

--- a/core/admit/lane.go
+++ b/core/admit/lane.go
@@ -10,7 +10,7 @@
 	durationDecay = 0.1 // weight of a new duration in the average
 	baseRise      = 0.002
 	overcommit    = 2    // queries hold their sub-request slots for about half of their time
-	mostShed      = 0.01 // share of attempts shed above which the rate falls
+	mostShed      = 0.03 // share of attempts shed above which the rate falls
 	mostMissed    = 0.05 // share of queries late above which the rate falls
 	leastSeen     = 3    // sheds or misses before their share counts, since one is often bad luck
 	windowDecay   = 0.7  // weight of the windows before
--- a/core/node/profile_test.go
+++ b/core/node/profile_test.go
@@ -10,7 +10,7 @@
 // tabadul is today's shape of caseworker pairing, without faults or load.
 func tabadul(streams ...*stream) *sim {
 	return &sim{
-		vms: 17, shards: 10, slots: 3, conns: 3, capacity: 1, service: 3 * time.Millisecond, rare: 0,
+		seed: 7, vms: 17, shards: 10, slots: 3, conns: 3, capacity: 1, service: 3 * time.Millisecond, rare: 0,
 		period: 3 * time.Second, warm: time.Second, streams: streams,
 	}
 }
@@ -26,6 +26,9 @@
 		goodput := float64(st.whole) / (s.period - s.warm).Seconds()
 		t.Logf("offered %v/s: goodput %.0f/s, p50 %v, p99 %v, refusals %v p99 %v, extra %.3f, false %d",
 			rate, goodput, quantile(st.took, 0.5), quantile(st.took, 0.99), st.refused, quantile(st.refusals, 0.99), s.extra(), s.false)
+		if rate <= 1500 && len(st.refused) > 0 {
+			t.Errorf("got refusals %v at half of the capacity, want none", st.refused)
+		}
 		if rate < 5600 {
 			peak = max(peak, goodput)
 			continue
--- a/core/node/sim_test.go
+++ b/core/node/sim_test.go
@@ -20,6 +20,7 @@
 // sim runs several VMs and their upstreams in virtual time.
 type sim struct {
 	plain     bool
+	seed      uint64
 	vms       int
 	shards    int
 	slots     int
@@ -134,7 +135,7 @@
 
 func (s *sim) run() {
 	s.now = began
-	s.random = rand.New(rand.NewPCG(7, 11))
+	s.random = rand.New(rand.NewPCG(s.seed, 11))
 	s.upstreams = make(map[model.UpstreamID]*simUpstream)
 	s.requests = make(map[simID]*simRequest)
 	s.attempts = make(map[simAttempt]*simWork)
--- a/core/node/world_test.go
+++ b/core/node/world_test.go
@@ -57,6 +57,7 @@
 	nextID     model.RequestID
 	draining   bool
 	drained    int
+	demand     map[string]int // as last summed up
 }
 
 type fakeUpstream struct {
@@ -198,6 +199,9 @@
 		if p, ok := e.Body.(event.Propose); ok {
 			w.proposals = append(w.proposals, p)
 		}
+		if s, ok := e.Body.(event.Summary); ok {
+			w.demand = s.Demand
+		}
 	case effect.Reply:
 		w.reply(e.Answer)
 	case effect.Refuse:
@@ -451,7 +455,7 @@
 	}
 }
 
-// settle lets everything in flight end and checks what has to hold then.
+// settle lets everything in flight end.
 func (w *world) settle() {
 	for range 200 {
 		for _, id := range slices.Sorted(maps.Keys(w.flights)) {
@@ -471,6 +475,14 @@
 	if w.drained != 1 {
 		w.t.Fatalf("got %d reports of the end of the drain, want 1", w.drained)
 	}
+	w.checkEnd()
+}
+
+// checkEnd checks what has to hold when nothing is in flight any more.
+func (w *world) checkEnd() {
+	if len(w.demand) != 0 {
+		w.t.Fatalf("got demand %v after the last request, want none", w.demand)
+	}
 	for id, c := range w.callers {
 		if got := c.replies + c.refusals; got != 1 && !c.gone {
 			w.t.Fatalf("request %d got %d answers, want 1", id, got)
--- /dev/null
+++ b/core/route/map_test.go
@@ -0,0 +1,150 @@
+package route
+
+import (
+	"testing"
+	"time"
+
+	"comfreypulley/core/event"
+	"comfreypulley/core/model"
+)
+
+var began = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+
+// newMap has one shard with a replica in each zone.
+func newMap(zones ...model.Zone) *Map {
+	t := &model.Topology{Upstreams: make(map[model.UpstreamID]model.Upstream)}
+	share := model.Share{Conns: make(map[model.UpstreamID]int)}
+	for _, zone := range zones {
+		id := model.UpstreamID("u" + zone)
+		t.Upstreams[id] = model.Upstream{ID: id, Zone: zone, Index: "pairing", Slots: 2}
+		share.Conns[id] = 4
+	}
+	var m Map
+	m.SetTopology(t, share, zones[0])
+	for _, zone := range zones {
+		m.Report(began, up(model.UpstreamID("u"+zone)))
+	}
+	return &m
+}
+
+func up(id model.UpstreamID, versions ...model.Version) event.Reported {
+	r := event.Reported{Upstream: id, Reachable: true}
+	for _, v := range append([]model.Version{1}, versions...) {
+		r.Holdings = append(r.Holdings, model.Holding{Index: "pairing", Version: v, Shards: 1, Holds: []int{0}})
+	}
+	return r
+}
+
+func (m *Map) pick(t *testing.T, at time.Time) model.UpstreamID {
+	t.Helper()
+	c, ok := m.Pick(at, "pairing", 1, 0, nil)
+	if !ok {
+		t.Fatal("no replica can be picked")
+	}
+	return c.Upstream.ID
+}
+
+// Guards against a lost probe that takes out an upstream which still answers.
+func TestLostProbeOfAnAnsweringUpstreamIsIgnored(t *testing.T) {
+	m := newMap("a")
+	m.Due(began)
+	m.Begin("ua")
+	m.Answered(began.Add(time.Millisecond), "ua", time.Millisecond, nil, false)
+	m.Report(began.Add(time.Second), event.Reported{Upstream: "ua"})
+	if !m.Free(began.Add(time.Second), "ua") {
+		t.Error("the upstream gets no attempts, although it answered after the probe was sent")
+	}
+}
+
+// Guards against probes of dead upstreams at the rate of healthy ones, and
+// against a healthy one that is probed too seldom to see a drain within 2 s.
+func TestProbesBackOffWhileDown(t *testing.T) {
+	m := newMap("a")
+	count := func(from time.Time, answer bool) int {
+		n := 0
+		for ms := range 10_000 {
+			at := from.Add(time.Duration(ms) * time.Millisecond)
+			for _, id := range m.Due(at) {
+				n++
+				if answer {
+					m.Report(at, up(id))
+				} else {
+					m.Report(at, event.Reported{Upstream: id})
+				}
+			}
+		}
+		return n
+	}
+	if got := count(began, true); got < 10 || got > 40 {
+		t.Errorf("got %d probes of a healthy upstream in 10 s, want 10 to 40", got)
+	}
+	if got := count(began.Add(10*time.Second), false); got < 3 || got > 15 {
+		t.Errorf("got %d probes of a dead upstream in 10 s, want 3 to 15", got)
+	}
+}
+
+// Guards against a zone distance that is assumed: it follows the probes.
+func TestZoneDistanceIsLearnt(t *testing.T) {
+	m := newMap("a", "b")
+	for n := range 50 {
+		at := began.Add(time.Duration(n) * time.Second)
+		m.Due(at)
+		m.Report(at.Add(time.Millisecond), up("ua"))
+		m.Report(at.Add(4*time.Millisecond), up("ub"))
+	}
+	if got := m.distance("b"); got < 2500*time.Microsecond || got > 3500*time.Microsecond {
+		t.Errorf("got a distance of %v, want about 3 ms", got)
+	}
+	if got := m.pick(t, began.Add(time.Minute)); got != "ua" {
+		t.Errorf("got replica %s, want the one in the own zone", got)
+	}
+}
+
+// Guards against trust in an upstream that reports no load while it is slow.
+func TestReportsThatDisagreeLoseTrust(t *testing.T) {
+	m := newMap("a")
+	u := m.upstreams["ua"]
+	at := began
+	for n := range 50 {
+		at = at.Add(10 * time.Millisecond)
+		latency := 5 * time.Millisecond
+		if n > 0 {
+			latency = 80 * time.Millisecond
+		}
+		m.Begin("ua")
+		m.Answered(at, "ua", latency, &model.Load{Slots: 2}, false)
+	}
+	if got := u.trust(at); got > 0.1 {
+		t.Errorf("got trust %.2f in reports without load, want at most 0.1", got)
+	}
+}
+
+// Guards against a restarted upstream that gets its full share at once.
+func TestRestartedUpstreamStartsSlowly(t *testing.T) {
+	m := newMap("a", "b")
+	m.Failed(began, "ua", 1, 0, 0, event.Failed{Reason: model.FailedRefused})
+	m.Report(began.Add(time.Millisecond), event.Reported{Upstream: "ua"})
+	back := began.Add(time.Second)
+	m.Report(back, up("ua"))
+	if got := m.pick(t, back); got != "ub" {
+		t.Errorf("got replica %s right after the restart, want the other one", got)
+	}
+	if got := m.upstreams["ua"].limit; got != 1 {
+		t.Errorf("got a limit of %v attempts after the restart, want 1", got)
+	}
+}
+
+// Guards against a pinned version that few replicas hold yet.
+func TestPinTakesTheNewestOfTheBestCovered(t *testing.T) {
+	m := newMap("a", "b")
+	m.Report(began, up("ua", 2))
+	if v, _, _ := m.Pin(began, "pairing", 0); v != 2 {
+		t.Errorf("got version %d, want 2, which covers as much", v)
+	}
+	m.Report(began, event.Reported{Upstream: "ua", Reachable: true, Holdings: []model.Holding{
+		{Index: "pairing", Version: 1, Shards: 1, Holds: []int{0}}, {Index: "pairing", Version: 3, Shards: 2, Holds: []int{0}},
+	}})
+	if v, _, _ := m.Pin(began, "pairing", 0); v != 1 {
+		t.Errorf("got version %d, want 1, since half of version 3 is missing", v)
+	}
+}
