Find out in constant time whether tenants contend for an index

Cause: every ticket looked at every tenant of its index, so a fleet with many contracts paid for all of them at each request.

Change: a lane remembers the two tenants that asked last.

--- a/core/admit/gate.go
+++ b/core/admit/gate.go
@@ -116,7 +116,7 @@
 	t := g.tenants[ticket.Customer]
 	l := g.lane(ticket.Index)
 	f := l.flow(t)
-	f.asked = at
+	l.ask(at, f)
 	if l.inflight > 0 && at.Add(l.typical()).After(ticket.Deadline) {
 		return Late
 	}
--- a/core/admit/lane.go
+++ b/core/admit/lane.go
@@ -46,9 +46,17 @@
 	flows    []*flow       // by tenant, in the order of their first ticket
 	virtual  float64       // start tag of the last ticket served
 	queued   int
+	last     asker // latest tenant that asked
+	before   asker // latest one other than that
 	window   window
 }
 
+// asker is a tenant and when it last asked.
+type asker struct {
+	flow *flow
+	at   time.Time
+}
+
 // window is what happened since the last adjustment.
 type window struct {
 	since     time.Time
@@ -67,7 +75,6 @@
 	queue  queue
 	finish float64 // finish tag of the last ticket served
 	used   int     // sub-requests in flight
-	asked  time.Time
 	tokens float64 // of the tenant's capacity share
 	filled time.Time
 }
@@ -97,14 +104,24 @@
 	return l.inflight == 0 || l.slots == 0 || l.used+cost <= overcommit*l.slots
 }
 
+// ask notes that a tenant wants the lane.
+func (l *lane) ask(at time.Time, f *flow) {
+	if l.last.flow != f {
+		l.before = l.last
+	}
+	l.last = asker{flow: f, at: at}
+}
+
 // contended reports whether another tenant than the flow's wants the lane.
 func (l *lane) contended(at time.Time, f *flow) bool {
-	for _, other := range l.flows {
-		if other != f && (other.queue.len() > 0 || !other.asked.IsZero() && at.Sub(other.asked) < activeFor) {
-			return true
-		}
+	if l.queued > f.queue.len() {
+		return true
+	}
+	other := l.last
+	if other.flow == f {
+		other = l.before
 	}
-	return false
+	return other.flow != nil && at.Sub(other.at) < activeFor
 }
 
 // flowRate is the rate of a flow in its fair turn, 0 when nothing limits it.
