Let stand-ins answer from a wrong version or shard

Cause: removing the check of an answer's version and shard from core/query made no test fail, since no stand-in ever answered wrongly.

Change: the setting wrong is the share of answers from the next version or shard, stated as such. A second test switches all upstreams to a new version at once, while queries run.

--- a/io/check/promise_test.go
+++ b/io/check/promise_test.go
@@ -41,10 +41,11 @@
 }
 
 // Guards against answers that mix versions, or that count shards of one version
-// against the total of another, while the index rolls and is repartitioned.
+// against the total of another, while the index rolls and is repartitioned and
+// upstreams now and then answer from another version or shard than asked.
 func TestSingleSnapshotWhileVersionsChange(t *testing.T) {
 	t.Parallel()
-	w := newWorld(t, layout{shards: 3, replicas: 2, vms: 2, coverage: 0.3})
+	w := newWorld(t, layout{shards: 3, replicas: 2, vms: 2, coverage: 0.3, upstream: []string{"--wrong", "0.02"}})
 	b := w.begin(&bench.Load{
 		Rate: 100, Period: 4 * time.Second, Seed: 1, Callers: []bench.Caller{{Wait: time.Second, Bodies: 20}},
 	})
@@ -76,6 +77,50 @@
 	}
 }
 
+// Guards against a query that keeps answers of a version that disappears while
+// it runs, when it starts again at another version.
+func TestSingleSnapshotWhenAVersionDisappears(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, layout{
+		shards: 3, replicas: 2, vms: 2, coverage: 0.3, upstream: []string{"--service", "30ms", "--spread", "1", "--slots", "20"},
+	})
+	b := w.begin(&bench.Load{
+		Rate: 60, Period: 4 * time.Second, Seed: 11, Callers: []bench.Caller{{Wait: time.Second, Bodies: 20}},
+	})
+	for version := 2; !closed(b.ended); version++ {
+		for _, u := range w.upstreams {
+			w.control(u, fmt.Sprintf(`{"holds":[{"index":%q,"version":%d,"shards":3,"holds":[%d]}]}`, index, version, u.shard))
+		}
+		// Longer than a query, so that many answers are whole as well.
+		<-time.After(600 * time.Millisecond)
+	}
+	results := b.wait()
+	report := w.check(results)
+	if over := w.overtaken(results); report.Whole == 0 || over == 0 {
+		t.Errorf("%d answers whole, %d of queries that had run at an older version; want some of each", report.Whole, over)
+	}
+}
+
+// overtaken counts the answered queries that had finished runs at another
+// version than that of their answer.
+func (w *world) overtaken(results []bench.Result) (n int) {
+	w.t.Helper()
+	snapshots := make(map[string]uint64)
+	for _, r := range results {
+		if last := r.Last(); last.Status == http.StatusOK {
+			snapshots[fmt.Sprintf("%s-%d", last.Origin, last.Answer.Request)] = last.Answer.Snapshot
+		}
+	}
+	for _, log := range w.logs() {
+		for _, run := range log.Runs {
+			if snapshot, ok := snapshots[run.Request]; ok && run.Version != snapshot && run.End == "finished" {
+				n++
+			}
+		}
+	}
+	return n
+}
+
 // Guards against an answer that claims shards whose upstreams are dead.
 func TestTrueCoverageWithDeadUpstreams(t *testing.T) {
 	t.Parallel()
--- a/io/cmds/upstream.go
+++ b/io/cmds/upstream.go
@@ -32,6 +32,7 @@
 	Slow     float64       `default:"1" help:"Factor on every service time."`
 	Rare     float64       `default:"0" help:"Share of requests that take rare-by times as long."`
 	RareBy   float64       `default:"10" help:"Factor on rare requests."`
+	Wrong    float64       `default:"0" help:"Share of answers from another version or shard than asked."`
 	Cold     time.Duration `default:"0s" help:"Cold time after a start."`
 	Warm     time.Duration `default:"0s" help:"Slower time after the cold time."`
 	WarmBy   float64       `default:"4" help:"Factor on service times when the warm time begins."`
@@ -49,7 +50,7 @@
 	}
 	cfg := stub.Config{ID: c.Name, Seed: c.Seed, Log: c.Log, Settings: stub.Settings{
 		State: c.State, Slots: c.Slots, Queue: c.Queue, Conns: c.Conns, Dial: c.Dial, Service: c.Service, Spread: c.Spread,
-		Slow: c.Slow, Rare: c.Rare, RareBy: c.RareBy, Cold: c.Cold, Warm: c.Warm, WarmBy: c.WarmBy, Restart: c.Restart, Lag: c.Lag,
+		Slow: c.Slow, Rare: c.Rare, RareBy: c.RareBy, Wrong: c.Wrong, Cold: c.Cold, Warm: c.Warm, WarmBy: c.WarmBy, Restart: c.Restart, Lag: c.Lag,
 	}}
 	for _, text := range c.Hold {
 		h, err := stub.ParseHolding(text)
--- a/io/stub/config.go
+++ b/io/stub/config.go
@@ -34,6 +34,7 @@
 	Slow    float64       // factor on every service time; 0 means 1
 	Rare    float64       // share of requests that take RareBy times as long
 	RareBy  float64
+	Wrong   float64       // share of answers from another version or shard than asked, and stated as such
 	Cold    time.Duration // after a start, requests get 503 cold
 	Warm    time.Duration // after the cold time, requests take WarmBy times as long, falling to 1
 	WarmBy  float64
@@ -67,8 +68,8 @@
 		return fmt.Errorf("needs slots of at least 1, queue and conns of at least 0, not %d, %d and %d", s.Slots, s.Queue, s.Conns)
 	case s.Spread < 0 || s.Slow < 0 || s.RareBy < 0 || s.WarmBy < 0:
 		return fmt.Errorf("spread, slow, rareby and warmby must not be negative: %v, %v, %v, %v", s.Spread, s.Slow, s.RareBy, s.WarmBy)
-	case !(s.Rare >= 0 && s.Rare <= 1):
-		return fmt.Errorf("rare must be a share between 0 and 1, not %v", s.Rare)
+	case !(s.Rare >= 0 && s.Rare <= 1) || !(s.Wrong >= 0 && s.Wrong <= 1):
+		return fmt.Errorf("rare and wrong must be shares between 0 and 1, not %v and %v", s.Rare, s.Wrong)
 	}
 	for _, h := range s.Holds {
 		if h.Index == "" || h.Shards < 1 || slices.ContainsFunc(h.Shard, func(n int) bool { return n < 0 || n >= h.Shards }) {
--- a/io/stub/control.go
+++ b/io/stub/control.go
@@ -24,6 +24,7 @@
 	Slow    float64   `json:"slow"`
 	Rare    float64   `json:"rare"`
 	RareBy  float64   `json:"rareby"`
+	Wrong   float64   `json:"wrong"`
 	Cold    span.Span `json:"cold"`
 	Warm    span.Span `json:"warm"`
 	WarmBy  float64   `json:"warmby"`
@@ -36,7 +37,7 @@
 func bodyOf(s Settings) controlBody {
 	return controlBody{
 		State: s.State, Slots: s.Slots, Queue: s.Queue, Conns: s.Conns, Dial: span.Span(s.Dial), Service: span.Span(s.Service),
-		Spread: s.Spread, Slow: s.Slow, Rare: s.Rare, RareBy: s.RareBy, Cold: span.Span(s.Cold), Warm: span.Span(s.Warm),
+		Spread: s.Spread, Slow: s.Slow, Rare: s.Rare, RareBy: s.RareBy, Wrong: s.Wrong, Cold: span.Span(s.Cold), Warm: span.Span(s.Warm),
 		WarmBy: s.WarmBy, Restart: span.Span(s.Restart), Lag: span.Span(s.Lag), Lie: s.Lie, Holds: s.Holds,
 	}
 }
@@ -44,7 +45,7 @@
 func (b *controlBody) settings() Settings {
 	return Settings{
 		State: b.State, Slots: b.Slots, Queue: b.Queue, Conns: b.Conns, Dial: time.Duration(b.Dial), Service: time.Duration(b.Service),
-		Spread: b.Spread, Slow: b.Slow, Rare: b.Rare, RareBy: b.RareBy, Cold: time.Duration(b.Cold), Warm: time.Duration(b.Warm),
+		Spread: b.Spread, Slow: b.Slow, Rare: b.Rare, RareBy: b.RareBy, Wrong: b.Wrong, Cold: time.Duration(b.Cold), Warm: time.Duration(b.Warm),
 		WarmBy: b.WarmBy, Restart: time.Duration(b.Restart), Lag: time.Duration(b.Lag), Lie: b.Lie, Holds: b.Holds,
 	}
 }
--- a/io/stub/shard.go
+++ b/io/stub/shard.go
@@ -89,10 +89,25 @@
 		sleep(r.Context(), distanceOf(r.Context()))
 		w.Header().Set("Ran", "yes")
 		s.setLoad(w)
-		writeJSON(w, answer{
-			Version: sub.version, Shards: h.Shards, Shard: sub.shard,
-			Items: Content(sub.index, sub.version, h.Shards, sub.shard, sub.query),
-		})
+		writeJSON(w, s.answer(set, sub, h))
+	}
+}
+
+// answer returns the answer to a request, or a wrong one now and then.
+func (s *Stub) answer(set *Settings, sub subrequest, h Holding) answer {
+	version, shard := sub.version, sub.shard
+	s.mu.Lock()
+	draw := s.random.Float64()
+	s.mu.Unlock()
+	switch {
+	case draw >= set.Wrong:
+	case draw < set.Wrong/2:
+		version++
+	default:
+		shard = (shard + 1) % h.Shards
+	}
+	return answer{
+		Version: version, Shards: h.Shards, Shard: shard, Items: Content(sub.index, version, h.Shards, shard, sub.query),
 	}
 }
 
