Make each goroutine of the tools a method of its owner

Cause: the proxy's two directions and the scatter loop started goroutines as other methods or function literals.

Change: io/fault has a reader and a writer with a loop each, io/bench an inquiry with run.

--- a/io/bench/closed.go
+++ b/io/bench/closed.go
@@ -28,21 +28,21 @@
 	began := time.Now()
 	var wg sync.WaitGroup
 	for n := range c.Workers {
-		w := &worker{closed: c, n: n}
-		wg.Go(func() { w.loop(ctx) })
+		wg.Go((&worker{closed: c, ctx: ctx, n: n}).loop)
 	}
 	wg.Wait()
 	return throughput(c.queries.Load(), c.failed.Load(), time.Since(began), int(c.shards.Load())), nil
 }
 
-// worker sends one query after the other.
+// worker sends one query after the other until ctx ends.
 type worker struct {
 	closed *Closed
+	ctx    context.Context
 	n      int
 }
 
-func (w *worker) loop(ctx context.Context) {
-	l := w.closed.Load
+func (w *worker) loop() {
+	ctx, l := w.ctx, w.closed.Load
 	for ctx.Err() == nil {
 		w.n++
 		caller := &l.Callers[0]
--- a/io/bench/scatter.go
+++ b/io/bench/scatter.go
@@ -51,8 +51,7 @@
 	began := time.Now()
 	var wg sync.WaitGroup
 	for range s.Workers {
-		w := &scatterer{scatter: s}
-		wg.Go(func() { w.loop(ctx) })
+		wg.Go((&scatterer{scatter: s, ctx: ctx}).loop)
 	}
 	wg.Wait()
 	return throughput(s.queries.Load(), s.failed.Load(), time.Since(began), len(s.Upstreams)), nil
@@ -63,29 +62,37 @@
 	return &Throughput{Queries: int(queries), Failed: int(failed), PerSecond: rate, Subrequests: rate * float64(shards)}
 }
 
-// scatterer sends one query after the other.
+// scatterer sends one query after the other until ctx ends.
 type scatterer struct {
 	scatter *Scatter
+	ctx     context.Context
 	n       int
 }
 
-func (w *scatterer) loop(ctx context.Context) {
+func (w *scatterer) loop() {
 	s := w.scatter
-	for ctx.Err() == nil {
+	for w.ctx.Err() == nil {
 		w.n++
 		var wg sync.WaitGroup
 		for shard := range s.Upstreams {
-			wg.Go(func() { s.ask(ctx, shard, w.n) })
+			wg.Go((&inquiry{scatterer: *w, shard: shard}).run)
 		}
 		wg.Wait()
-		if ctx.Err() == nil {
+		if w.ctx.Err() == nil {
 			s.queries.Add(1)
 		}
 	}
 }
 
-// ask sends one sub-request and decodes its answer.
-func (s *Scatter) ask(ctx context.Context, shard, n int) {
+// inquiry is one sub-request.
+type inquiry struct {
+	scatterer
+	shard int
+}
+
+// run sends the sub-request and decodes its answer.
+func (q *inquiry) run() {
+	s, ctx, shard, n := q.scatter, q.ctx, q.shard, q.n
 	url := fmt.Sprintf("http://%s/v1/shard/%s/%d/%d", s.Upstreams[shard], s.Index, s.Version, shard)
 	r, err := http.NewRequestWithContext(ctx, http.MethodPost, url, bytes.NewReader(fmt.Appendf(nil, `{"n":%d}`, n)))
 	if err != nil {
--- a/io/fault/link.go
+++ b/io/fault/link.go
@@ -27,14 +27,11 @@
 		return
 	}
 	var wg sync.WaitGroup
-	for _, pump := range []*pump{
-		{link: l, from: l.client, to: l.target, direction: up},
-		{link: l, from: l.target, to: l.client, direction: down},
-	} {
-		pump.queue = make(chan delivery, queued)
-		wg.Go(pump.readLoop)
-		wg.Go(pump.writeLoop)
-	}
+	ups, downs := make(chan delivery, queued), make(chan delivery, queued)
+	wg.Go((&reader{link: l, from: l.client, queue: ups}).loop)
+	wg.Go((&writer{link: l, to: l.target, direction: up, queue: ups}).loop)
+	wg.Go((&reader{link: l, from: l.target, queue: downs}).loop)
+	wg.Go((&writer{link: l, to: l.client, direction: down, queue: downs}).loop)
 	wg.Wait()
 }
 
