Let stand-ins lie about their state

Cause: health reports mislead too, and a stand-in could only lie about its load.

Change: a lie has a state next to the load, and the upstream subcommand has flags for both. Goroutines of the tests are methods of their owners.

Conclusion: lag and lie cover load and health.

--- a/io/cmds/upstream.go
+++ b/io/cmds/upstream.go
@@ -38,6 +38,8 @@
 	WarmBy   float64       `default:"4" help:"Factor on service times when the warm time begins."`
 	Restart  time.Duration `default:"0s" help:"Time from a crash to the next start; 0 means never."`
 	Lag      time.Duration `default:"0s" help:"Age of the loads and reports it gives."`
+	Lie      []int         `help:"Load it gives instead of the true one: in flight, queued and slots."`
+	LieState string        `help:"State it reports instead of the true one."`
 	Log      string        `help:"File that the run log is appended to."`
 	Seed     uint64        `default:"1" help:"Seed of its random source."`
 }
@@ -52,6 +54,9 @@
 		State: c.State, Slots: c.Slots, Queue: c.Queue, Conns: c.Conns, Dial: c.Dial, Service: c.Service, Spread: c.Spread,
 		Slow: c.Slow, Rare: c.Rare, RareBy: c.RareBy, Wrong: c.Wrong, Cold: c.Cold, Warm: c.Warm, WarmBy: c.WarmBy, Restart: c.Restart, Lag: c.Lag,
 	}}
+	if cfg.Settings.Lie, err = c.lie(); err != nil {
+		return err
+	}
 	for _, text := range c.Hold {
 		h, err := stub.ParseHolding(text)
 		if err != nil {
@@ -81,6 +86,17 @@
 	return group.Run()
 }
 
+// lie returns what the stand-in reports whatever is true, nil for the truth.
+func (c *upstreamCommand) lie() (*stub.Lie, error) {
+	switch {
+	case len(c.Lie) == 0 && c.LieState == "":
+		return nil, nil
+	case len(c.Lie) != 3:
+		return nil, fmt.Errorf("lie needs three numbers, in flight, queued and slots, not %v", c.Lie)
+	}
+	return &stub.Lie{Load: stub.Load{Inflight: c.Lie[0], Queued: c.Lie[1], Slots: c.Lie[2]}, State: c.LieState}, nil
+}
+
 // addControl serves a handler on an address of its own and logs the address
 // under a name.
 func addControl(group *run.Group, text string, handler http.Handler, s *scope, name string) error {
--- a/io/fault/proxy_test.go
+++ b/io/fault/proxy_test.go
@@ -47,6 +47,27 @@
 	}
 }
 
+// running is a proxy that forwards.
+type running struct {
+	proxy *Proxy
+	ended chan error
+}
+
+func (r *running) run() {
+	r.ended <- r.proxy.Run()
+}
+
+// sender writes bytes while its test reads them back.
+type sender struct {
+	conn  net.Conn
+	bytes []byte
+}
+
+func (s *sender) run() {
+	// The test sees a failed write as missing bytes.
+	_, _ = s.conn.Write(s.bytes)
+}
+
 func start(t *testing.T) (*Proxy, *echo) {
 	t.Helper()
 	any4 := netip.MustParseAddrPort("127.0.0.1:0")
@@ -60,11 +81,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	ended := make(chan error, 1)
-	go func() { ended <- p.Run() }()
+	r := &running{proxy: p, ended: make(chan error, 1)}
+	go r.run()
 	t.Cleanup(func() {
 		p.Close()
-		if err := <-ended; err != nil {
+		if err := <-r.ended; err != nil {
 			t.Errorf("Run: %v", err)
 		}
 		_ = l.Close()
@@ -99,7 +120,7 @@
 	set(t, p, Rules{Skew: time.Millisecond, Up: flow, Down: flow})
 	c := connect(t, p)
 	want := bytes.Repeat([]byte("0123456789abcdef"), 2000)
-	go func() { _, _ = c.Write(want) }()
+	go (&sender{conn: c, bytes: want}).run()
 	got := make([]byte, len(want))
 	if _, err := io.ReadFull(c, got); err != nil {
 		t.Fatal(err)
--- a/io/stub/config.go
+++ b/io/stub/config.go
@@ -40,7 +40,7 @@
 	WarmBy  float64
 	Restart time.Duration // from a crash to the next start; 0 means never
 	Lag     time.Duration // age of the loads and reports it gives
-	Lie     *Load         // given instead of the true load
+	Lie     *Lie          // given instead of the true load and state
 	Holds   []Holding
 }
 
@@ -51,6 +51,12 @@
 	Slots    int `json:"slots"`
 }
 
+// Lie is what a stand-in reports whatever is true.
+type Lie struct {
+	Load
+	State string `json:"state"` // empty gives the true state in reports
+}
+
 // Holding is a version with the shards that the stand-in has.
 type Holding struct {
 	Index   string `json:"index"`
--- a/io/stub/control.go
+++ b/io/stub/control.go
@@ -30,7 +30,7 @@
 	WarmBy  float64   `json:"warmby"`
 	Restart span.Span `json:"restart"`
 	Lag     span.Span `json:"lag"`
-	Lie     *Load     `json:"lie"`
+	Lie     *Lie      `json:"lie"`
 	Holds   []Holding `json:"holds"`
 }
 
--- a/io/stub/report.go
+++ b/io/stub/report.go
@@ -1,6 +1,7 @@
 package stub
 
 import (
+	"cmp"
 	"fmt"
 	"net/http"
 	"sync"
@@ -57,6 +58,7 @@
 	})
 	if set.Lie != nil {
 		r.Inflight, r.Queued, r.Slots = set.Lie.Inflight, set.Lie.Queued, set.Lie.Slots
+		r.State = cmp.Or(set.Lie.State, r.State)
 	}
 	return r
 }
--- a/io/stub/stub_test.go
+++ b/io/stub/stub_test.go
@@ -18,6 +18,28 @@
 
 const patience = 20 * time.Second // for events that always come
 
+// running is a host that serves.
+type running struct {
+	host  *Host
+	ended chan error
+}
+
+func (r *running) run() {
+	r.ended <- r.host.Run()
+}
+
+// asker sends one shard request.
+type asker struct {
+	ctx   context.Context
+	host  *Host
+	ended chan error
+}
+
+func (a *asker) run() {
+	_, err := ask(a.ctx, a.host, "/v1/shard/i/1/0", "{}")
+	a.ended <- err
+}
+
 func start(t *testing.T, cfg Config) (*Stub, *Host) {
 	t.Helper()
 	if cfg.Settings.Holds == nil {
@@ -31,11 +53,11 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	ended := make(chan error, 1)
-	go func() { ended <- h.Run() }()
+	r := &running{host: h, ended: make(chan error, 1)}
+	go r.run()
 	t.Cleanup(func() {
 		h.Close()
-		if err := <-ended; err != nil {
+		if err := <-r.ended; err != nil {
 			t.Errorf("Run: %v", err)
 		}
 	})
@@ -119,10 +141,7 @@
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan error, 2)
 	for range 2 {
-		go func() {
-			_, err := ask(ctx, h, "/v1/shard/i/1/0", "{}")
-			ended <- err
-		}()
+		go (&asker{ctx: ctx, host: h, ended: ended}).run()
 	}
 	eventually(t, "one running and one queued", func() bool {
 		load := s.slots.load(s.settings.Load())
@@ -224,18 +243,18 @@
 	if got := s.report(begin.Add(2 * time.Second)).State; got != StateDrained {
 		t.Errorf("state is %q after the lag, want drained", got)
 	}
-	if err := s.Change(func(next *Settings) { next.Lie = &Load{Inflight: 7, Slots: 9} }); err != nil {
+	if err := s.Change(func(next *Settings) { next.Lie = &Lie{Load: Load{Inflight: 7, Slots: 9}, State: StateCold} }); err != nil {
 		t.Fatal(err)
 	}
-	if got := s.report(begin); got.Inflight != 7 || got.Slots != 9 {
-		t.Errorf("report is %+v, want the lie 7 of 9", got)
+	if got := s.report(begin); got.Inflight != 7 || got.Slots != 9 || got.State != StateCold {
+		t.Errorf("report is %+v, want the lie 7 of 9 and cold", got)
 	}
 }
 
 // Guards against control bodies that are half applied or that reset what they
 // leave out.
 func TestControlBodies(t *testing.T) {
-	s, _ := start(t, Config{Settings: Settings{Slots: 3, Queue: 5, Service: time.Millisecond, Lie: &Load{Slots: 1}}})
+	s, _ := start(t, Config{Settings: Settings{Slots: 3, Queue: 5, Service: time.Millisecond, Lie: &Lie{Load: Load{Slots: 1}}}})
 	before, _ := json.Marshal(bodyOf(s.Settings()))
 	for _, text := range []string{
 		``, `[]`, `{"slot":1}`, `{"slots":0}`, `{"queue":7,"state":"gone"}`, `{"rare":2}`, `{"service":"fast"}`, `{"cold":"-1s"}`,
