Test that connection caps are kept

Cause: servers cap their connections, and nothing compared the caps with the connections that reach a stand-in.

Change: io/check loads three VMs on upstreams with a cap of 6 while a replica is cold and returns; a stand-in counts the connections that it resets above its cap.

--- a/io/check/input_test.go
+++ b/io/check/input_test.go
@@ -181,6 +181,7 @@
 		{"upstream --hold pairing/1/2/5", 1, []string{"pairing", "outside"}},
 		{"upstream --hold pairing/1/1/0 --listen here", 1, []string{"listen"}},
 		{"upstream --hold pairing/1/1/0 --rare 2", 1, []string{"rare"}},
+		{"upstream --hold pairing/1/1/0 --lie 1,2", 1, []string{"lie"}},
 		{"fault --target nowhere", 1, []string{"target"}},
 		{"fault --target 127.0.0.1:1 --pieces=-1", 1, []string{"pieces"}},
 		{"load --target here --index pairing", 1, []string{"target"}},
--- a/io/check/promise_test.go
+++ b/io/check/promise_test.go
@@ -298,3 +298,25 @@
 		t.Errorf("%d of %d answers whole after the restart, want all", report.Whole, report.Queries)
 	}
 }
+
+// Guards against VMs that together open more connections than an upstream
+// accepts, while a replica comes and goes.
+func TestConnectionCapIsKept(t *testing.T) {
+	t.Parallel()
+	w := newWorld(t, layout{shards: 2, replicas: 2, vms: 3, conns: 6, coverage: 1, upstream: []string{"--service", "10ms"}})
+	callers := []bench.Caller{{Wait: time.Second, Bodies: 20}}
+	first := w.load(&bench.Load{Rate: 300, Period: time.Second, Seed: 12, Callers: callers})
+	w.control(w.upstreams[0], `{"state":"cold"}`)
+	second := w.load(&bench.Load{Rate: 300, Period: time.Second, Seed: 13, Callers: callers})
+	w.control(w.upstreams[0], `{"state":"active"}`)
+	third := w.load(&bench.Load{Rate: 300, Period: time.Second, Seed: 14, Callers: callers})
+	w.idle()
+	if report := w.check(slices.Concat(first, second, third)); report.Whole == 0 {
+		t.Error("no answer is whole, so the connections were not in use")
+	}
+	for _, u := range w.upstreams {
+		if n := w.log(u).Refused; n > 0 {
+			t.Errorf("%s reset %d connections above its cap of %d, want none", u.id, n, w.layout.conns)
+		}
+	}
+}
--- a/io/check/world_test.go
+++ b/io/check/world_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"context"
 	"crypto/sha256"
 	"encoding/json"
@@ -31,6 +32,7 @@
 type layout struct {
 	shards, replicas, vms int
 	concurrency           int      // of the contract; 0 means 300
+	conns                 int      // connection cap of each upstream; 0 means 65
 	coverage              float64  // least coverage of its classes
 	upstream              []string // flags of all upstreams
 	proxied               bool     // VMs reach the upstreams through fault proxies
@@ -74,6 +76,8 @@
 // ready.
 func newWorld(t *testing.T, l layout) *world {
 	t.Helper()
+	l.conns = cmp.Or(l.conns, 65)
+	l.concurrency = cmp.Or(l.concurrency, 300)
 	w := &world{t: t, dir: t.TempDir(), number: int(worlds.Add(1)), layout: l}
 	for shard := range l.shards {
 		for replica := range l.replicas {
@@ -112,7 +116,7 @@
 	args := append([]string{
 		"upstream", "--name", u.id, "--control", "127.0.0.1:0", "--log", u.runs,
 		"--hold", stub.Holding{Index: index, Version: 1, Shards: w.layout.shards, Shard: []int{shard}}.String(),
-		"--seed", strconv.Itoa(shard*w.layout.replicas + replica + 1),
+		"--conns", strconv.Itoa(w.layout.conns), "--seed", strconv.Itoa(shard*w.layout.replicas + replica + 1),
 	}, w.layout.upstream...)
 	u.process = startProcess(w.t, u.id, args...)
 	u.addr, u.control = u.process.addr("serving"), u.process.addr("control")
@@ -141,12 +145,8 @@
 
 func (w *world) fleet() string {
 	var b strings.Builder
-	concurrency := w.layout.concurrency
-	if concurrency == 0 {
-		concurrency = 300
-	}
 	fmt.Fprintf(&b, "[contract %s]\ncredential = %x\nindexes = %s\n", customer, sha256.Sum256([]byte(secret)), index)
-	fmt.Fprintf(&b, "concurrency = %d\ncapacity = 1\nextra = 0.1\nretention = 1h\n\n", concurrency)
+	fmt.Fprintf(&b, "concurrency = %d\ncapacity = 1\nextra = 0.1\nretention = 1h\n\n", w.layout.concurrency)
 	for i, wait := range []string{"50ms", "1s", "30s"} {
 		fmt.Fprintf(&b, "[class %s c%d]\nwait = %s\nprice = %d\nweight = 1\ncoverage = %v\n\n", customer, i, wait, 9-i, w.layout.coverage)
 	}
@@ -154,7 +154,7 @@
 		fmt.Fprintf(&b, "[vm %s]\nzone = %s\npeer = %v\ndisk = %s\n\n", v.id, zoneOf(n), v.peer, map[bool]string{true: "yes", false: "no"}[n < disks])
 	}
 	for i, u := range w.upstreams {
-		fmt.Fprintf(&b, "[upstream %s]\nzone = %s\naddr = %v\nindex = %s\nslots = 3\nconns = 65\ndial = 1ms\n\n", u.id, zoneOf(i), u.addr, index)
+		fmt.Fprintf(&b, "[upstream %s]\nzone = %s\naddr = %v\nindex = %s\nslots = 3\nconns = %d\ndial = 1ms\n\n", u.id, zoneOf(i), u.addr, index, w.layout.conns)
 	}
 	return b.String()
 }
