--- a/io/demo/demo.go
+++ b/io/demo/demo.go
@@ -75,17 +75,23 @@
 	period  time.Duration
 }
 
+// profile is a scenario and the shortest load that it can be judged by.
+type profile struct {
+	scenario
+	least time.Duration
+}
+
 // profiles are the scenarios by name.
-var profiles = map[string]scenario{
-	"confirm":   confirm{},
-	"crash":     crash{},
-	"flood":     flood{},
-	"overload":  overload{},
-	"replica":   replica{},
-	"steady":    steady{},
-	"straggler": straggler{},
-	"versions":  versions{},
-	"zone":      zone{},
+var profiles = map[string]profile{
+	"confirm":   {confirm{}, 2 * confirmEvery},
+	"crash":     {crash{}, 0},
+	"flood":     {flood{}, 0},
+	"overload":  {overload{}, 0},
+	"replica":   {replica{}, 2 * afterFault},
+	"steady":    {steady{}, 0},
+	"straggler": {straggler{}, 0},
+	"versions":  {versions{}, 8 * overlap},
+	"zone":      {zone{}, 4 * afterFault},
 }
 
 // Profiles lists the names of the profiles.
@@ -109,6 +115,9 @@
 	if !ok {
 		return nil, fmt.Errorf("profile %q is not one of %v", d.Profile, Profiles())
 	}
+	if d.Period < s.least {
+		return nil, fmt.Errorf("profile %s needs a load of at least %v, not %v", d.Profile, s.least, d.Period)
+	}
 	l, err := readLike(d.Examples, d.Like, d.VMs)
 	if err != nil {
 		return nil, err
--- a/io/demo/demo_test.go
+++ b/io/demo/demo_test.go
@@ -140,3 +140,12 @@
 	}
 	return false
 }
+
+// Guards against a target that is judged by no query at all.
+func TestShortLoadIsRefused(t *testing.T) {
+	logger := &log.Logger{Handler: discard.New(), Level: log.ErrorLevel}
+	d := &Demo{Examples: os.DirFS(examples), Like: "kilimo", Profile: "zone", Period: 3 * afterFault, Seed: 1, VMs: 1, Logger: logger}
+	if result, err := d.Run(t.Context()); err == nil {
+		t.Errorf("a load of %v was judged: %+v", d.Period, result.Targets)
+	}
+}
