--- a/core/quorum/world_test.go
+++ b/core/quorum/world_test.go
@@ -47,7 +47,8 @@
 	leaders map[uint64]entry.Replica
 	history []entry.Entry // committed, by index-1
 	disks   model.DiskID
-	narrow  bool // fewer VMs were wanted at some time
+	early   map[model.VMID]bool // first voters that lost a disk before the first commit
+	narrow  bool                // fewer VMs were wanted at some time
 	notes   []effect.Note
 }
 
@@ -74,7 +75,7 @@
 func newWorld(t rapid.TB, seed uint64, size, voters int) *world {
 	w := &world{
 		t: t, random: rand.New(rand.NewPCG(seed, 0)), now: start,
-		cut: make(map[model.VMID]bool), leaders: make(map[uint64]entry.Replica),
+		cut: make(map[model.VMID]bool), early: make(map[model.VMID]bool), leaders: make(map[uint64]entry.Replica),
 	}
 	for i := range size {
 		w.nodes = append(w.nodes, &node{vm: model.VMID(fmt.Sprintf("vm%d", i))})
@@ -299,6 +300,13 @@
 // replaceable reports whether losing one more disk leaves every set of members
 // that may be in force its majority.
 func (w *world) replaceable(lost *node) bool {
+	if len(w.history) == 0 && lost != nil && slices.Contains(w.first, lost.vm) {
+		// Votes for the first leader, which name the disks, may be under way.
+		w.early[lost.vm] = true
+		if len(w.early) > (len(w.first)-1)/2 {
+			return false
+		}
+	}
 	gone := func(r entry.Replica) bool {
 		for _, n := range w.nodes {
 			if n.vm == r.VM {
--- a/io/codec/doc.go
+++ b/io/codec/doc.go
@@ -12,7 +12,7 @@
 //
 // Structs are maps by field name: a field may be added, and an older or newer
 // process skips it or reads it as zero. A field must not be renamed, or used
-// again for something else. A claim takes 138 bytes, and 74 with structs as arrays,
-// but msgpack refuses an array with another number of fields. Times lose their location and monotonic
-// part; they are decoded in UTC.
+// again for something else. A claim takes 138 bytes, and 74 with structs as
+// arrays, but msgpack refuses an array with another number of fields. Times lose
+// their location and monotonic part; they are decoded in UTC.
 package codec
