Keep the ports of test worlds apart

Cause: the callers' port of one world was the peer port of another once a world has more than ten VMs.

Change: each VM of a test world has consecutive ports of its own.

Conclusion: worlds of up to 32 VMs do not meet each other.

--- a/io/check/world_test.go
+++ b/io/check/world_test.go
@@ -86,7 +86,7 @@
 	}
 	for n := range l.vms {
 		w.vms = append(w.vms, &vm{
-			id: fmt.Sprintf("vm%d", n+1), caller: w.address(n, 8080), peer: w.address(n, 7400), admin: w.address(n, 7401),
+			id: fmt.Sprintf("vm%d", n+1), caller: w.address(n, callerPort), peer: w.address(n, peerPort), admin: w.address(n, adminPort),
 			settings: filepath.Join(w.dir, fmt.Sprintf("vm%d.ini", n+1)),
 		})
 	}
@@ -101,13 +101,25 @@
 	return w
 }
 
+// Ports of a VM, from its first one.
+const (
+	callerPort = iota
+	peerPort
+	adminPort
+	portsPerVM
+)
+
+const (
+	firstPort   = 10_000 // ports up to the ephemeral range, which begins at 32768, fit 236 worlds
+	vmsPerWorld = 32
+)
+
 // address is a loopback address of this test process and world. Two processes
 // have different ids and so different addresses.
 func (w *world) address(vm, port int) netip.AddrPort {
 	pid := os.Getpid()
 	ip := netip.AddrFrom4([4]byte{127, byte(1 + pid>>16%126), byte(pid >> 8), byte(pid)})
-	// At most 32 VMs a world; ports stay below the ephemeral range.
-	return netip.AddrPortFrom(ip, uint16(port+32*w.number*4+vm*4))
+	return netip.AddrPortFrom(ip, uint16(firstPort+(w.number*vmsPerWorld+vm)*portsPerVM+port))
 }
 
 func (w *world) addUpstream(shard, replica int) {
