--- a/io/serve/traffic.go
+++ b/io/serve/traffic.go
@@ -1,6 +1,8 @@
 package serve
 
 import (
+	"github.com/apex/log"
+
 	"comfreypulley/core/effect"
 	"comfreypulley/io/caller"
 	"comfreypulley/io/dialer"
@@ -15,6 +17,8 @@
 	caller   *caller.Server
 	counters *Counters
 	usage    *Usage
+	logger   log.Interface
+	verbose  bool // log each refusal
 	drained  chan struct{}
 }
 
@@ -33,6 +37,13 @@
 		t.caller.Reply(e)
 	case effect.Refuse:
 		t.caller.Refuse(e)
+		if !t.verbose {
+			return
+		}
+		t.logger.WithFields(log.Fields{
+			"request": uint64(e.Rejection.Request), "reason": string(e.Rejection.Reason),
+			"detail": e.Rejection.Detail, "ran": e.Rejection.Ran.String(),
+		}).Info("refused")
 	case effect.Ready:
 		t.caller.SetReady(e)
 	case effect.Count:
--- a/io/serve/vm.go
+++ b/io/serve/vm.go
@@ -122,7 +122,8 @@
 	vm.caller = &caller.Server{Origin: origin}
 	for range vm.settings.Loops {
 		t := &traffic{
-			control: vm.control, caller: vm.caller, counters: vm.counters, usage: vm.usage, drained: make(chan struct{}),
+			control: vm.control, caller: vm.caller, counters: vm.counters, usage: vm.usage, logger: vm.logger,
+			verbose: vm.settings.Verbose, drained: make(chan struct{}),
 		}
 		t.loop = loop.New(t)
 		t.dialer = &dialer.Dialer{Post: t.loop.Post, Origin: origin}
