Test how attempts end at the dialer

Cause: whether a request ran is decided by the dialer, which had no test.

Change: a test with loopback servers that crash, refuse, shed and hang.

Conclusion: a crash and a cancelled attempt that was read are reported as unknown, a refused connection and a shed attempt as not run.

--- /dev/null
+++ b/io/dialer/dialer_test.go
@@ -0,0 +1,82 @@
+package dialer
+
+import (
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"net/netip"
+	"testing"
+	"time"
+
+	"comfreypulley/core/effect"
+	"comfreypulley/core/event"
+	"comfreypulley/core/model"
+)
+
+// attempt sends one attempt to a server and returns its end. It cancels the
+// attempt when the server has read it and sends on read.
+func attempt(t *testing.T, addr netip.AddrPort, read <-chan struct{}) event.Body {
+	t.Helper()
+	ends := make(chan event.Body, 1)
+	d := &Dialer{Post: func(b event.Body) { ends <- b }, Origin: "vm0"}
+	defer d.Close()
+	d.Limit(effect.Limit{Upstream: "u1", Addr: addr, Conns: 1})
+	d.Send(effect.Send{Attempt: 1, Upstream: "u1", Addr: addr, Index: "pairing", Version: 1, Body: []byte("q"), Timeout: 10 * time.Second})
+	select {
+	case end := <-ends:
+		return end
+	case <-read:
+		d.Cancel(effect.Cancel{Attempt: 1})
+		return <-ends
+	}
+}
+
+func serve(t *testing.T, handler http.HandlerFunc) netip.AddrPort {
+	t.Helper()
+	s := httptest.NewServer(handler)
+	t.Cleanup(s.Close)
+	return s.Listener.Addr().(*net.TCPAddr).AddrPort()
+}
+
+// Guards against a crash that passes for a refusal, and against "not run" for an
+// attempt that the upstream read before its connection broke.
+func TestEndsOfAttempts(t *testing.T) {
+	crash := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+		conn, _, err := http.NewResponseController(w).Hijack()
+		if err == nil {
+			_ = conn.Close()
+		}
+	})
+	busy := serve(t, func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Ran", "no")
+		w.Header().Set("Retry-After", "0.5")
+		w.WriteHeader(http.StatusTooManyRequests)
+	})
+	read := make(chan struct{}, 1)
+	hang := serve(t, func(_ http.ResponseWriter, r *http.Request) {
+		_, _ = io.Copy(io.Discard, r.Body)
+		read <- struct{}{}
+		<-r.Context().Done()
+	})
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	closed := l.Addr().(*net.TCPAddr).AddrPort()
+	_ = l.Close()
+	for name, c := range map[string]struct {
+		addr netip.AddrPort
+		read chan struct{}
+		want event.Failed
+	}{
+		"crash":  {crash, nil, event.Failed{Attempt: 1, Reason: model.FailedReset, Ran: model.RanUnknown, Fresh: true}},
+		"closed": {closed, nil, event.Failed{Attempt: 1, Reason: model.FailedRefused, Ran: model.RanNo}},
+		"busy":   {busy, nil, event.Failed{Attempt: 1, Reason: model.FailedShed, Ran: model.RanNo, After: 500 * time.Millisecond, Fresh: true}},
+		"hang":   {hang, read, event.Failed{Attempt: 1, Reason: model.FailedCancelled, Ran: model.RanUnknown, Fresh: true}},
+	} {
+		if got := attempt(t, c.addr, c.read); got != c.want {
+			t.Errorf("%s: got %+v, want %+v", name, got, c.want)
+		}
+	}
+}
