Share strikes against crashing requests between VMs

Cause: the traffic states emitted event.Struck, but control only handed it to the loops of its own process. A request sent again through 20 VMs was unknown to each of them, so each VM made it a canary of its own and let it crash up to two upstreams. Canaries, the count of crashed and restarted upstreams and the checker were right.

Change: core/plane tells strikes to all VMs of its zone and to one VM of each other zone, which passes them on in its zone, so that the cost follows the size of a zone. The property test drives 1 to 9 VMs with control and traffic states; io/check has a test with five processes.

--- a/core/frame/frame.go
+++ b/core/frame/frame.go
@@ -192,6 +192,7 @@
 	Fingerprint model.Fingerprint
 	Upstreams   []model.UpstreamID
 	Quarantine  time.Duration // remaining, 0 when not quarantined
+	Pass        bool          // the receiver tells the other VMs of its zone
 }
 
 // Kind returns KindVote.
--- a/core/node/bridge.go
+++ b/core/node/bridge.go
@@ -21,8 +21,7 @@
 		return s.control.Propose(at, body, out)
 	case event.Struck:
 		if s.role == event.RoleControl {
-			// Every traffic state of the process shares the strikes of the others.
-			return append(out, effect.ToTraffic{Loop: effect.AllLoops, Body: body})
+			return s.control.Struck(at, body, out)
 		}
 		return s.traffic.Struck(at, body, out)
 	default:
--- a/core/node/crash_test.go
+++ b/core/node/crash_test.go
@@ -2,27 +2,36 @@
 
 import (
 	"cmp"
+	"fmt"
 	"maps"
+	"math/rand/v2"
 	"slices"
 	"testing"
 	"time"
 
+	"pgregory.net/rapid"
+
 	"comfreypulley/core/effect"
 	"comfreypulley/core/event"
 	"comfreypulley/core/model"
+	"comfreypulley/core/node"
 )
 
-// fleet is several VMs in front of the same upstreams. A strike reaches the
-// other VMs after shareTime.
+// fleet is several VMs in front of the same upstreams, each with a control and
+// a traffic state. A message between VMs takes at most hopTime and may come
+// twice.
 type fleet struct {
-	now     time.Time
-	vms     []*fixture
-	timers  []map[event.TimerID]time.Time
-	due     []delivery
-	crashed map[model.UpstreamID]time.Time
-	refused []model.Rejection
-	replies int
-	crashIn time.Duration // from the start of an attempt
+	random   *rand.Rand
+	now      time.Time
+	vms      []*fixture
+	controls []node.State
+	timers   []map[event.TimerID]time.Time
+	due      []delivery
+	crashed  map[model.UpstreamID]time.Time
+	crashes  int
+	messages int // between VMs
+	refused  []model.Rejection
+	crashIn  time.Duration // from the start of an attempt
 }
 
 // delivery is an event on its way to a VM.
@@ -34,19 +43,54 @@
 }
 
 const (
-	shareTime = 40 * time.Millisecond
-	downTime  = 2 * time.Second
+	hopTime  = 40 * time.Millisecond
+	downTime = 2 * time.Second
 )
 
-func newFleet(vms int, crashIn time.Duration) *fleet {
-	w := &fleet{now: began, crashed: make(map[model.UpstreamID]time.Time), crashIn: crashIn}
-	for range vms {
+func newFleet(seed uint64, vms, zones int, crashIn time.Duration) *fleet {
+	w := &fleet{
+		random: rand.New(rand.NewPCG(seed, 0)), now: began, crashIn: crashIn,
+		crashed: make(map[model.UpstreamID]time.Time), controls: make([]node.State, vms),
+	}
+	topology := &model.Topology{VMs: make(map[model.VMID]model.VM)}
+	for n := range vms {
+		vm := model.VM{ID: vmID(n), Zone: model.Zone(rune('a' + n%zones))}
+		topology.VMs[vm.ID] = vm
+	}
+	for n := range vms {
 		w.vms = append(w.vms, newFixture())
 		w.timers = append(w.timers, make(map[event.TimerID]time.Time))
+		w.control(n, event.Start{Role: event.RoleControl, VM: topology.VMs[vmID(n)], Loops: 1, Genesis: topology})
 	}
 	return w
 }
 
+func vmID(n int) model.VMID { return model.VMID(fmt.Sprintf("vm%02d", n)) }
+
+// control feeds the control state of a VM and carries its messages.
+func (w *fleet) control(vm int, body event.Body) {
+	for _, e := range w.controls[vm].Reduce(event.Event{At: w.now, Body: body}, nil) {
+		switch e := e.(type) {
+		case effect.Tell:
+			w.messages++
+			var to int
+			if _, err := fmt.Sscanf(string(e.To), "vm%d", &to); err != nil {
+				panic(err)
+			}
+			for range 1 + w.random.IntN(2) {
+				w.due = append(w.due, delivery{
+					at: w.now.Add(time.Duration(w.random.Int64N(int64(hopTime)))), vm: to,
+					body: event.Peer{From: vmID(vm), Message: e.Message},
+				})
+			}
+		case effect.ToTraffic:
+			if s, ok := e.Body.(event.Struck); ok {
+				w.reduce(vm, s)
+			}
+		}
+	}
+}
+
 func (w *fleet) reduce(vm int, body event.Body) {
 	f := w.vms[vm]
 	f.now = w.now
@@ -65,15 +109,9 @@
 			}}}
 			w.due = append(w.due, delivery{at: w.now.Add(time.Millisecond), vm: vm, body: r})
 		case effect.ToControl:
-			if s, ok := e.Body.(event.Struck); ok {
-				for other := range w.vms {
-					w.due = append(w.due, delivery{at: w.now.Add(shareTime), vm: other, body: s})
-				}
-			}
+			w.control(vm, e.Body)
 		case effect.Refuse:
 			w.refused = append(w.refused, e.Rejection)
-		case effect.Reply:
-			w.replies++
 		}
 	}
 }
@@ -88,6 +126,10 @@
 		}
 		d := w.due[i]
 		w.due = slices.Delete(w.due, i, i+1)
+		if _, ok := d.body.(event.Peer); ok {
+			w.control(d.vm, d.body)
+			continue
+		}
 		if d.send == nil {
 			w.reduce(d.vm, d.body)
 			continue
@@ -95,6 +137,7 @@
 		end := event.Failed{Attempt: d.send.Attempt, Reason: model.FailedRefused, Ran: model.RanNo}
 		if w.now.Sub(w.crashed[d.send.Upstream]) >= downTime {
 			w.crashed[d.send.Upstream] = w.now
+			w.crashes++
 			end.Reason, end.Ran = model.FailedReset, model.RanUnknown
 		}
 		w.reduce(d.vm, end)
@@ -113,13 +156,19 @@
 	}
 }
 
-// Guards against a request that crashes one upstream after another: it is sent
-// again through the next VM each time it is refused.
+// Guards against a request that crashes one upstream after another, or one
+// upstream after each of its restarts: it is sent again through the next VM
+// each time it is refused. Also guards against strikes that reach only the VM
+// that found them, and against messages that grow with the resends.
 func TestCrashingRequestCrashesTwoUpstreamsAtMost(t *testing.T) {
-	for _, crashIn := range []time.Duration{time.Millisecond, 4 * time.Millisecond, 60 * time.Millisecond} {
-		w := newFleet(4, crashIn)
+	rapid.Check(t, func(t *rapid.T) {
+		vms := rapid.IntRange(1, 9).Draw(t, "vms")
+		zones := rapid.IntRange(1, 4).Draw(t, "zones")
+		crashIn := time.Duration(rapid.IntRange(1, 99).Draw(t, "crash in ms")) * time.Millisecond
+		w := newFleet(rapid.Uint64().Draw(t, "seed"), vms, zones, crashIn)
+		gap := rapid.IntRange(1, 100).Draw(t, "gap ms")
 		for n := range 20 {
-			w.reduce(n%4, w.vms[0].newRequest(model.RequestID(n+1)))
+			w.reduce(n%vms, w.vms[0].newRequest(model.RequestID(n+1)))
 			for range 300 {
 				if len(w.refused) > n {
 					break
@@ -127,16 +176,23 @@
 				w.step()
 			}
 			if len(w.refused) != n+1 {
-				t.Fatalf("crash after %v: got %d refusals of %d requests", crashIn, len(w.refused), n+1)
+				t.Fatalf("got %d refusals of %d requests", len(w.refused), n+1)
+			}
+			for range gap {
+				w.step()
 			}
 		}
-		if got := len(w.crashed); got > 2 {
-			t.Errorf("crash after %v: got %d upstreams crashed, want at most 2", crashIn, got)
+		if w.crashes > 2 {
+			t.Errorf("got %d crashes, want at most 2", w.crashes)
 		}
-		if last := w.refused[19]; last.Reason != model.RefusedQuarantine || last.Ran != model.RanNo {
-			t.Errorf("crash after %v: got last refusal %+v, want a quarantine, ran: no", crashIn, last)
+		if last := w.refused[19]; w.crashes == 2 && (last.Reason != model.RefusedQuarantine || last.Ran != model.RanNo) {
+			t.Errorf("got last refusal %+v, want a quarantine, ran: no", last)
 		}
-	}
+		// Each of two strikes is told once to every other VM.
+		if most := 2 * (vms - 1); w.messages > most {
+			t.Errorf("got %d messages, want at most %d", w.messages, most)
+		}
+	})
 }
 
 // Guards against the quarantine of innocent requests when a zone is cut off:
--- a/core/plane/control.go
+++ b/core/plane/control.go
@@ -41,6 +41,7 @@
 	lead       Standing               // as last seen
 	platform   event.Platform
 	wanted     model.Revision
+	strikes    strikes
 	draining   bool
 	stale      bool // left the log before everything on its disk was applied; waits for the tree
 }
--- a/core/plane/peer.go
+++ b/core/plane/peer.go
@@ -36,6 +36,8 @@
 		out = c.peerMember(at, p.From, m, out)
 	case frame.Ask, frame.Grant:
 		out = c.peerLease(at, p.From, m, out)
+	case frame.Strike:
+		out = c.peerStrike(at, p.From, m, out)
 	default:
 		return out
 	}
--- a/io/check/promise_test.go
+++ b/io/check/promise_test.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"comfreypulley/io/bench"
+	"comfreypulley/io/stub"
 )
 
 // longWait is for requests that must all be answered, however busy the machine.
@@ -320,3 +321,41 @@
 		}
 	}
 }
+
+// Guards against a request that crashes every upstream that runs it and is sent
+// again through one VM after another: VMs must share what they find, in their
+// zone and beyond it, and refuse it once it crashed two upstreams.
+func TestCrashingRequestCrashesTwoUpstreamsAtMost(t *testing.T) {
+	t.Parallel()
+	const resends = 20
+	w := newWorld(t, layout{shards: 2, replicas: 3, vms: 5, coverage: 1, upstream: []string{"--restart", "500ms"}})
+	results := w.load(&bench.Load{
+		Rate: 50, Period: 3 * time.Second, Seed: 15, Callers: []bench.Caller{
+			{Name: "quiet", Wait: longWait, Bodies: 20},
+			{Name: "killer", Wait: time.Second, Once: time.Second, Crash: true, Resends: resends},
+		},
+	})
+	w.idle()
+	w.check(results)
+	crashed := 0
+	for _, log := range w.logs() {
+		for _, run := range log.Runs {
+			if run.End == stub.EndCrashed {
+				crashed++
+			}
+		}
+	}
+	if crashed != 2 {
+		t.Errorf("%d runs crashed their upstream, want 2: one does not tell a crashing request from its upstream's fault", crashed)
+	}
+	for _, r := range results {
+		last := r.Last()
+		switch {
+		case r.Caller.Name == "quiet" && last.Status != http.StatusOK:
+			t.Errorf("a harmless query was refused as %s", last.Answer.Reason)
+		case r.Caller.Name == "killer" && (len(r.Tries) != resends+1 || last.Answer.Reason != "quarantine" || last.Answer.Ran != "no"):
+			t.Errorf("the crashing request ended after %d sends as %q, ran %q; want %d sends and a quarantine, ran: no",
+				len(r.Tries), last.Answer.Reason, last.Answer.Ran, resends+1)
+		}
+	}
+}
--- a/io/peer/codec_test.go
+++ b/io/peer/codec_test.go
@@ -73,7 +73,7 @@
 		frame.Probe{N: 1, Target: "vm1"}, frame.Probed{N: 1, Target: "vm1", Alive: true},
 		frame.Ask{N: 1, Start: at, Revision: 2, Demand: map[string]int{"c": 1}},
 		frame.Grant{N: 1, Shares: map[string]int{"c": 1}, Length: time.Second},
-		frame.Strike{Fingerprint: 3, Upstreams: []model.UpstreamID{"u"}, Quarantine: time.Second},
+		frame.Strike{Fingerprint: 3, Upstreams: []model.UpstreamID{"u"}, Quarantine: time.Second, Pass: true},
 	)
 }
 
