Wait for a free port when a stand-in restarts

Cause: a demo ended with "bind: address already in use" when an outgoing connection of the machine had taken the port of a stand-in that was down for its restart.

Change: the stand-in tries again every 20 ms until the port is free.

Conclusion: the new test fails without the change.

--- a/io/stub/host.go
+++ b/io/stub/host.go
@@ -8,10 +8,14 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"syscall"
 	"time"
 )
 
-const headerTimeout = 5 * time.Second
+const (
+	headerTimeout = 5 * time.Second
+	reopenAfter   = 20 * time.Millisecond // from a restart that found a port in use to the next
+)
 
 // Door is one address of a Host. Callers of different availability zones use
 // different doors, so that each has its own distance.
@@ -83,22 +87,35 @@
 		if err := h.serve(); err != nil {
 			return err
 		}
-		restart := h.stub.Settings().Restart
-		if restart == 0 {
-			<-h.closed
-			return nil
+		if up, err := h.restart(); !up {
+			return err
 		}
-		timer := time.NewTimer(restart)
+	}
+}
+
+// restart opens the doors again after a crash. It reports false when the
+// stand-in stays down until Close.
+func (h *Host) restart() (up bool, err error) {
+	pause := h.stub.Settings().Restart
+	if pause == 0 {
+		<-h.closed
+		return false, nil
+	}
+	timer := time.NewTimer(pause)
+	defer timer.Stop()
+	for {
 		select {
 		case <-h.closed:
-			timer.Stop()
-			return nil
+			return false, nil
 		case <-timer.C:
 		}
 		h.stub.start(time.Now())
-		if err := h.open(); err != nil {
-			return err
+		// An outgoing connection of this machine may have taken the port
+		// meanwhile. It is free again when that connection ends.
+		if err := h.open(); !errors.Is(err, syscall.EADDRINUSE) {
+			return err == nil, err
 		}
+		timer.Reset(reopenAfter)
 	}
 }
 
--- a/io/stub/stub_test.go
+++ b/io/stub/stub_test.go
@@ -192,6 +192,34 @@
 	}
 }
 
+// Guards against a stand-in that ends, and its demo with it, when a connection
+// has taken its port while it was down.
+func TestRestartWaitsForItsPort(t *testing.T) {
+	s, h := start(t, Config{Settings: Settings{Restart: 200 * time.Millisecond}})
+	answers := func() bool {
+		r, err := ask(t.Context(), h, "/v1/shard/i/1/0", "{}")
+		return err == nil && r.status == http.StatusOK
+	}
+	var taken net.Listener
+	eventually(t, "the port is taken before the restart", func() (ok bool) {
+		s.Crash()
+		var err error
+		taken, err = net.Listen("tcp", h.Addr(0).String())
+		return err == nil
+	})
+	// The second restart begins after the first one has found the port in use.
+	for range 2 {
+		began := time.Now()
+		eventually(t, "a restart that finds the port in use", func() bool {
+			s.mu.Lock()
+			defer s.mu.Unlock()
+			return s.started.After(began)
+		})
+	}
+	taken.Close()
+	eventually(t, "an answer after the restart", answers)
+}
+
 // Guards against a cap that refuses connections below it or accepts them above.
 func TestConnectionCap(t *testing.T) {
 	s, h := start(t, Config{Settings: Settings{Conns: 2}})
