Tell connections apart by their source

Cause: a proxy in front of a VM or an upstream could not tell which zone a connection comes from, so tests could not separate zones on one machine. The tests of the proxy compare rules with reflect.DeepEqual, since rules now have a list. Conclusion: connections of one source can be cut while others pass.

--- a/io/dialer/dialer.go
+++ b/io/dialer/dialer.go
@@ -24,7 +24,8 @@
 // Dialer carries out attempts and probes. Post and Origin are set before use.
 type Dialer struct {
 	Post   func(event.Body)
-	Origin string // prefix that makes request ids unique across VMs and restarts
+	Origin string     // prefix that makes request ids unique across VMs and restarts
+	Source netip.Addr // address that connections are dialled from; the system chooses when it is zero or unspecified
 
 	mu        sync.Mutex
 	upstreams map[model.UpstreamID]*client
@@ -58,12 +59,15 @@
 		delete(d.upstreams, l.Upstream)
 	}
 	if l.Conns > 0 {
-		d.upstreams[l.Upstream] = &client{transport: newTransport(l.Conns), conns: l.Conns, addr: l.Addr}
+		d.upstreams[l.Upstream] = &client{transport: d.newTransport(l.Conns), conns: l.Conns, addr: l.Addr}
 	}
 }
 
-func newTransport(conns int) *http.Transport {
+func (d *Dialer) newTransport(conns int) *http.Transport {
 	dial := net.Dialer{Timeout: dialTimeout}
+	if d.Source.IsValid() && !d.Source.IsUnspecified() {
+		dial.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(d.Source, 0))
+	}
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
 			conn, err := dial.DialContext(ctx, network, addr)
--- a/io/dialer/dialer_test.go
+++ b/io/dialer/dialer_test.go
@@ -122,3 +122,26 @@
 		t.Errorf("got reason %s, want %s", got, want)
 	}
 }
+
+// Guards against connections that a network before the upstreams cannot tell
+// apart by their source.
+func TestConnectionsComeFromTheSource(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	events := make(chan event.Body, 1)
+	d := &dialer.Dialer{Post: func(body event.Body) { events <- body }, Source: netip.MustParseAddr("127.0.2.7")}
+	t.Cleanup(d.Close)
+	d.Limit(effect.Limit{Upstream: "u", Addr: addrOf(l), Conns: 1})
+	d.Send(send(1, addrOf(l)))
+	conn, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer conn.Close()
+	if got, want := conn.RemoteAddr().(*net.TCPAddr).AddrPort().Addr(), d.Source; got != want {
+		t.Errorf("connected from %v, want %v", got, want)
+	}
+}
--- a/io/fault/control.go
+++ b/io/fault/control.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"fmt"
 	"net/http"
+	"net/netip"
 	"time"
 
 	"comfreypulley/io/span"
@@ -16,6 +17,15 @@
 	Skew   span.Span `json:"skew"`
 	Up     flowBody  `json:"up"`
 	Down   flowBody  `json:"down"`
+
+	Sources []sourceBody `json:"sources,omitempty"`
+}
+
+type sourceBody struct {
+	From  netip.Prefix `json:"from"`
+	Cut   bool         `json:"cut"`
+	Stall bool         `json:"stall"`
+	Delay span.Span    `json:"delay"`
 }
 
 type flowBody struct {
@@ -28,7 +38,11 @@
 }
 
 func bodyOf(r Rules) rulesBody {
-	return rulesBody{Cut: r.Cut, Refuse: r.Refuse, Skew: span.Span(r.Skew), Up: flowBodyOf(r.Up), Down: flowBodyOf(r.Down)}
+	b := rulesBody{Cut: r.Cut, Refuse: r.Refuse, Skew: span.Span(r.Skew), Up: flowBodyOf(r.Up), Down: flowBodyOf(r.Down)}
+	for _, s := range r.Sources {
+		b.Sources = append(b.Sources, sourceBody{From: s.From, Cut: s.Cut, Stall: s.Stall, Delay: span.Span(s.Delay)})
+	}
+	return b
 }
 
 func flowBodyOf(f Flow) flowBody {
@@ -38,7 +52,11 @@
 }
 
 func (b *rulesBody) rules() Rules {
-	return Rules{Cut: b.Cut, Refuse: b.Refuse, Skew: time.Duration(b.Skew), Up: b.Up.flow(), Down: b.Down.flow()}
+	r := Rules{Cut: b.Cut, Refuse: b.Refuse, Skew: time.Duration(b.Skew), Up: b.Up.flow(), Down: b.Down.flow()}
+	for _, s := range b.Sources {
+		r.Sources = append(r.Sources, Source{From: s.From, Cut: s.Cut, Stall: s.Stall, Delay: time.Duration(s.Delay)})
+	}
+	return r
 }
 
 func (b *flowBody) flow() Flow {
--- a/io/fault/doc.go
+++ b/io/fault/doc.go
@@ -8,6 +8,7 @@
 //	go p.Run() // until p.Close()
 //	p.Set(fault.Rules{Cut: true}) // a partition
 //	p.Set(fault.Rules{Down: fault.Flow{Delay: time.Second, Pieces: 5}})
+//	p.Set(fault.Rules{Sources: []fault.Source{{From: prefix, Cut: true}}}) // from one zone
 //	p.Reset() // resets the open connections
 //
 // Up is the direction from the client to the target, down the other one. Times
--- a/io/fault/link.go
+++ b/io/fault/link.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"net"
+	"net/netip"
 	"sync"
 	"time"
 )
@@ -11,6 +12,7 @@
 type link struct {
 	proxy  *Proxy
 	client *net.TCPConn
+	source netip.Addr
 	skew   time.Duration
 	broken chan struct{} // closed by reset
 
@@ -79,6 +81,7 @@
 func (l *link) await(met func(*Rules) bool) bool {
 	for {
 		rules, changed := l.proxy.current()
+		rules = rules.from(l.source)
 		if met(&rules) {
 			return true
 		}
--- a/io/fault/proxy.go
+++ b/io/fault/proxy.go
@@ -99,7 +99,8 @@
 func (p *Proxy) accept(client *net.TCPConn) {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	l := &link{proxy: p, client: client, broken: make(chan struct{})}
+	source := client.RemoteAddr().(*net.TCPAddr).AddrPort().Addr().Unmap()
+	l := &link{proxy: p, client: client, source: source, broken: make(chan struct{})}
 	if p.closed || p.rules.Refuse {
 		l.reset()
 		return
--- a/io/fault/proxy_test.go
+++ b/io/fault/proxy_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
+	"reflect"
 	"strings"
 	"sync/atomic"
 	"testing"
@@ -95,7 +96,13 @@
 
 func connect(t *testing.T, p *Proxy) net.Conn {
 	t.Helper()
-	c, err := net.Dial("tcp", p.Addr().String())
+	return connectFrom(t, p, "127.0.0.1")
+}
+
+func connectFrom(t *testing.T, p *Proxy, source string) net.Conn {
+	t.Helper()
+	d := net.Dialer{LocalAddr: &net.TCPAddr{IP: net.ParseIP(source)}}
+	c, err := d.Dial("tcp", p.Addr().String())
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -158,6 +165,34 @@
 	}
 }
 
+// Guards against rules of one source that reach the connections of another, or
+// that are not lifted for the bytes that wait.
+func TestSourceRulesHoldForTheirSourceOnly(t *testing.T) {
+	p, e := start(t)
+	cut, stalled, free := connectFrom(t, p, "127.0.1.1"), connectFrom(t, p, "127.0.2.1"), connectFrom(t, p, "127.0.3.1")
+	for _, c := range []net.Conn{cut, stalled, free} {
+		exchange(t, c, "one")
+	}
+	set(t, p, Rules{Sources: []Source{
+		{From: netip.MustParsePrefix("127.0.1.0/24"), Cut: true},
+		{From: netip.MustParsePrefix("127.0.2.0/24"), Stall: true, Delay: time.Millisecond},
+	}})
+	later := connectFrom(t, p, "127.0.1.2")
+	for _, c := range []net.Conn{cut, stalled, later} {
+		if _, err := c.Write([]byte("two")); err != nil {
+			t.Fatal(err)
+		}
+	}
+	exchange(t, free, "two")
+	if got := e.read.Load(); got != 12 {
+		t.Errorf("target read %d bytes, want the 9 from before the rules and the 3 of the free source", got)
+	}
+	set(t, p, Rules{})
+	for _, c := range []net.Conn{cut, stalled, later} {
+		expect(t, c, "two")
+	}
+}
+
 func exchange(t *testing.T, c net.Conn, text string) {
 	t.Helper()
 	if _, err := c.Write([]byte(text)); err != nil {
@@ -225,20 +260,23 @@
 func TestControlRefusesBadRules(t *testing.T) {
 	p, _ := start(t)
 	control := &Control{Proxy: p}
-	for _, body := range []string{`{`, `{"cuts":true}`, `{"up":{"delay":"fast"}}`, `{"up":{"delay":"-1s"}}`, `{"down":{"pieces":-1}}`} {
+	for _, body := range []string{`{`, `{"cuts":true}`, `{"up":{"delay":"fast"}}`, `{"up":{"delay":"-1s"}}`, `{"down":{"pieces":-1}}`, `{"sources":[{"cut":true}]}`, `{"sources":[{"from":"127.0.0.0/40"}]}`} {
 		w := httptest.NewRecorder()
 		control.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/v1/rules", strings.NewReader(body)))
 		if w.Code != http.StatusBadRequest {
 			t.Errorf("rules %s: status %d, want 400", body, w.Code)
 		}
 	}
-	if got := p.Rules(); got != (Rules{}) {
+	if got := p.Rules(); !reflect.DeepEqual(got, Rules{}) {
 		t.Errorf("rules are %+v after bad ones, want none", got)
 	}
 	w := httptest.NewRecorder()
-	control.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/v1/rules", strings.NewReader(`{"cut":true,"down":{"delay":"5ms"}}`)))
-	want := Rules{Cut: true, Down: Flow{Delay: 5 * time.Millisecond}}
-	if got := p.Rules(); got != want {
+	control.ServeHTTP(w, httptest.NewRequest(http.MethodPost, "/v1/rules", strings.NewReader(`{"cut":true,"down":{"delay":"5ms"},"sources":[{"from":"127.0.2.0/24","cut":true,"delay":"1ms"}]}`)))
+	want := Rules{
+		Cut: true, Down: Flow{Delay: 5 * time.Millisecond},
+		Sources: []Source{{From: netip.MustParsePrefix("127.0.2.0/24"), Cut: true, Delay: time.Millisecond}},
+	}
+	if got := p.Rules(); !reflect.DeepEqual(got, want) {
 		t.Errorf("rules are %+v, want %+v", got, want)
 	}
 }
--- a/io/fault/rules.go
+++ b/io/fault/rules.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"net/netip"
 	"time"
 )
 
@@ -15,6 +16,17 @@
 	Skew   time.Duration // each connection is late by a time of its own, below Skew
 	Up     Flow
 	Down   Flow
+
+	Sources []Source // further faults of connections from some sources
+}
+
+// Source is what happens to the connections whose source address is in a prefix.
+// It comes on top of the other rules.
+type Source struct {
+	From  netip.Prefix
+	Cut   bool          // partition
+	Stall bool          // bytes of both directions wait until it is lifted
+	Delay time.Duration // added to every byte of both directions
 }
 
 // Flow is what happens to the bytes of one direction.
@@ -37,9 +49,29 @@
 			return fmt.Errorf("pieces must be between 0 and %d, not %d", maxPieces, f.Pieces)
 		}
 	}
+	for _, s := range r.Sources {
+		if !s.From.IsValid() || s.Delay < 0 {
+			return fmt.Errorf("source must have a prefix and a delay that is not negative: %v, %v", s.From, s.Delay)
+		}
+	}
 	return nil
 }
 
+// from returns the rules for connections from an address.
+func (r Rules) from(addr netip.Addr) Rules {
+	for _, s := range r.Sources {
+		if !s.From.Contains(addr) {
+			continue
+		}
+		r.Cut = r.Cut || s.Cut
+		for _, f := range []*Flow{&r.Up, &r.Down} {
+			f.Stall = f.Stall || s.Stall
+			f.Delay += s.Delay
+		}
+	}
+	return r
+}
+
 // direction selects a flow of the rules.
 type direction int
 
--- a/io/fault/writer.go
+++ b/io/fault/writer.go
@@ -67,6 +67,6 @@
 }
 
 func (w *writer) flow() Flow {
-	rules := w.link.proxy.Rules()
+	rules := w.link.proxy.Rules().from(w.link.source)
 	return rules.flow(w.direction)
 }
--- a/io/peer/transport.go
+++ b/io/peer/transport.go
@@ -173,7 +173,7 @@
 	if err != nil {
 		return nil, err
 	}
-	d := net.Dialer{Control: limitUnacknowledged}
+	d := net.Dialer{Control: limitUnacknowledged, LocalAddr: t.source()}
 	conn, err := d.DialContext(ctx, "tcp", addr.String())
 	if err != nil {
 		return nil, err
@@ -189,6 +189,17 @@
 	return secured, nil
 }
 
+// source returns the address that connections are dialled from: the IP on which
+// this VM listens, so that the network can tell by it which VM dials. It is nil
+// when the VM listens on all addresses.
+func (t *Transport) source() net.Addr {
+	ip := t.Self.Peer.Addr()
+	if !ip.IsValid() || ip.IsUnspecified() {
+		return nil
+	}
+	return net.TCPAddrFromAddrPort(netip.AddrPortFrom(ip, 0))
+}
+
 // secure returns the configuration of TLS, nil for plain TCP. Keys that are set
 // but not loaded are an error, so that they never lead to plain connections.
 func (t *Transport) secure() (*tls.Config, error) {
--- a/io/peer/transport_test.go
+++ b/io/peer/transport_test.go
@@ -210,3 +210,26 @@
 	cert := write("cert.pem", "CERTIFICATE", der)
 	return Keys{Authority: cert, Certificate: cert, Key: write("key.pem", "EC PRIVATE KEY", private)}
 }
+
+// Guards against connections that a network between the VMs cannot tell apart
+// by their source.
+func TestTransportDialsFromItsListenAddress(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer l.Close()
+	for listen, want := range map[string]string{"127.0.2.7:7400": "127.0.2.7", "0.0.0.0:7400": "127.0.0.1"} {
+		a := newSide(t, "a", Keys{})
+		a.Self.Peer = netip.MustParseAddrPort(listen)
+		a.Tell(effect.Tell{To: "b", Addr: l.Addr().(*net.TCPAddr).AddrPort(), Message: frame.Ping{N: 1}})
+		conn, err := l.Accept()
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		if got := conn.RemoteAddr().(*net.TCPAddr).AddrPort().Addr().String(); got != want {
+			t.Errorf("listens on %s and dials from %s, want %s", listen, got, want)
+		}
+	}
+}
--- a/io/serve/vm.go
+++ b/io/serve/vm.go
@@ -125,7 +125,7 @@
 			control: vm.control, caller: vm.caller, counters: vm.counters, usage: vm.usage, drained: make(chan struct{}),
 		}
 		t.loop = loop.New(t)
-		t.dialer = &dialer.Dialer{Post: t.loop.Post, Origin: origin}
+		t.dialer = &dialer.Dialer{Post: t.loop.Post, Origin: origin, Source: vm.settings.VM.Peer.Addr()}
 		vm.traffics = append(vm.traffics, t)
 		vm.caller.Posts = append(vm.caller.Posts, t.loop.Post)
 		executor.loops = append(executor.loops, t.loop)
