--- a/io/conf/writer.go
+++ b/io/conf/writer.go
@@ -2,18 +2,21 @@
 
 import (
 	"encoding/hex"
-	"fmt"
 	"io"
 	"maps"
 	"slices"
 	"strconv"
 	"strings"
 
+	"github.com/zeebo/errs"
 	"gopkg.in/ini.v1"
 
 	"comfreypulley/core/model"
 )
 
+// writeErrors annotates errors.
+var writeErrors = errs.Class("write settings")
+
 // WriteFleet writes a configuration in the form that ReadFleet reads, in the
 // order of the names.
 func WriteFleet(w io.Writer, t *model.Topology) (err error) {
@@ -53,11 +56,7 @@
 }
 
 func (f *writer) write(w io.Writer) (err error) {
-	defer func() {
-		if err != nil {
-			err = fmt.Errorf("write settings: %w", err)
-		}
-	}()
+	defer writeErrors.WrapP(&err)
 	if f.err != nil {
 		return f.err
 	}
--- a/io/demo/demo.go
+++ b/io/demo/demo.go
@@ -8,10 +8,14 @@
 	"time"
 
 	"github.com/apex/log"
+	"github.com/zeebo/errs"
 
 	"comfreypulley/io/bench"
 )
 
+// demoErrors annotates errors.
+var demoErrors = errs.Class("demo")
+
 // Demo is one comparison. All fields but VMs, Rate and Plain are set before use.
 type Demo struct {
 	Examples fs.FS // folders of example settings
@@ -106,11 +110,7 @@
 
 // Run runs the plain and then the full policy and returns the comparison.
 func (d *Demo) Run(ctx context.Context) (result *Result, err error) {
-	defer func() {
-		if err != nil {
-			err = fmt.Errorf("demo: %w", err)
-		}
-	}()
+	defer demoErrors.WrapP(&err)
 	s, ok := profiles[d.Profile]
 	if !ok {
 		return nil, fmt.Errorf("profile %q is not one of %v", d.Profile, Profiles())
--- a/io/peer/keys.go
+++ b/io/peer/keys.go
@@ -6,8 +6,13 @@
 	"errors"
 	"fmt"
 	"os"
+
+	"github.com/zeebo/errs"
 )
 
+// keyErrors annotates errors.
+var keyErrors = errs.Class("keys of the peer listener")
+
 // Keys names the files of mutual TLS, in PEM. The zero value means plain TCP.
 type Keys struct {
 	Authority   string // certificates that sign those of the VMs
@@ -20,11 +25,7 @@
 	if k == (Keys{}) {
 		return nil, nil
 	}
-	defer func() {
-		if err != nil {
-			err = fmt.Errorf("keys of the peer listener: %w", err)
-		}
-	}()
+	defer keyErrors.WrapP(&err)
 	pair, err := tls.LoadX509KeyPair(k.Certificate, k.Key)
 	if err != nil {
 		return nil, err
--- a/io/serve/usage.go
+++ b/io/serve/usage.go
@@ -2,14 +2,18 @@
 
 import (
 	"encoding/json"
-	"fmt"
 	"os"
 	"sync"
 	"time"
 
+	"github.com/zeebo/errs"
+
 	"comfreypulley/core/effect"
 )
 
+// usageErrors annotates errors.
+var usageErrors = errs.Class("usage log")
+
 // Usage is the usage log: one JSON line for each charged request. The zero
 // value writes nothing.
 type Usage struct {
@@ -27,11 +31,7 @@
 
 // OpenUsage opens a usage log for appending. An empty name writes nothing.
 func OpenUsage(name string) (u *Usage, err error) {
-	defer func() {
-		if err != nil {
-			err = fmt.Errorf("usage log: %w", err)
-		}
-	}()
+	defer usageErrors.WrapP(&err)
 	if name == "" {
 		return &Usage{}, nil
 	}
--- a/io/stub/host.go
+++ b/io/stub/host.go
@@ -3,15 +3,19 @@
 import (
 	"context"
 	"errors"
-	"fmt"
 	"net"
 	"net/http"
 	"net/netip"
 	"sync"
 	"syscall"
 	"time"
+
+	"github.com/zeebo/errs"
 )
 
+// hostErrors annotates errors.
+var hostErrors = errs.Class("stand-in")
+
 const (
 	headerTimeout = 5 * time.Second
 	reopenAfter   = 20 * time.Millisecond // from a restart that found a port in use to the next
@@ -56,11 +60,7 @@
 }
 
 func (h *Host) open() (err error) {
-	defer func() {
-		if err != nil {
-			err = fmt.Errorf("stand-in: %w", err)
-		}
-	}()
+	defer hostErrors.WrapP(&err)
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	h.listeners = nil
--- a/io/stub/runlog.go
+++ b/io/stub/runlog.go
@@ -9,8 +9,13 @@
 	"slices"
 	"sync"
 	"time"
+
+	"github.com/zeebo/errs"
 )
 
+// logErrors annotates errors.
+var logErrors = errs.Class("run log")
+
 // Ends of a run.
 const (
 	EndCancelled = "cancelled"
@@ -113,11 +118,7 @@
 // ReadRuns reads the runs of a run log file. A last line that a kill cut short
 // is left out. Sources of errors are the file and its JSON lines.
 func ReadRuns(name string) (runs []Run, err error) {
-	defer func() {
-		if err != nil {
-			err = fmt.Errorf("run log: %w", err)
-		}
-	}()
+	defer logErrors.WrapP(&err)
 	file, err := os.Open(name)
 	if err != nil {
 		return nil, err
