--- a/core/ledger/book_test.go
+++ b/core/ledger/book_test.go
@@ -188,7 +188,7 @@
 // BenchmarkClaim shows the cost of a claim while as many records expire, at
 // different numbers of records.
 func BenchmarkClaim(b *testing.B) {
-	for _, n := range []int{1_000, 1_000_000} {
+	for _, n := range []int{1_000, 10_000, 100_000, 1_000_000} {
 		b.Run(strconv.Itoa(n), func(b *testing.B) {
 			var book ledger.Book
 			gap := time.Hour / time.Duration(n)
--- a/core/node/reduce_test.go
+++ b/core/node/reduce_test.go
@@ -17,7 +17,7 @@
 // BenchmarkReduce runs whole queries, one event for the request and one for the
 // answer of each shard, and reports the cost of an event.
 func BenchmarkReduce(b *testing.B) {
-	for _, shards := range []int{10, 100, 1300} {
+	for _, shards := range []int{10, 100, 1000, 1300} {
 		b.Run(fmt.Sprintf("shards=%d", shards), func(b *testing.B) { benchmarkReduce(b, shards) })
 	}
 }
--- a/io/cmds/demo.go
+++ b/io/cmds/demo.go
@@ -21,6 +21,7 @@
 	Rate    float64       `default:"0" help:"Requests a second; 0 takes that of the profile."`
 	Seed    uint64        `default:"1" help:"Seed of times, queries and faults."`
 	VMs     int           `name:"vms" default:"0" help:"Entry VMs; 0 takes all of the shape."`
+	Shards  int           `default:"0" help:"Shards of the looked-up index, two replicas each in one zone; 0 takes those of the shape."`
 	JSON    bool          `help:"Print one JSON object instead of a table."`
 }
 
@@ -28,7 +29,7 @@
 func (c *demoCommand) Run(s *scope) (err error) {
 	quiet := &log.Logger{Handler: s.handler, Level: log.WarnLevel}
 	d := &demo.Demo{
-		Examples: s.examples, Like: c.Like, Profile: c.Profile, Period: c.For, Rate: c.Rate, Seed: c.Seed, VMs: c.VMs, Logger: quiet,
+		Examples: s.examples, Like: c.Like, Profile: c.Profile, Period: c.For, Rate: c.Rate, Seed: c.Seed, VMs: c.VMs, Shards: c.Shards, Logger: quiet,
 	}
 	result, err := d.Run(s.ctx)
 	if err != nil {
--- a/io/demo/demo.go
+++ b/io/demo/demo.go
@@ -21,6 +21,7 @@
 	Rate     float64       // requests a second; 0 means that of the profile
 	Seed     uint64
 	VMs      int // 0 means all of the example
+	Shards   int // of the index of quick lookups, two replicas each; 0 means that of the example
 	Logger   log.Interface
 }
 
@@ -122,6 +123,9 @@
 	if err != nil {
 		return nil, err
 	}
+	if d.Shards > 0 {
+		l.widen(d.Shards)
+	}
 	plain, err := d.policy(ctx, s, l, true)
 	if err != nil {
 		return nil, err
--- a/io/demo/like.go
+++ b/io/demo/like.go
@@ -81,6 +81,20 @@
 	return nil
 }
 
+// widen replaces the upstreams of the lookups by two replicas of each of many
+// shards, all in the zone of the first VM, so that each has one address.
+func (l *like) widen(shards int) {
+	const replicas = 2
+	l.zones = []model.Zone{l.settings[0].VM.Zone}
+	sample := l.upstreams(l.lookup)[0]
+	sample.Zone = l.zones[0]
+	l.fleet.Upstreams = make(map[model.UpstreamID]model.Upstream, shards*replicas)
+	for i := range shards * replicas {
+		sample.ID = model.UpstreamID(fmt.Sprintf("%s-%05d-%d", l.lookup, i/replicas, i%replicas))
+		l.fleet.Upstreams[sample.ID] = sample
+	}
+}
+
 // upstreams lists those of an index, ascending by id.
 func (l *like) upstreams(index string) []model.Upstream {
 	var list []model.Upstream
--- a/io/scale/bench_test.go
+++ b/io/scale/bench_test.go
@@ -268,3 +268,32 @@
 		})
 	}
 }
+
+// BenchmarkAppend reports the bytes and the time to encode and decode an append
+// that carries the given number of claims, for one replica.
+func BenchmarkAppend(b *testing.B) {
+	for _, n := range []int{1, 10, 100, 1_000} {
+		b.Run(fmt.Sprintf("claims=%d", n), func(b *testing.B) {
+			m := frame.Append{Term: 5, Replica: entry.Replica{VM: "vm-00000", Disk: 1 << 60}, PrevIndex: 1 << 30, PrevTerm: 5, Commit: 1 << 30}
+			for i := range n {
+				m.Entries = append(m.Entries, entry.Entry{Index: 1<<30 + uint64(i), Term: 5, At: began, Command: entry.Claim{
+					Customer: "customer-1", Key: model.NewKey(began, [10]byte{byte(i), byte(i >> 8)}), Fingerprint: 1 << 60,
+					Holder: entry.Holder{VM: "vm-00000", Start: began, Request: model.RequestID(i)},
+				}})
+			}
+			bytes := 0
+			for b.Loop() {
+				raw, err := peer.Encode(m)
+				if err != nil {
+					b.Fatal(err)
+				}
+				if _, err := peer.Decode(raw); err != nil {
+					b.Fatal(err)
+				}
+				bytes = len(raw)
+			}
+			b.ReportMetric(float64(bytes)/float64(n), "bytes/claim")
+			b.ReportMetric(float64(b.Elapsed().Nanoseconds())/float64(b.N*n), "ns/claim")
+		})
+	}
+}
