Sort upstreams and drop their floors only when some were removed or added

Cause: every change of the configuration sorted all upstreams in each traffic state and looked up all floors again for removed ones.

Change: core/route sorts only for other upstreams than before, core/lease looks for removed ones only when it knows more than the configuration has, and one loop needs no hash to divide. Tests set down removal and addition.

--- a/core/lease/holder.go
+++ b/core/lease/holder.go
@@ -190,6 +190,9 @@
 
 // split is the part of one loop in n, without a remainder over all loops.
 func split(loop, loops int, name string, n int) int {
+	if loops == 1 {
+		return n
+	}
 	share := n / loops
 	if (loop+int(hash(name)%uint64(loops)))%loops < n%loops {
 		share++
@@ -316,10 +319,13 @@
 		_, ok := t.Contracts[customer]
 		return !ok
 	})
-	maps.DeleteFunc(h.conns, func(id model.UpstreamID, _ steps) bool {
-		_, ok := t.Upstreams[id]
-		return !ok
-	})
+	// All of the configuration are in conns, so that more means removed ones.
+	if len(h.conns) > len(t.Upstreams) {
+		maps.DeleteFunc(h.conns, func(id model.UpstreamID, _ steps) bool {
+			_, ok := t.Upstreams[id]
+			return !ok
+		})
+	}
 }
 
 // next takes a floor of a new configuration. With widest VMs in a configuration
--- a/core/lease/lease_test.go
+++ b/core/lease/lease_test.go
@@ -259,3 +259,18 @@
 		t.Errorf("got division %d for other connections than before", high[0].Division)
 	}
 }
+
+// Guards against shares of upstreams that were removed.
+func TestRemovedUpstreamHasNoShare(t *testing.T) {
+	f := newSimFleet(3, map[string]int{"c": 30, "d": 30}, 1)
+	h := Holder{Self: model.VM{ID: vmID(0)}, Began: epoch}
+	h.Share(epoch, f.newest, 1)
+	removed := *f.newest
+	removed.Revision++
+	removed.Upstreams = maps.Clone(removed.Upstreams)
+	delete(removed.Upstreams, "c")
+	got := h.Share(epoch.Add(time.Second), &removed, 1).Conns
+	if _, ok := got["c"]; ok || len(got) != 1 {
+		t.Errorf("got shares %v, want one of d alone", got)
+	}
+}
--- a/core/route/map.go
+++ b/core/route/map.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -56,11 +57,13 @@
 	m.zone, m.topology, m.division = zone, t, share.Division
 	m.epoch++
 	var changed []model.UpstreamID
+	other := false // upstreams than before
 	for id, u := range m.upstreams {
 		if _, ok := t.Upstreams[id]; !ok {
 			m.unlink(u)
 			delete(m.upstreams, id)
 			changed = append(changed, id)
+			other = true
 		}
 	}
 	for id, configured := range t.Upstreams {
@@ -68,6 +71,7 @@
 		if !ok {
 			u = &upstream{latency: firstLatency, limit: float64(configured.Slots)}
 			m.upstreams[id] = u
+			other = true
 		}
 		conns := share.Conns[id]
 		if !ok || u.conns != conns || u.Addr != configured.Addr || u.State != configured.State {
@@ -79,11 +83,9 @@
 		u.Upstream = configured
 		u.conns = conns
 	}
-	m.sorted = m.sorted[:0]
-	for _, u := range m.upstreams {
-		m.sorted = append(m.sorted, u)
+	if other {
+		m.sorted = slices.SortedFunc(maps.Values(m.upstreams), byID)
 	}
-	slices.SortFunc(m.sorted, byID)
 	slices.Sort(changed)
 	return changed
 }
--- a/core/route/map_test.go
+++ b/core/route/map_test.go
@@ -1,6 +1,7 @@
 package route
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -148,3 +149,32 @@
 		t.Errorf("got version %d, want 1, since half of version 3 is missing", v)
 	}
 }
+
+// Guards against probes of a removed upstream, and none of an added one.
+func TestProbesFollowTheConfiguration(t *testing.T) {
+	m := newMap("a", "b")
+	m.SetTopology(&model.Topology{Upstreams: map[model.UpstreamID]model.Upstream{
+		"ua": {ID: "ua", Zone: "a", Index: "pairing", Slots: 2}, "uc": {ID: "uc", Zone: "a", Index: "pairing", Slots: 2},
+	}}, model.Share{Conns: map[model.UpstreamID]int{"ua": 4, "uc": 4}}, "a")
+	got := m.Due(began.Add(time.Hour))
+	if want := []model.UpstreamID{"ua", "uc"}; !slices.Equal(got, want) {
+		t.Errorf("got probes of %v, want %v", got, want)
+	}
+}
+
+// Guards against a view that is not taken over because its number of the
+// connections is that of another topology, or is not stated.
+func TestOnlyTheSameDivisionIsSkipped(t *testing.T) {
+	m := newMap("a")
+	topology := &model.Topology{Upstreams: map[model.UpstreamID]model.Upstream{"ua": {ID: "ua", Zone: "a", Index: "pairing", Slots: 2}}}
+	for i, step := range []struct {
+		topology model.Topology
+		division uint64
+		conns    int
+	}{{*topology, 1, 3}, {*topology, 1, 2}, {*topology, 0, 1}, {*topology, 0, 5}} {
+		m.SetTopology(&step.topology, model.Share{Conns: map[model.UpstreamID]int{"ua": step.conns}, Division: step.division}, "a")
+		if _, got := m.Conns("ua"); got != step.conns {
+			t.Errorf("step %d: got %d connections, want %d", i, got, step.conns)
+		}
+	}
+}
