--- a/core/route/map.go
+++ b/core/route/map.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"maps"
 	"slices"
 	"time"
 
@@ -22,6 +23,8 @@
 	versions  map[string][]model.Version // ascending, by index
 	trips     map[model.Zone]time.Duration
 	epoch     uint64 // grows when an upstream becomes live or stops being so
+	topology  *model.Topology
+	division  uint64 // of the connections in force
 }
 
 // holders lists who holds the shards of a snapshot.
@@ -48,14 +51,19 @@
 		m.versions = make(map[string][]model.Version)
 		m.trips = make(map[model.Zone]time.Duration)
 	}
-	m.zone = zone
+	if t == m.topology && zone == m.zone && share.Division == m.division && m.division > 0 {
+		return nil
+	}
+	m.zone, m.topology, m.division = zone, t, share.Division
 	m.epoch++
 	var changed []model.UpstreamID
+	other := false // upstreams than before
 	for id, u := range m.upstreams {
 		if _, ok := t.Upstreams[id]; !ok {
 			m.unlink(u)
 			delete(m.upstreams, id)
 			changed = append(changed, id)
+			other = true
 		}
 	}
 	for id, configured := range t.Upstreams {
@@ -63,6 +71,7 @@
 		if !ok {
 			u = &upstream{latency: firstLatency, limit: float64(configured.Slots)}
 			m.upstreams[id] = u
+			other = true
 		}
 		conns := share.Conns[id]
 		if !ok || u.conns != conns || u.Addr != configured.Addr || u.State != configured.State {
@@ -74,11 +83,9 @@
 		u.Upstream = configured
 		u.conns = conns
 	}
-	m.sorted = m.sorted[:0]
-	for _, u := range m.upstreams {
-		m.sorted = append(m.sorted, u)
+	if other {
+		m.sorted = slices.SortedFunc(maps.Values(m.upstreams), byID)
 	}
-	slices.SortFunc(m.sorted, byID)
 	slices.Sort(changed)
 	return changed
 }
