Test the control promises with real processes

Cause: the promises of replication, distribution and the ledger were tested in the reducer only. The first runs found two faults.

A replica publishes its first view once it has what the leader had committed when it was first heard, or has waited for one. A VM that has heard of no majority for 6 s refuses at once, as majority.

--- a/core/plane/control_test.go
+++ b/core/plane/control_test.go
@@ -494,3 +494,41 @@
 		}
 	}
 }
+
+// Guards against a restarted VM that serves what it had while it still misses
+// changes from the time when it was away.
+func TestRestartWaitsForMissedEntries(t *testing.T) {
+	first := newFixture("vm0", true)
+	first.lead(1)
+	first.commit()
+	f := newFixture("vm0", true)
+	f.log.standing = plane.Standing{Leader: "vm1", Term: 2, Heard: f.now, Behind: true}
+	image := entry.Image{Index: 1, Term: 1, Config: first.c.Follower().Image()}
+	f.take(f.c.Loaded(f.now, event.Loaded{Image: image}, nil))
+	if got := len(views(f.out)); got != 0 {
+		t.Fatalf("published %d views while behind the leader, want 0", got)
+	}
+	v := contract()
+	f.log.committed = []entry.Entry{{Index: 2, Term: 2, At: began, Command: entry.Change{Expect: 1, Contract: &v}}}
+	f.log.standing.Behind = false
+	if got := views(f.synced()); len(got) != 1 || got[0].Topology.Revision != 2 {
+		t.Errorf("got views %+v, want one at revision 2", got)
+	}
+}
+
+// Guards against a command that a VM sends into a partition, where it may be
+// applied after its caller was told otherwise.
+func TestIsolatedVMRefusesAtOnce(t *testing.T) {
+	f := newFixture("vm0", true)
+	f.lead(1)
+	f.commit()
+	f.log.standing = plane.Standing{Term: 1, Heard: f.now}
+	f.now = f.now.Add(time.Minute)
+	out := f.claim(time.Second)
+	if to, _ := forwards(out); len(to) != 0 {
+		t.Errorf("sent the claim to %v, want nobody", to)
+	}
+	if got := answers(out); !slices.Equal(got, []entry.Status{entry.StatusNoMajority}) {
+		t.Errorf("got %v, want majority at once", got)
+	}
+}
--- a/core/plane/log.go
+++ b/core/plane/log.go
@@ -40,6 +40,7 @@
 	Term    uint64
 	Commit  uint64
 	Heard   time.Time // when a majority was last heard of
+	Behind  bool      // entries committed before the leader was heard of may be missing
 }
 
 // position is how far the log has been applied.
@@ -99,8 +100,12 @@
 // behind reports whether entries that were in force before the start of the
 // process may still be missing. Publishing before would go back behind a
 // revision that this VM served. All of them are applied once the last one in the
-// data folder is, or an entry of a later leader.
+// data folder is, or an entry of a later leader. The first view also waits for
+// what the leader had committed while this VM was away.
 func (c *Control) behind() bool {
+	if c.published == 0 && c.log != nil && c.log.Standing().Behind {
+		return true
+	}
 	return c.stale || c.log != nil && c.applied.index < c.applied.loaded.index && c.applied.term <= c.applied.loaded.term
 }
 
--- a/core/plane/operator.go
+++ b/core/plane/operator.go
@@ -85,22 +85,30 @@
 	if c.tree != nil {
 		s.Heard = c.tree.Heard(at)
 	}
-	heard := c.heard
 	if c.log != nil {
 		standing := c.log.Standing()
-		s.Term, s.Commit, heard = standing.Term, standing.Commit, standing.Heard
-		if heard.IsZero() {
+		s.Term, s.Commit = standing.Term, standing.Commit
+	}
+	s.Age = c.age(at)
+	return s
+}
+
+// age returns the time since a majority was last heard of.
+func (c *Control) age(at time.Time) time.Duration {
+	heard := c.heard
+	if c.log != nil {
+		if heard = c.log.Standing().Heard; heard.IsZero() {
 			heard = c.start.Began
 		}
 	}
 	switch {
 	case !c.replicated:
+		return 0
 	case c.log == nil && c.tree != nil:
-		s.Age = c.tree.Age(at)
+		return c.tree.Age(at)
 	default:
-		s.Age = max(0, at.Sub(heard))
+		return max(0, at.Sub(heard))
 	}
-	return s
 }
 
 // operatorReceiver answers an operator's change.
--- a/core/plane/queue.go
+++ b/core/plane/queue.go
@@ -19,6 +19,7 @@
 	blindRetry    = 100 * time.Millisecond // no leader is known
 	redirected    = 20 * time.Millisecond  // another VM was named as the leader
 	forwardPeriod = time.Minute            // a leader keeps a forwarded command for its answer
+	isolatedAge   = 6 * time.Second        // without a majority; the tree reports ages of up to some seconds
 )
 
 // receiver gets the answer of a command.
@@ -151,11 +152,21 @@
 	case c.queue.open >= maxQueued && !mustCommit(p.command):
 		return p.to.answer(at, c, p.command, entry.Result{Status: entry.StatusUnavailable, Detail: "too many commands are waiting"}, out)
 	}
+	if c.isolated(at) && !mustCommit(p.command) {
+		return p.to.answer(at, c, p.command, entry.Result{Status: entry.StatusNoMajority, Detail: "this VM is cut off from the majority"}, out)
+	}
 	c.queue.add(p)
 	out = c.try(at, p, out)
 	return c.wake(at, p, out)
 }
 
+// isolated reports whether no majority was heard of for so long that a command
+// would wait in vain. It is refused without being sent, because one that was
+// sent may still arrive after the partition and its fate is not known.
+func (c *Control) isolated(at time.Time) bool {
+	return c.published > 0 && c.age(at) >= isolatedAge
+}
+
 // mustCommit reports whether a command records what already happened.
 func mustCommit(command entry.Command) bool {
 	switch command.(type) {
--- a/core/plane/tree.go
+++ b/core/plane/tree.go
@@ -99,11 +99,11 @@
 	return c.tree.Log(at, true, s.Leader, s.Heard, out)
 }
 
-// readyTree reports whether the first view may be published: a VM without a log
-// waits until the tree has asked around, as it must not go back behind a
+// readyTree reports whether the first view may be published: a VM waits until it
+// heard of a leader or the tree has asked around, as it must not go back behind a
 // revision that it served before a restart.
 func (c *Control) readyTree(at time.Time) bool {
-	return c.published > 0 || c.tree == nil || c.log != nil || c.tree.Ready(at)
+	return c.published > 0 || c.tree == nil || c.tree.Ready(at)
 }
 
 func (c *Control) peerTree(at time.Time, from model.VMID, m frame.Message, out []effect.Effect) []effect.Effect {
--- a/core/quorum/election.go
+++ b/core/quorum/election.go
@@ -34,7 +34,7 @@
 func (l *Log) raise(at time.Time, term uint64, out []effect.Effect) []effect.Effect {
 	out = l.follow(at, fmt.Sprintf("term %d was heard of", term), out)
 	l.term, l.vote, l.leads = term, entry.Replica{}, ""
-	l.verified, l.round = l.commit, 0
+	l.verified, l.round, l.told = l.commit, 0, 0
 	return l.store(out)
 }
 
--- a/core/quorum/follow.go
+++ b/core/quorum/follow.go
@@ -38,6 +38,10 @@
 		return out
 	}
 	l.round = max(l.round, m.Round)
+	if l.told == 0 {
+		// A new leader begins at its last entry, an older one states what is committed.
+		l.told = max(m.Commit, m.PrevIndex+uint64(len(m.Entries)))
+	}
 	if m.PrevIndex > l.image.Index && l.termOf(m.PrevIndex) != m.PrevTerm {
 		answer := frame.Appended{Term: l.term, Replica: l.self, Hint: l.hint(m.PrevIndex), Round: l.round}
 		return l.after(l.termAt, effect.Tell{To: from, Message: answer}, out)
--- a/core/quorum/log.go
+++ b/core/quorum/log.go
@@ -64,6 +64,7 @@
 	saving   flight // of the image
 	held     []promise
 	verified uint64 // last index known to equal that of the term's leader
+	told     uint64 // last index that the term's leader named in its first append; 0 before
 	round    uint64 // of the leader, last heard or last begun
 
 	first     []entry.Replica // voters until entry 1, without disks
@@ -106,6 +107,7 @@
 	Commit  uint64
 	Last    uint64
 	Heard   time.Time // when a majority, or the leader for it, was last heard of
+	Behind  bool      // entries committed before the leader was heard of may be missing
 	Members entry.Members
 	Failed  bool // the disk failed; this replica takes no further part
 }
@@ -314,8 +316,12 @@
 		Leader: l.leads, Leading: l.role == leader, Term: l.term, Commit: l.commit, Last: l.last(),
 		Heard: l.heard, Members: l.members, Failed: l.failed,
 	}
-	if l.role == leader {
+	switch {
+	case l.role == leader:
 		s.Heard = l.majorityHeard()
+		s.Behind = l.commit < l.began
+	case l.leads != "":
+		s.Behind = l.told == 0 || l.commit < l.told
 	}
 	return s
 }
--- a/core/quorum/rule_test.go
+++ b/core/quorum/rule_test.go
@@ -79,3 +79,26 @@
 		t.Errorf("sent %+v after the snapshot was synced, want frame.Snapped", out[0])
 	}
 }
+
+// TestBehind guards against a replica that takes itself for current although the
+// leader has committed entries that it has not got.
+func TestBehind(t *testing.T) {
+	l := loadThree()
+	if l.Status().Behind {
+		t.Error("behind without a leader, want not known")
+	}
+	lead := three.Voters[1]
+	l.Peer(start, lead.VM, frame.Append{Term: 2, Replica: lead, PrevIndex: 2, PrevTerm: 2, Commit: 4}, nil)
+	for i := uint64(3); i <= 4; i++ {
+		if !l.Status().Behind {
+			t.Errorf("with entries up to %d of 4: not behind", i-1)
+		}
+		l.Peer(start, lead.VM, frame.Append{
+			Term: 2, Replica: lead, PrevIndex: i - 1, PrevTerm: 2, Commit: 5,
+			Entries: []entry.Entry{{Index: i, Term: 2, Command: entry.Noop{}}},
+		}, nil)
+	}
+	if l.Status().Behind {
+		t.Error("behind with all entries that were committed when the leader was first heard")
+	}
+}
--- a/io/check/world_test.go
+++ b/io/check/world_test.go
@@ -18,6 +18,7 @@
 	"testing"
 
 	"comfreypulley/io/bench"
+	"comfreypulley/io/fault"
 	"comfreypulley/io/stub"
 )
 
@@ -25,6 +26,7 @@
 	customer = "tabadul"
 	secret   = "check"
 	index    = "pairing"
+	zones    = 3
 	disks    = 5 // VMs with data folders, as far as there are that many
 )
 
@@ -36,6 +38,9 @@
 	coverage              float64  // least coverage of its classes
 	upstream              []string // flags of all upstreams
 	proxied               bool     // VMs reach the upstreams through fault proxies
+	zoned                 bool     // proxies in front of VMs and upstreams, so that zones can be cut off
+	tls                   bool     // mutual TLS between the VMs
+	retention             string   // of idempotency keys; "" means 1h
 }
 
 // world is a fleet of processes.
@@ -57,16 +62,20 @@
 	control netip.AddrPort
 	runs    string         // run log file
 	rules   netip.AddrPort // of its fault proxy, if any
+	gate    *fault.Proxy   // of a zoned world
 }
 
 // vm is an entry VM process.
 type vm struct {
 	*process
 	id       string
+	starts   atomic.Int64
 	caller   netip.AddrPort
-	peer     netip.AddrPort
+	peer     netip.AddrPort // as registered
+	listen   netip.AddrPort // for peers
 	admin    netip.AddrPort
 	settings string
+	gate     *fault.Proxy // of a zoned world
 }
 
 // worlds counts the worlds of this test process.
@@ -78,6 +87,7 @@
 	t.Helper()
 	l.conns = cmp.Or(l.conns, 65)
 	l.concurrency = cmp.Or(l.concurrency, 300)
+	l.retention = cmp.Or(l.retention, "1h")
 	w := &world{t: t, dir: t.TempDir(), number: int(worlds.Add(1)), layout: l}
 	for shard := range l.shards {
 		for replica := range l.replicas {
@@ -85,10 +95,19 @@
 		}
 	}
 	for n := range l.vms {
-		w.vms = append(w.vms, &vm{
-			id: fmt.Sprintf("vm%d", n+1), caller: w.address(n, 8080), peer: w.address(n, 7400), admin: w.address(n, 7401),
+		v := &vm{
+			id: fmt.Sprintf("vm%d", n+1), caller: w.address(n, 0), listen: w.address(n, 1), admin: w.address(n, 2),
 			settings: filepath.Join(w.dir, fmt.Sprintf("vm%d.ini", n+1)),
-		})
+		}
+		v.peer = v.listen
+		if l.zoned {
+			v.gate = w.proxy(v.listen)
+			v.peer = v.gate.Addr()
+		}
+		w.vms = append(w.vms, v)
+	}
+	if l.tls {
+		w.writeKeys()
 	}
 	w.write("fleet.ini", w.fleet())
 	for n, v := range w.vms {
@@ -101,13 +120,55 @@
 	return w
 }
 
-// address is a loopback address of this test process and world. Two processes
-// have different ids and so different addresses.
+// address is a loopback address of a VM. Two test processes have different ids
+// and so different pairs of second byte and port; worlds and zones differ in the
+// third byte. Ports stay below the ephemeral range.
 func (w *world) address(vm, port int) netip.AddrPort {
 	pid := os.Getpid()
-	ip := netip.AddrFrom4([4]byte{127, byte(1 + pid>>16%126), byte(pid >> 8), byte(pid)})
-	// At most 32 VMs a world; ports stay below the ephemeral range.
-	return netip.AddrPortFrom(ip, uint16(port+32*w.number*4+vm*4))
+	ip := netip.AddrFrom4([4]byte{127, byte(1 + pid%250), byte(w.number*zones + vm%zones), byte(vm + 1)})
+	return netip.AddrPortFrom(ip, uint16(10_000+4*(pid/250%5000)+port))
+}
+
+// sources are the addresses of a zone's VMs.
+func (w *world) sources(zone int) netip.Prefix {
+	return netip.PrefixFrom(w.address(zone, 0).Addr(), 24).Masked()
+}
+
+// proxy starts a fault proxy in this process.
+func (w *world) proxy(target netip.AddrPort) *fault.Proxy {
+	w.t.Helper()
+	p, err := fault.Listen(netip.MustParseAddrPort("127.0.0.1:0"), target, 1)
+	if err != nil {
+		w.t.Fatal(err)
+	}
+	go func() { _ = p.Run() }()
+	w.t.Cleanup(p.Close)
+	return p
+}
+
+// separate cuts a zone of a zoned world off from the others, in both directions.
+// A negative zone heals all.
+func (w *world) separate(zone int) {
+	w.t.Helper()
+	for n, v := range w.vms {
+		w.cut(v.gate, n%zones, zone)
+	}
+	for i, u := range w.upstreams {
+		w.cut(u.gate, i%zones, zone)
+	}
+}
+
+func (w *world) cut(gate *fault.Proxy, own, zone int) {
+	w.t.Helper()
+	var rules fault.Rules
+	for other := range zones {
+		if zone >= 0 && (own == zone) != (other == zone) {
+			rules.Sources = append(rules.Sources, fault.Source{From: w.sources(other), Cut: true})
+		}
+	}
+	if err := gate.Set(rules); err != nil {
+		w.t.Fatal(err)
+	}
 }
 
 func (w *world) addUpstream(shard, replica int) {
@@ -124,12 +185,17 @@
 		p := startProcess(w.t, "fault "+u.id, "fault", "--target", u.addr.String(), "--seed", strconv.Itoa(shard))
 		u.addr, u.rules = p.addr("serving"), p.addr("control")
 	}
+	if w.layout.zoned {
+		u.gate = w.proxy(u.addr)
+		u.addr = u.gate.Addr()
+	}
 	w.upstreams = append(w.upstreams, u)
 }
 
 // startVM starts or restarts a VM.
 func (w *world) startVM(v *vm) {
 	v.process = startProcess(w.t, v.id, "serve", v.settings)
+	v.starts.Add(1)
 }
 
 func (w *world) ready(v *vm) {
@@ -146,7 +212,7 @@
 func (w *world) fleet() string {
 	var b strings.Builder
 	fmt.Fprintf(&b, "[contract %s]\ncredential = %x\nindexes = %s\n", customer, sha256.Sum256([]byte(secret)), index)
-	fmt.Fprintf(&b, "concurrency = %d\ncapacity = 1\nextra = 0.1\nretention = 1h\n\n", w.layout.concurrency)
+	fmt.Fprintf(&b, "concurrency = %d\ncapacity = 1\nextra = 0.1\nretention = %s\n\n", w.layout.concurrency, w.layout.retention)
 	for i, wait := range []string{"50ms", "1s", "30s"} {
 		fmt.Fprintf(&b, "[class %s c%d]\nwait = %s\nprice = %d\nweight = 1\ncoverage = %v\n\n", customer, i, wait, 9-i, w.layout.coverage)
 	}
@@ -163,16 +229,19 @@
 	v := w.vms[n]
 	var b strings.Builder
 	fmt.Fprintf(&b, "[vm]\nid = %s\nzone = %s\n\n[caller]\nlisten = %v\ngrace = 100ms\nfinish = 30s\n\n", v.id, zoneOf(n), v.caller)
-	fmt.Fprintf(&b, "[peer]\nlisten = %v\n\n[admin]\nlisten = %v\n\n[traffic]\nseed = %d\n\n", v.peer, v.admin, n+1)
+	fmt.Fprintf(&b, "[peer]\nlisten = %v\n\n[admin]\nlisten = %v\n\n[traffic]\nseed = %d\n\n", v.listen, v.admin, n+1)
 	if n < disks {
 		fmt.Fprintf(&b, "[data]\nfolder = %s\n\n", filepath.Join(w.dir, v.id))
 	}
+	if w.layout.tls {
+		fmt.Fprintf(&b, "[tls]\ncert = %[1]s.cert\nkey = %[1]s.key\nca = %[2]s\n\n", filepath.Join(w.dir, v.id), filepath.Join(w.dir, "ca"))
+	}
 	fmt.Fprintf(&b, "[fleet]\nfile = %s\n", filepath.Join(w.dir, "fleet.ini"))
 	return b.String()
 }
 
 func zoneOf(n int) string {
-	return []string{"a", "b", "c"}[n%3]
+	return []string{"a", "b", "c"}[n%zones]
 }
 
 func (w *world) write(name, text string) {
