--- a/io/check/control_test.go
+++ b/io/check/control_test.go
@@ -363,10 +363,10 @@
 	w.check(results)
 	answered := 0
 	for i := range results {
-		switch last := results[i].Last(); {
-		case last.Status == 0:
+		switch last := results[i].Last(); last.Status {
+		case 0:
 			t.Errorf("a request through %v was cut off", last.Target)
-		case last.Status == http.StatusOK:
+		case http.StatusOK:
 			answered++
 		}
 	}
--- a/io/check/operator_test.go
+++ b/io/check/operator_test.go
@@ -36,7 +36,7 @@
 	vms      []*vm
 	accepted []string // customers
 	revision model.Revision
-	first    time.Time // when the last change was accepted
+	last     time.Time // when the last change was accepted
 	stop     chan struct{}
 	ended    chan struct{}
 	mu       sync.Mutex
@@ -77,7 +77,7 @@
 		case err == nil:
 			o.mu.Lock()
 			o.accepted = append(o.accepted, customer)
-			o.revision, o.first = max(o.revision, model.Revision(r.Revision)), time.Now()
+			o.revision, o.last = max(o.revision, model.Revision(r.Revision)), time.Now()
 			o.mu.Unlock()
 			return nil
 		case errors.As(err, &refused) && (refused.Code == http.StatusConflict || refused.Code == http.StatusBadRequest):
@@ -111,15 +111,14 @@
 	}
 }
 
-// finish ends the operator and returns what was accepted.
-func (o *operator) finish(t *testing.T) []string {
+// finish ends the operator; its fields may be read after.
+func (o *operator) finish(t *testing.T) {
 	t.Helper()
 	close(o.stop)
 	<-o.ended
 	if o.err != nil {
 		t.Fatal(o.err)
 	}
-	return o.accepted
 }
 
 // status returns what a VM answers, false when it does not.
