Hold back a replica's first view until the leader's commit is applied

A VM whose disk had failed followed the tree and served revisions that its data folder lacked.

Change: the log reports the highest commit index that a leader named, and the first view waits for it and for an entry of the leader's term, as a new leader does not know at once what the one before committed.

--- a/core/node/parts.go
+++ b/core/node/parts.go
@@ -53,5 +53,5 @@
 // Standing returns what the replica knows of the log.
 func (r *replica) Standing() plane.Standing {
 	s := r.Status()
-	return plane.Standing{Leader: s.Leader, Leading: s.Leading, Term: s.Term, Commit: s.Commit, Heard: s.Heard}
+	return plane.Standing{Leader: s.Leader, Leading: s.Leading, Term: s.Term, Commit: s.Commit, Known: s.Known, Heard: s.Heard}
 }
--- a/core/plane/control_test.go
+++ b/core/plane/control_test.go
@@ -494,3 +494,25 @@
 		}
 	}
 }
+
+// Guards against a VM whose disk had failed, and which served from the tree
+// what its data folder lacks, that goes back behind it after its restart: it
+// waits for what the leader says is committed, and for an entry of its term.
+func TestFirstViewWaitsForTheLeadersCommit(t *testing.T) {
+	f := newFixture("vm1", true)
+	g := entry.Config{VMs: []model.VM{fleet(true).VMs["vm0"], fleet(true).VMs["vm1"]}}
+	f.log.standing = plane.Standing{Leader: "vm0", Term: 2, Known: 1}
+	f.log.committed = []entry.Entry{{Index: 1, Term: 1, At: began, Command: entry.Change{Genesis: &g}}}
+	if got := len(all[effect.ToTraffic](f.synced())); got != 0 {
+		t.Errorf("got %d views before an entry of the leader's term, want none", got)
+	}
+	f.log.standing.Known = 3
+	f.log.committed = []entry.Entry{{Index: 2, Term: 2, At: began, Command: entry.Noop{}}}
+	if got := len(all[effect.ToTraffic](f.synced())); got != 0 {
+		t.Errorf("got %d views before all that is committed is applied, want none", got)
+	}
+	f.log.committed = []entry.Entry{{Index: 3, Term: 2, At: began, Command: entry.Noop{}}}
+	if got := len(all[effect.ToTraffic](f.synced())); got != 1 {
+		t.Errorf("got %d views of what is committed, want 1", got)
+	}
+}
--- a/core/plane/log.go
+++ b/core/plane/log.go
@@ -39,6 +39,7 @@
 	Leading bool
 	Term    uint64
 	Commit  uint64
+	Known   uint64    // highest commit index that a leader named; the entries up to it may be missing here
 	Heard   time.Time // when a majority was last heard of
 }
 
@@ -99,9 +100,19 @@
 // behind reports whether entries that were in force before the start of the
 // process may still be missing. Publishing before would go back behind a
 // revision that this VM served. All of them are applied once the last one in the
-// data folder is, or an entry of a later leader.
+// data folder is, or an entry of a later leader. A VM whose disk had failed
+// served revisions that its data folder lacks, so the first view also waits for
+// what the leader says is committed, and for an entry of its term: before, a new
+// leader does not know what the one before committed.
 func (c *Control) behind() bool {
-	return c.stale || c.log != nil && c.applied.index < c.applied.loaded.index && c.applied.term <= c.applied.loaded.term
+	if c.stale || c.log == nil {
+		return c.stale
+	}
+	if c.applied.index < c.applied.loaded.index && c.applied.term <= c.applied.loaded.term {
+		return true
+	}
+	s := c.log.Standing()
+	return c.published == 0 && s.Leader != "" && (c.applied.index < s.Known || c.applied.term < s.Term)
 }
 
 // first lists the replicas of an empty log: the disk VMs of the settings.
--- a/core/quorum/follow.go
+++ b/core/quorum/follow.go
@@ -38,6 +38,7 @@
 		return out
 	}
 	l.round = max(l.round, m.Round)
+	l.known = max(l.known, m.Commit)
 	if m.PrevIndex > l.image.Index && l.termOf(m.PrevIndex) != m.PrevTerm {
 		answer := frame.Appended{Term: l.term, Replica: l.self, Hint: l.hint(m.PrevIndex), Round: l.round}
 		return l.after(l.termAt, effect.Tell{To: from, Message: answer}, out)
--- a/core/quorum/log.go
+++ b/core/quorum/log.go
@@ -52,6 +52,7 @@
 	image   entry.Image
 	entries []entry.Entry // after the image
 	commit  uint64
+	known   uint64 // highest commit index that a leader named
 	applied uint64
 	restore bool // the image is to be returned by Committed
 
@@ -104,6 +105,7 @@
 	Leading bool
 	Term    uint64
 	Commit  uint64
+	Known   uint64 // highest commit index that a leader named
 	Last    uint64
 	Heard   time.Time // when a majority, or the leader for it, was last heard of
 	Members entry.Members
@@ -311,7 +313,7 @@
 // Status returns what this replica knows of the log.
 func (l *Log) Status() Status {
 	s := Status{
-		Leader: l.leads, Leading: l.role == leader, Term: l.term, Commit: l.commit, Last: l.last(),
+		Leader: l.leads, Leading: l.role == leader, Term: l.term, Commit: l.commit, Known: l.known, Last: l.last(),
 		Heard: l.heard, Members: l.members, Failed: l.failed,
 	}
 	if l.role == leader {
