Compare holders of claims without zone and monotonic reading

Cause: the start of a process is part of the holder of a claim, which the ledger compares with ==. The process's own value had its time zone and a monotonic reading; the same claim read back from an image had neither, so a VM would have refused to settle its own claim after it restored an image.

Change: node.State normalises Began when it starts. Holders are the only times that are compared with == or used in a map key.

Conclusion: the new test fails without the change.

--- a/core/node/life.go
+++ b/core/node/life.go
@@ -9,6 +9,9 @@
 
 func (s *State) begin(at time.Time, start event.Start, out []effect.Effect) []effect.Effect {
 	s.role = start.Role
+	// Holders of claims are compared with ==, also with ones that were encoded
+	// on their way, which have neither another zone nor a monotonic reading.
+	start.Began = start.Began.Round(0).UTC()
 	if s.role == event.RoleControl {
 		s.compose(start)
 		return s.control.Start(at, start, out)
--- a/core/node/run_test.go
+++ b/core/node/run_test.go
@@ -8,6 +8,7 @@
 	"comfreypulley/core/entry"
 	"comfreypulley/core/event"
 	"comfreypulley/core/model"
+	"comfreypulley/core/node"
 )
 
 // Guards against losing the outcome of a non-idempotent attempt that outlives
@@ -143,3 +144,19 @@
 		t.Errorf("got %d attempts after the refusal, want 0", got)
 	}
 }
+
+// Guards against a VM that takes its own claim for that of another process
+// after the claim came back from a disk or another VM: the time of the start of
+// a process has a time zone and a monotonic reading, which no encoding keeps.
+func TestHolderIsTheSameAfterEncoding(t *testing.T) {
+	clock := time.Now().In(time.FixedZone("EAT", 3*3600))
+	f := newFixture()
+	f.state, f.now = node.State{}, clock
+	f.reduce(event.Start{Role: event.RoleTraffic, VM: model.VM{ID: "vm0", Zone: "a"}, Began: clock, Loops: 1})
+	f.reduce(f.view)
+	claims := proposed[entry.Claim](f.run(1, model.NewKey(clock, [10]byte{1})))
+	decoded := entry.Holder{VM: "vm0", Start: time.Unix(0, clock.UnixNano()).UTC(), Request: 1}
+	if len(claims) != 1 || claims[0].Holder != decoded {
+		t.Errorf("got claims %+v, want one of holder %+v", claims, decoded)
+	}
+}
--- a/core/node/state_test.go
+++ b/core/node/state_test.go
@@ -23,6 +23,7 @@
 	state node.State
 	now   time.Time
 	out   []effect.Effect
+	view  event.View
 }
 
 func newFixture() *fixture {
@@ -42,7 +43,8 @@
 		topology.Upstreams[id] = model.Upstream{ID: id, Addr: netip.MustParseAddrPort("127.0.0.1:1"), Zone: "a", Index: "pairing", Slots: 4}
 		share.Conns[id] = 4
 	}
-	f.reduce(event.View{Topology: topology, Share: share})
+	f.view = event.View{Topology: topology, Share: share}
+	f.reduce(f.view)
 	for id, shard := range map[model.UpstreamID]int{"u0a": 0, "u0b": 0, "u1a": 1, "u1b": 1} {
 		f.reduce(event.Reported{
 			Upstream: id, Reachable: true,
