--- a/core/plane/control_test.go
+++ b/core/plane/control_test.go
@@ -502,7 +502,7 @@
 	first.lead(1)
 	first.commit()
 	f := newFixture("vm0", true)
-	f.log.standing = plane.Standing{Leader: "vm1", Term: 2, Heard: f.now, Behind: true}
+	f.log.standing = plane.Standing{Leader: "vm1", Term: 2, Heard: f.now, Known: 2}
 	image := entry.Image{Index: 1, Term: 1, Config: first.c.Follower().Image()}
 	f.take(f.c.Loaded(f.now, event.Loaded{Image: image}, nil))
 	if got := len(views(f.out)); got != 0 {
@@ -510,7 +510,6 @@
 	}
 	v := contract()
 	f.log.committed = []entry.Entry{{Index: 2, Term: 2, At: began, Command: entry.Change{Expect: 1, Contract: &v}}}
-	f.log.standing.Behind = false
 	if got := views(f.synced()); len(got) != 1 || got[0].Topology.Revision != 2 {
 		t.Errorf("got views %+v, want one at revision 2", got)
 	}
@@ -532,3 +531,25 @@
 		t.Errorf("got %v, want majority at once", got)
 	}
 }
+
+// Guards against a VM whose disk had failed, and which served from the tree
+// what its data folder lacks, that goes back behind it after its restart: it
+// waits for what the leader says is committed, and for an entry of its term.
+func TestFirstViewWaitsForTheLeadersCommit(t *testing.T) {
+	f := newFixture("vm1", true)
+	g := entry.Config{VMs: []model.VM{fleet(true).VMs["vm0"], fleet(true).VMs["vm1"]}}
+	f.log.standing = plane.Standing{Leader: "vm0", Term: 2, Known: 1}
+	f.log.committed = []entry.Entry{{Index: 1, Term: 1, At: began, Command: entry.Change{Genesis: &g}}}
+	if got := len(all[effect.ToTraffic](f.synced())); got != 0 {
+		t.Errorf("got %d views before an entry of the leader's term, want none", got)
+	}
+	f.log.standing.Known = 3
+	f.log.committed = []entry.Entry{{Index: 2, Term: 2, At: began, Command: entry.Noop{}}}
+	if got := len(all[effect.ToTraffic](f.synced())); got != 0 {
+		t.Errorf("got %d views before all that is committed is applied, want none", got)
+	}
+	f.log.committed = []entry.Entry{{Index: 3, Term: 2, At: began, Command: entry.Noop{}}}
+	if got := len(all[effect.ToTraffic](f.synced())); got != 1 {
+		t.Errorf("got %d views of what is committed, want 1", got)
+	}
+}
--- a/core/plane/log.go
+++ b/core/plane/log.go
@@ -39,8 +39,8 @@
 	Leading bool
 	Term    uint64
 	Commit  uint64
+	Known   uint64    // highest commit index that a leader named; the entries up to it may be missing here
 	Heard   time.Time // when a majority was last heard of
-	Behind  bool      // entries committed before the leader was heard of may be missing
 }
 
 // position is how far the log has been applied.
@@ -100,13 +100,19 @@
 // behind reports whether entries that were in force before the start of the
 // process may still be missing. Publishing before would go back behind a
 // revision that this VM served. All of them are applied once the last one in the
-// data folder is, or an entry of a later leader. The first view also waits for
-// what the leader had committed while this VM was away.
+// data folder is, or an entry of a later leader. A VM whose disk had failed
+// served revisions that its data folder lacks, so the first view also waits for
+// what the leader says is committed, and for an entry of its term: before, a new
+// leader does not know what the one before committed.
 func (c *Control) behind() bool {
-	if c.published == 0 && c.log != nil && c.log.Standing().Behind {
+	if c.stale || c.log == nil {
+		return c.stale
+	}
+	if c.applied.index < c.applied.loaded.index && c.applied.term <= c.applied.loaded.term {
 		return true
 	}
-	return c.stale || c.log != nil && c.applied.index < c.applied.loaded.index && c.applied.term <= c.applied.loaded.term
+	s := c.log.Standing()
+	return c.published == 0 && s.Leader != "" && (c.applied.index < s.Known || c.applied.term < s.Term)
 }
 
 // first lists the replicas of an empty log: the disk VMs of the settings.
--- a/core/quorum/log.go
+++ b/core/quorum/log.go
@@ -52,6 +52,7 @@
 	image   entry.Image
 	entries []entry.Entry // after the image
 	commit  uint64
+	known   uint64 // highest commit index that a leader named
 	applied uint64
 	restore bool // the image is to be returned by Committed
 
@@ -64,7 +65,6 @@
 	saving   flight // of the image
 	held     []promise
 	verified uint64 // last index known to equal that of the term's leader
-	told     uint64 // last index that the term's leader named in its first append; 0 before
 	round    uint64 // of the leader, last heard or last begun
 
 	first     []entry.Replica // voters until entry 1, without disks
@@ -105,9 +105,9 @@
 	Leading bool
 	Term    uint64
 	Commit  uint64
+	Known   uint64 // highest commit index that a leader named
 	Last    uint64
 	Heard   time.Time // when a majority, or the leader for it, was last heard of
-	Behind  bool      // entries committed before the leader was heard of may be missing
 	Members entry.Members
 	Failed  bool // the disk failed; this replica takes no further part
 }
@@ -313,15 +313,11 @@
 // Status returns what this replica knows of the log.
 func (l *Log) Status() Status {
 	s := Status{
-		Leader: l.leads, Leading: l.role == leader, Term: l.term, Commit: l.commit, Last: l.last(),
+		Leader: l.leads, Leading: l.role == leader, Term: l.term, Commit: l.commit, Known: l.known, Last: l.last(),
 		Heard: l.heard, Members: l.members, Failed: l.failed,
 	}
-	switch {
-	case l.role == leader:
+	if l.role == leader {
 		s.Heard = l.majorityHeard()
-		s.Behind = l.commit < l.began
-	case l.leads != "":
-		s.Behind = l.told == 0 || l.commit < l.told
 	}
 	return s
 }
--- a/core/quorum/rule_test.go
+++ b/core/quorum/rule_test.go
@@ -80,25 +80,25 @@
 	}
 }
 
-// TestBehind guards against a replica that takes itself for current although the
+// TestKnown guards against a replica that takes itself for current although the
 // leader has committed entries that it has not got.
-func TestBehind(t *testing.T) {
+func TestKnown(t *testing.T) {
 	l := loadThree()
-	if l.Status().Behind {
-		t.Error("behind without a leader, want not known")
+	if got := l.Status().Known; got != 0 {
+		t.Errorf("without a leader: got %d known as committed, want 0", got)
 	}
 	lead := three.Voters[1]
 	l.Peer(start, lead.VM, frame.Append{Term: 2, Replica: lead, PrevIndex: 2, PrevTerm: 2, Commit: 4}, nil)
 	for i := uint64(3); i <= 4; i++ {
-		if !l.Status().Behind {
-			t.Errorf("with entries up to %d of 4: not behind", i-1)
+		if s := l.Status(); s.Commit >= s.Known {
+			t.Errorf("with entries up to %d of 4: got commit %d not below known %d", i-1, s.Commit, s.Known)
 		}
 		l.Peer(start, lead.VM, frame.Append{
-			Term: 2, Replica: lead, PrevIndex: i - 1, PrevTerm: 2, Commit: 5,
+			Term: 2, Replica: lead, PrevIndex: i - 1, PrevTerm: 2, Commit: 4,
 			Entries: []entry.Entry{{Index: i, Term: 2, Command: entry.Noop{}}},
 		}, nil)
 	}
-	if l.Status().Behind {
-		t.Error("behind with all entries that were committed when the leader was first heard")
+	if s := l.Status(); s.Commit != s.Known {
+		t.Errorf("with all entries: got commit %d, want %d", s.Commit, s.Known)
 	}
 }
