Keep part of the extra-load budget for retries

Cause: at twice the capacity, hedges and retries after sheds draw on one budget. Once hedges have used it up, the next shed costs its whole query, after the other shards have run; the caller is refused as `coverage` late.

Change: a hedge is sent only while more than five attempts are left.

--- a/core/query/scatter.go
+++ b/core/query/scatter.go
@@ -270,7 +270,7 @@
 		if p.sent.Add(delay).After(at) {
 			return out
 		}
-		if q.missing() > max(1, len(q.shards)/hedgeShare) || t.budget(q.request.Customer).Left() == 0 {
+		if q.missing() > max(1, len(q.shards)/hedgeShare) || t.budget(q.request.Customer).LeftForHedges() == 0 {
 			q.hedgeAt = at.Add(max(delay/4, time.Millisecond))
 			return out
 		}
@@ -279,7 +279,7 @@
 			continue
 		}
 		choice, ok := t.picker.Pick(at, q.request.Index, q.version, p.shard, s.tried)
-		if !ok || !t.budget(q.request.Customer).Spend(1) {
+		if !ok || !t.budget(q.request.Customer).SpendHedge() {
 			continue
 		}
 		s.hedged = true
--- a/core/retry/budget.go
+++ b/core/retry/budget.go
@@ -7,6 +7,7 @@
 	maxScatters = 2   // a query with many shards may save this many scatters
 	freeRatio   = 0.5 // retries that cost the upstream nothing, per first attempt
 	startFree   = 50
+	hedgeFloor  = 5 // left for retries by hedges, which would add to an overload
 )
 
 // Budget limits retries and hedges to a share of the first attempts. The zero
@@ -56,7 +57,13 @@
 	return true
 }
 
-// Left returns the attempts left, rounded down.
-func (b *Budget) Left() int {
-	return int(b.tokens)
+// SpendHedge takes one hedge from the budget unless only what is kept for
+// retries is left.
+func (b *Budget) SpendHedge() bool {
+	return b.LeftForHedges() > 0 && b.Spend(1)
+}
+
+// LeftForHedges returns the hedges that the budget allows.
+func (b *Budget) LeftForHedges() int {
+	return max(0, int(b.tokens)-hedgeFloor)
 }
--- /dev/null
+++ b/core/retry/budget_test.go
@@ -0,0 +1,23 @@
+package retry
+
+import "testing"
+
+// Guards against hedges that use up the budget: under overload the next shed
+// then costs a whole query, after its other shards have run.
+func TestHedgesLeaveTheBudgetForRetries(t *testing.T) {
+	var b Budget
+	b.SetRatio(0.05)
+	b.Earn(1000)
+	hedges := 0
+	for b.SpendHedge() {
+		hedges++
+	}
+	if hedges == 0 || b.LeftForHedges() != 0 {
+		t.Fatalf("got %d hedges with %d left, want some and none left", hedges, b.LeftForHedges())
+	}
+	for n := range hedgeFloor {
+		if !b.Spend(1) {
+			t.Fatalf("got %d retries after the hedges, want %d", n, hedgeFloor)
+		}
+	}
+}
