End a query when its least coverage is out of reach

Cause: a query that lost a shard went on loading upstreams with its other shards until all had ended, although the answer would be refused.

Change: a query ends as soon as the shards that may still be answered are below the least coverage of its class; attempts in flight are cancelled and the refusal says `unknown`, unless one ran. Queries that were refused are not timed.

--- a/core/admit/gate.go
+++ b/core/admit/gate.go
@@ -138,8 +138,9 @@
 	return Queued
 }
 
-// Leave ends a started ticket. It returns the tickets that start now and those
-// that are too late to start.
+// Leave ends a started ticket that was answered after took, or refused when
+// took is zero. It returns the tickets that start now and those that are too
+// late to start.
 func (g *Gate) Leave(at time.Time, ticket Ticket, took time.Duration) (started, late []Ticket) {
 	t, ok := g.tenants[ticket.Customer]
 	if !ok {
--- a/core/admit/gate_test.go
+++ b/core/admit/gate_test.go
@@ -109,3 +109,27 @@
 		t.Errorf("got %d of 100 requests started 5 s after the overload, want at least 95", got)
 	}
 }
+
+// Guards against refused queries that lower the estimates of durations: the
+// rate then falls, since answered queries seem to queue at the upstreams.
+func TestRefusedQueryIsNotTimed(t *testing.T) {
+	g := newGate(100, map[string]int{"acme": 10})
+	run := func(id int, took time.Duration) {
+		g.Enter(began, ticket(id, "acme"))
+		g.Leave(began, ticket(id, "acme"), took)
+	}
+	for id := range 20 {
+		run(id, 40*time.Millisecond)
+	}
+	l := g.lane("pairing")
+	base, typical := l.base, l.typical()
+	for id := range 20 {
+		run(20+id, 0)
+	}
+	if l.base != base || l.typical() != typical {
+		t.Errorf("got base %v and typical duration %v after refusals, want %v and %v", l.base, l.typical(), base, typical)
+	}
+	if l.inflight != 0 || l.used != 0 {
+		t.Errorf("got %d queries and %d sub-requests in flight, want none", l.inflight, l.used)
+	}
+}
--- a/core/admit/lane.go
+++ b/core/admit/lane.go
@@ -216,11 +216,15 @@
 	return started, late
 }
 
-// finished takes over the end of a query.
+// finished takes over the end of a query. One that was refused is not timed: it
+// ends early, and a low base would be taken for queues at the upstreams.
 func (l *lane) finished(f *flow, cost int, took time.Duration) {
 	f.used -= cost
 	l.used -= cost
 	l.inflight--
+	if took == 0 {
+		return
+	}
 	if l.took == 0 {
 		l.took, l.base = took, took
 	}
--- a/core/node/query_test.go
+++ b/core/node/query_test.go
@@ -153,3 +153,35 @@
 		t.Errorf("got %d retries after %v, want one not before %v", len(again), f.now.Sub(began), shed.After)
 	}
 }
+
+// Guards against a query that goes on loading upstreams after a shard was shed
+// so often that its least coverage cannot be reached any more.
+func TestQueryGivesUpWhenItsCoverageIsOutOfReach(t *testing.T) {
+	f := newFixtureCovering(1)
+	f.warm()
+	sends := all[effect.Send](f.request(1))
+	open, other := sends[0], sends[1]
+	var out []effect.Effect
+	for range 5 {
+		out = slices.Clone(f.reduce(event.Failed{Attempt: open.Attempt, Reason: model.FailedShed, Ran: model.RanNo}))
+		again := all[effect.Send](out)
+		for end := f.now.Add(50 * time.Millisecond); len(again) == 0 && f.now.Before(end) && len(all[effect.Refuse](out)) == 0; {
+			again = all[effect.Send](f.wait(time.Millisecond))
+		}
+		if len(again) == 0 {
+			break
+		}
+		open = again[0]
+	}
+	refusals := all[effect.Refuse](out)
+	if len(refusals) != 1 || refusals[0].Rejection.Reason != model.RefusedCoverage {
+		t.Fatalf("got refusals %+v after five sheds of a shard, want one for coverage", refusals)
+	}
+	// The other shard's attempt is in flight and may run.
+	if got := refusals[0].Rejection.Ran; got != model.RanUnknown {
+		t.Errorf("got ran %v, want unknown", got)
+	}
+	if cancels := all[effect.Cancel](out); len(cancels) != 1 || cancels[0].Attempt != other.Attempt {
+		t.Errorf("got cancels %+v, want one of attempt %d", cancels, other.Attempt)
+	}
+}
--- a/core/node/state_test.go
+++ b/core/node/state_test.go
@@ -26,6 +26,11 @@
 }
 
 func newFixture() *fixture {
+	return newFixtureCovering(0.5)
+}
+
+// newFixtureCovering has a class with another least coverage.
+func newFixtureCovering(coverage float64) *fixture {
 	f := &fixture{now: began}
 	f.reduce(event.Start{Role: event.RoleTraffic, VM: model.VM{ID: "vm0", Zone: "a"}, Seed: 1, Loops: 1})
 	topology := &model.Topology{
@@ -33,7 +38,7 @@
 		Contracts: map[string]model.Contract{"acme": {
 			Customer: "acme", Credential: sha256.Sum256([]byte("secret")), Indexes: []string{"pairing"},
 			Concurrency: 10, Capacity: 1, Extra: 1, Retention: time.Hour,
-			Classes: []model.Class{{Name: "now", Wait: 100 * time.Millisecond, Price: 5, Weight: 1, Coverage: 0.5}},
+			Classes: []model.Class{{Name: "now", Wait: 100 * time.Millisecond, Price: 5, Weight: 1, Coverage: coverage}},
 		}},
 		Upstreams: make(map[model.UpstreamID]model.Upstream),
 	}
--- a/core/query/outcome.go
+++ b/core/query/outcome.go
@@ -39,6 +39,7 @@
 			effect.Count{Counter: effect.CountCharged, Reason: q.request.Customer, N: q.class.Price},
 		)
 	}
+	q.served = true
 	return t.end(at, q, out)
 }
 
@@ -153,7 +154,11 @@
 		return out
 	}
 	q.admitted = false
-	started, late := t.gate.Leave(at, q.ticket, at.Sub(q.started))
+	took := time.Duration(0)
+	if q.served {
+		took = at.Sub(q.started)
+	}
+	started, late := t.gate.Leave(at, q.ticket, took)
 	return t.enter(at, started, late, out)
 }
 
--- a/core/query/query.go
+++ b/core/query/query.go
@@ -30,6 +30,7 @@
 	ticket    admit.Ticket
 	phase     phase
 	admitted  bool      // holds its place in the gate
+	served    bool      // was answered
 	closed    bool      // the caller was answered or left
 	started   time.Time // admission
 	version   model.Version
@@ -125,6 +126,11 @@
 	return model.Coverage{Answered: q.answered, Total: len(q.shards)}.Share()
 }
 
+// reachable is the share of the shards that are or may still be answered.
+func (q *query) reachable() float64 {
+	return model.Coverage{Answered: len(q.shards) - q.dead, Total: len(q.shards)}.Share()
+}
+
 // mayHaveRun raises what is known about the request having run.
 func (q *query) mayHaveRun(ran model.Ran) {
 	switch {
--- a/core/query/scatter.go
+++ b/core/query/scatter.go
@@ -211,7 +211,7 @@
 		}
 		return t.expire(at, q, out)
 	}
-	if q.missing() == 0 && q.idempotent() {
+	if q.idempotent() && (q.missing() == 0 || q.reachable() < q.class.Coverage) {
 		return t.expire(at, q, out)
 	}
 	return t.wakeAt(q, t.nextDue(q), out)
