Let VMs of two versions read each other's messages

Cause: structs were msgpack arrays, and the library refuses an array with another number of fields ("number of fields in array-encoded struct has changed"). During a rolling upgrade that adds a field, VMs of the two versions could not have read each other's frames.

Change: bodies are maps by field name, as in io/codec. Unknown fields are skipped, missing ones are zero. Omitting zero fields is no option: the library takes every address for empty.

The encoding of commands still stands twice, in io/peer and io/codec.

--- a/io/peer/codec.go
+++ b/io/peer/codec.go
@@ -82,7 +82,8 @@
 	enc := msgpack.GetEncoder()
 	defer msgpack.PutEncoder(enc)
 	enc.Reset(&buffer)
-	enc.UseArrayEncodedStructs(true)
+	// Bodies are maps, so that VMs of two versions read each other during an
+	// upgrade: an unknown field is skipped and a missing one is zero.
 	enc.UseCompactInts(true)
 	if err = enc.EncodeArrayLen(2); err != nil {
 		return nil, err
--- a/io/peer/doc.go
+++ b/io/peer/doc.go
@@ -15,11 +15,12 @@
 //
 // # Format
 //
-// Structs are msgpack arrays of their fields in the order of their declaration.
-// A new field changes the format for both sides. The first frame of a connection is a
-// hello. A message longer than one frame is sent as parts that are joined
-// before they are decoded. Each VM sends on the connections that it dials and
-// receives on those that it accepts.
+// Structs are msgpack maps with the names of their fields, so that a field can
+// be added while VMs of both versions run: a field that is not known is skipped,
+// and one that is missing is zero. The first frame of a connection is a hello. A
+// message longer than one frame is sent as parts that are joined before they
+// are decoded. Each VM sends on the connections that it dials and receives on
+// those that it accepts.
 //
 // With keys, both sides must have a certificate of the configured authority;
 // its name is not checked, because VMs are reached by address.
