Make a restarted replica ask what is committed before its first view

Cause: TestRestartedVMServesCurrentConfiguration saw, in one of seven runs, a restarted disk VM ready at revision 510 while 550 was accepted before its start. The leader's messages can have been sent before the restart, so that the commit index in them is old. Change: a replica that starts with a data folder commits an entry of its own and waits for the revision in force there.

--- a/core/plane/control.go
+++ b/core/plane/control.go
@@ -25,6 +25,7 @@
 	log        Replicator // nil on a VM without a disk
 	applied    position
 	queue      queue
+	fresh      fresh
 	taken      map[model.VMID]uint64 // number of the last command that a VM forwarded here
 	reads      []read
 	history    history
--- a/core/plane/log.go
+++ b/core/plane/log.go
@@ -68,6 +68,9 @@
 		c.applied.loaded = slot{index: loaded.Entries[n-1].Index, term: loaded.Entries[n-1].Term}
 	}
 	out = c.log.Loaded(at, c.start.VM.ID, c.start.Seed, c.first(), loaded, out)
+	if loaded.Image.Index > 0 || len(loaded.Entries) > 0 {
+		out = c.refresh(at, out)
+	}
 	return c.seal(from, c.moved(at, out))
 }
 
@@ -111,6 +114,9 @@
 	if c.applied.index < c.applied.loaded.index && c.applied.term <= c.applied.loaded.term {
 		return true
 	}
+	if c.fresh.holds(c) {
+		return true
+	}
 	s := c.log.Standing()
 	return c.published == 0 && s.Leader != "" && (c.applied.index < s.Known || c.applied.term < s.Term)
 }
