Keep a connection's place until the upstream closes its end

Cause: a cancelled attempt closes its connection, and the transport dials the next one before the upstream has seen the close. The upstream then counts one connection above its cap and resets it. A changed limit also opened a second pool beside the connections still in use on the first. Change: the dialer counts connections itself, one count for each upstream over successive pools. A connection is closed for writing first and keeps its place until the upstream has closed its end, for at most one second.

--- a/io/dialer/dialer.go
+++ b/io/dialer/dialer.go
@@ -28,6 +28,7 @@
 
 	mu        sync.Mutex
 	upstreams map[model.UpstreamID]*client
+	places    map[model.UpstreamID]*places // kept when an upstream is removed, since it may return
 	calls     map[model.AttemptID]context.CancelFunc
 	closed    bool
 	wg        sync.WaitGroup
@@ -57,20 +58,33 @@
 		known.transport.CloseIdleConnections()
 		delete(d.upstreams, l.Upstream)
 	}
+	if d.places == nil {
+		d.places = make(map[model.UpstreamID]*places)
+	}
+	p, ok := d.places[l.Upstream]
+	if !ok {
+		p = &places{}
+		d.places[l.Upstream] = p
+	}
+	p.setLimit(l.Conns)
 	if l.Conns > 0 {
-		d.upstreams[l.Upstream] = &client{transport: newTransport(l.Conns), conns: l.Conns, addr: l.Addr}
+		d.upstreams[l.Upstream] = &client{transport: newTransport(l.Conns, p), conns: l.Conns, addr: l.Addr}
 	}
 }
 
-func newTransport(conns int) *http.Transport {
+func newTransport(conns int, p *places) *http.Transport {
 	dial := net.Dialer{Timeout: dialTimeout}
 	return &http.Transport{
 		DialContext: func(ctx context.Context, network, addr string) (net.Conn, error) {
+			if err := p.take(ctx); err != nil {
+				return nil, err
+			}
 			conn, err := dial.DialContext(ctx, network, addr)
 			if err != nil {
+				p.release()
 				return nil, err
 			}
-			return &countedConn{Conn: conn}, nil
+			return &countedConn{Conn: conn, places: p}, nil
 		},
 		MaxConnsPerHost:        conns,
 		MaxIdleConnsPerHost:    conns,
--- a/io/dialer/dialer_test.go
+++ b/io/dialer/dialer_test.go
@@ -1,6 +1,7 @@
 package dialer_test
 
 import (
+	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -122,3 +123,45 @@
 		t.Errorf("got reason %s, want %s", got, want)
 	}
 }
+
+// Guards against a connection above the cap: an upstream counts a connection
+// whose attempt was cancelled until it has closed its own end.
+func TestCancelledConnectionKeepsItsPlace(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { _ = l.Close() })
+	d, events := newDialer(t, addrOf(l))
+	d.Send(send(1, addrOf(l)))
+	first, err := l.Accept()
+	if err != nil {
+		t.Fatal(err)
+	}
+	// Before its first byte the attempt may be cancelled without its connection.
+	if _, err := first.Read(make([]byte, 1)); err != nil {
+		t.Fatal(err)
+	}
+	var closed atomic.Bool
+	over := make(chan bool)
+	go func() {
+		second, err := l.Accept()
+		early := !closed.Load()
+		if err == nil {
+			_ = second.Close()
+		}
+		over <- early
+	}()
+	d.Cancel(effect.Cancel{Attempt: 1})
+	<-events
+	d.Send(send(2, addrOf(l)))
+	if _, err := io.Copy(io.Discard, first); err != nil {
+		t.Fatal(err)
+	}
+	<-time.After(50 * time.Millisecond) // an upstream that is slow to close
+	closed.Store(true)
+	_ = first.Close()
+	if <-over {
+		t.Error("got a second connection before the upstream closed the first, want at most one")
+	}
+}
