Let refusals outweigh lagging reports and restart overtaken queries

Cause: each report replaced what a newer refusal had shown, so a drained upstream with a lagging report came back with every probe. Change: a refusal as drained holds until a report says drained as well, the upstream was down for two probes, or a minute has passed. A shard refused with 409 is left out until a report no longer lists it, or for a minute. A 409 probes the live upstreams of the index at once, each at most every 50 ms. Shards and queries without a holder wait up to 500 ms for reports; a query restarts once when a newer version is whole, or at the end of that time when it covers more than what is left. Conclusion: an upstream that drains and returns while its report never says drained stays out of use for up to a minute.

--- a/core/query/outcome.go
+++ b/core/query/outcome.go
@@ -49,6 +49,8 @@
 	case phaseQueued:
 		t.gate.Abandon(q.ticket)
 		return t.refuse(at, q, model.RefusedDeadline, "the request waited in the queue until its deadline", out)
+	case phasePinning:
+		return t.refuse(at, q, model.RefusedSnapshot, "no version of the index became known in time", out)
 	case phaseClaiming:
 		return t.refuseOpen(at, q, model.RefusedMajority, "the ledger did not answer in time", out)
 	case phaseSettling:
--- a/core/query/query.go
+++ b/core/query/query.go
@@ -14,6 +14,7 @@
 const (
 	phaseQueued    phase = iota // waits for admission
 	phaseClaiming               // waits for its idempotency key
+	phasePinning                // waits for a version of its index to be known
 	phaseCanary                 // one shard is tried first
 	phaseScatter                // all shards are tried
 	phaseSettling               // waits for its outcome to be recorded
@@ -52,6 +53,7 @@
 	detail    string
 	doomed    bool          // the fingerprint was quarantined
 	vanished  bool          // no upstream holds the pinned version of a shard any more
+	lostUntil time.Time     // when shards without a holder are given up; zero when none was lost
 	restarted bool          // the one restart was used
 	outcome   *model.Answer // held back until it is recorded
 
@@ -63,6 +65,7 @@
 type shard struct {
 	done    bool
 	dead    bool // gets no further attempt
+	lost    bool // no upstream holds it at the pinned version
 	waiting bool // no replica is within its limits, or another request has the turn
 	hedged  bool
 	number  int // attempts so far
@@ -160,7 +163,17 @@
 	q.agenda = q.agenda[:0]
 	q.hedges = q.hedges[:0]
 	q.hedgeAt, q.spreadAt = time.Time{}, time.Time{}
-	q.vanished = false
+	q.vanished, q.lostUntil = false, time.Time{}
+}
+
+// lost is the number of shards that no upstream holds at the pinned version.
+func (q *query) lost() (n int) {
+	for i := range q.shards {
+		if q.shards[i].lost && !q.shards[i].dead {
+			n++
+		}
+	}
+	return n
 }
 
 // schedule sets the time of a shard's next attempt.
--- a/core/query/scatter.go
+++ b/core/query/scatter.go
@@ -16,6 +16,7 @@
 	maxShards  = 1 << 16                // of a snapshot; a greater count is taken for a malformed answer
 	runGrace   = 2 * time.Second        // a non-idempotent attempt may outlive its caller, so that its outcome is recorded
 	parkRetry  = 50 * time.Millisecond  // a shard without a usable replica looks again, in case no event wakes it
+	learnFor   = 500 * time.Millisecond // a query waits for reports after its version disappeared; a probe period
 	holdRetry  = 100 * time.Millisecond // a shard looks again after its strikes may have been confirmed or expired
 
 	canaryFactor = 2 // times the hedge delay, after which a canary without a failure is taken for a slow one
@@ -40,6 +41,15 @@
 		if !q.idempotent() {
 			return t.release(at, q, model.RefusedSnapshot, "no version of the index is known", out)
 		}
+		if q.phase != phasePinning && t.routes.Serves(q.request.Index) {
+			// Refusals showed that the known versions are gone. Reports tell the next one.
+			q.phase, q.until = phasePinning, at.Add(learnFor)
+		}
+		if q.phase == phasePinning && at.Before(q.until) {
+			t.lost.push(t, waiter{request: q.request.ID})
+			out = t.ask(at, q.request.Index, out)
+			return t.wakeAt(q, earlier(at.Add(parkRetry), q.until), out)
+		}
 		return t.refuse(at, q, model.RefusedSnapshot, "no version of the index is known", out)
 	}
 	return t.launch(at, q, version, shards, out)
@@ -89,7 +99,7 @@
 func (t *Table) try(at time.Time, q *query, i int, out []effect.Effect) []effect.Effect {
 	s := &q.shards[i]
 	s.due = time.Time{}
-	s.waiting = false
+	s.waiting, s.lost = false, false
 	fp := q.request.Fingerprint
 	turn := false
 	switch t.guard.Judge(at, fp) {
@@ -177,6 +187,9 @@
 	if q.phase == phaseSettling || q.phase == phaseReleasing {
 		return t.repropose(at, q, out)
 	}
+	if q.phase == phasePinning {
+		return t.scatter(at, q, out)
+	}
 	if q.phase != phaseScatter && q.phase != phaseCanary {
 		return t.wakeAt(q, q.deadline(), out)
 	}
@@ -199,6 +212,9 @@
 		if version, shards, ok := t.newer(at, q); ok {
 			return t.restart(at, q, version, shards, out)
 		}
+		if q.lost() > 0 {
+			out = t.ask(at, q.request.Index, out)
+		}
 	case q.dead > 0 && !q.idempotent():
 		return t.release(at, q, model.RefusedExhausted, "no attempt could run", out)
 	}
@@ -298,9 +314,13 @@
 	if !ok || shards > maxShards {
 		return 0, 0, false
 	}
-	if t.routes.Covered(at, q.request.Index, version) <= float64(len(q.shards)-q.dead)/float64(len(q.shards)) {
+	covered, left := t.routes.Covered(at, q.request.Index, version), len(q.shards)-q.dead-q.lost()
+	if covered <= float64(left)/float64(len(q.shards)) {
 		return 0, 0, false
 	}
+	if covered < 1 && at.Before(q.lostUntil) {
+		return 0, 0, false // more of the version may become known
+	}
 	if delay, known := t.hedger.Delay(q.request.Index); known && at.Add(delay).After(q.deadline()) {
 		return 0, 0, false
 	}
@@ -401,6 +421,9 @@
 	delete(t.attempts, f.Attempt)
 	t.routes.Failed(at, known.upstream, known.version, known.shard, at.Sub(known.started), f)
 	out = append(out, effect.Count{Counter: effect.CountFailed, Reason: string(f.Reason), N: 1})
+	if f.Reason == model.FailedVersion {
+		out = t.ask(at, known.index, out)
+	}
 	if f.Reason == model.FailedShed {
 		t.limiter.Shed(known.index)
 	}
--- a/core/query/table.go
+++ b/core/query/table.go
@@ -41,6 +41,7 @@
 	attempts map[model.AttemptID]attempt
 	waiters  map[model.UpstreamID]*line
 	turns    map[model.Fingerprint]*line
+	lost     line // queries and shards that wait for a holder
 	next     model.AttemptID
 	sent     [kinds]int64 // attempts started by the event in hand
 	ready    bool         // a view is in force and every upstream was probed once
@@ -212,6 +213,7 @@
 	}
 	if t.routes.Report(at, r) {
 		out = t.recheck(at, r.Upstream, out)
+		out = t.relocate(at, out)
 	}
 	out = t.wakeWaiters(at, r.Upstream, out)
 	return t.finish(at, out)
--- a/core/query/wait.go
+++ b/core/query/wait.go
@@ -58,6 +58,9 @@
 // waiting returns the query of a waiter if its shard still waits.
 func (t *Table) waiting(w waiter) (*query, bool) {
 	q, ok := t.queries[w.request]
+	if ok && q.phase == phasePinning {
+		return q, true
+	}
 	if !ok || q.closed || q.phase != phaseScatter && q.phase != phaseCanary {
 		return nil, false
 	}
@@ -71,8 +74,7 @@
 func (t *Table) park(at time.Time, q *query, i int) {
 	holders, next := t.routes.Holders(at, q.request.Index, q.version, i)
 	if len(holders) == 0 {
-		q.vanished = true
-		q.kill(i)
+		t.lose(at, q, i)
 		return
 	}
 	q.shards[i].waiting = true
@@ -91,6 +93,46 @@
 	q.schedule(i, next)
 }
 
+// lose lets a shard without a holder wait for reports: another upstream may
+// have taken the shard over, or the query starts again at another version.
+func (t *Table) lose(at time.Time, q *query, i int) {
+	q.vanished = true
+	if q.lostUntil.IsZero() {
+		q.lostUntil = at.Add(learnFor)
+	}
+	if !at.Before(q.lostUntil) || !q.idempotent() || !t.routes.Serves(q.request.Index) {
+		q.kill(i)
+		return
+	}
+	q.shards[i].lost, q.shards[i].waiting = true, true
+	t.lost.push(t, waiter{request: q.request.ID, version: q.version, shard: i})
+	q.schedule(i, earlier(at.Add(parkRetry), q.lostUntil))
+}
+
+// relocate lets the shards and queries that wait for a holder look again, after
+// the holdings of an upstream changed.
+func (t *Table) relocate(at time.Time, out []effect.Effect) []effect.Effect {
+	for n := t.lost.len(); n > 0; n-- {
+		w, _ := t.lost.pop()
+		q, ok := t.queries[w.request]
+		switch {
+		case ok && q.phase == phasePinning:
+			out = t.scatter(at, q, out)
+		case ok:
+			out = t.wake(at, w, out)
+		}
+	}
+	return out
+}
+
+// ask probes the upstreams of an index whose holdings changed unnoticed.
+func (t *Table) ask(at time.Time, index string, out []effect.Effect) []effect.Effect {
+	for _, id := range t.routes.Ask(at, index) {
+		out = t.probe(id, out)
+	}
+	return out
+}
+
 // queueTurn lets a shard wait until no other attempt of its fingerprint is in
 // flight.
 func (t *Table) queueTurn(q *query, i int) {
@@ -153,10 +195,14 @@
 }
 
 func (t *Table) wakeFirst(at time.Time, l *line, out []effect.Effect) []effect.Effect {
-	w, ok := l.pop()
-	if !ok {
-		return out
+	if w, ok := l.pop(); ok {
+		return t.wake(at, w, out)
 	}
+	return out
+}
+
+// wake lets a shard try again if it still waits.
+func (t *Table) wake(at time.Time, w waiter, out []effect.Effect) []effect.Effect {
 	q, ok := t.waiting(w)
 	if !ok {
 		return out
--- a/core/route/map.go
+++ b/core/route/map.go
@@ -96,6 +96,25 @@
 	return due
 }
 
+// Ask lists the upstreams of an index to probe out of turn, because a refusal
+// showed that their reports are out of date.
+func (m *Map) Ask(at time.Time, index string) []model.UpstreamID {
+	var due []model.UpstreamID
+	for _, u := range m.sorted {
+		if u.Index == index && u.live() && at.Sub(u.askedAt) >= leastAsk {
+			u.askedAt = at
+			due = append(due, u.ID)
+		}
+	}
+	return due
+}
+
+// Serves reports whether an index has live upstreams that held a version at
+// their last report.
+func (m *Map) Serves(index string) bool {
+	return slices.ContainsFunc(m.sorted, func(u *upstream) bool { return u.Index == index && u.live() && len(u.holds) > 0 })
+}
+
 // Conns returns the share of an upstream's connection cap, and its address.
 func (m *Map) Conns(id model.UpstreamID) (model.Upstream, int) {
 	u, ok := m.upstreams[id]
@@ -126,12 +145,12 @@
 		}
 		return before && !u.live()
 	}
+	u.drained(at, r.Draining)
 	u.misses = 0
 	if !u.probed.IsZero() {
 		m.observeTrip(u.Zone, at.Sub(u.probed))
 		u.probed = time.Time{}
 	}
-	u.leaving = r.Draining
 	if r.Cold || !u.reachable && u.wasDown {
 		u.restart(at)
 	}
@@ -139,11 +158,12 @@
 	u.reachable = true
 	u.wasDown = r.Cold
 	u.report(at, r.Load)
-	if u.sameHoldings(r.Holdings) {
+	holdings := u.allowed(at, r.Holdings)
+	if u.sameHoldings(holdings) {
 		return before && !u.live()
 	}
 	m.unlink(u)
-	m.link(u, r.Holdings)
+	m.link(u, holdings)
 	return true
 }
 
@@ -430,6 +450,7 @@
 		u.downUntil = at.Add(min(f.After, maxRetryAfter))
 	case model.FailedDrained:
 		u.leaving = true
+		u.refusedAt = at
 		m.epoch++
 	case model.FailedCold:
 		u.restart(at)
@@ -438,6 +459,7 @@
 		if h, ok := m.holders[snapshot{u.Index, version}]; ok && shard < len(h.replicas) {
 			h.remove(shard, u)
 			u.stale = true
+			u.deny(at, version, shard)
 			m.epoch++
 		}
 	case model.FailedCancelled, model.FailedTimeout:
--- a/core/route/map_test.go
+++ b/core/route/map_test.go
@@ -148,3 +148,42 @@
 		t.Errorf("got version %d, want 1, since half of version 3 is missing", v)
 	}
 }
+
+// Guards against a lagging report that brings back an upstream which refused as
+// drained, and against one that is left out for good after it came back.
+func TestRefusalAsDrainedOutweighsOlderReports(t *testing.T) {
+	m := newMap("a")
+	m.Failed(began, "ua", 1, 0, 0, event.Failed{Reason: model.FailedDrained})
+	for n := range 20 {
+		at := began.Add(time.Duration(n) * probeHealthy)
+		m.Report(at, up("ua"))
+		if m.Free(at, "ua") {
+			t.Fatalf("a report %v after the refusal brought the upstream back", at.Sub(began))
+		}
+	}
+	at := began.Add(20 * probeHealthy)
+	confirmed := up("ua")
+	confirmed.Draining = true
+	m.Report(at, confirmed)
+	m.Report(at.Add(probeHealthy), up("ua"))
+	if !m.Free(at.Add(probeHealthy), "ua") {
+		t.Error("the upstream gets no attempts although its report went from drained to active")
+	}
+}
+
+// Guards against a lagging report that brings back a shard which the upstream
+// refused as not held.
+func TestRefusedShardOutweighsOlderReports(t *testing.T) {
+	m := newMap("a")
+	m.Report(began, up("ua", 2))
+	m.Failed(began, "ua", 2, 0, 0, event.Failed{Reason: model.FailedVersion})
+	m.Report(began.Add(probeHealthy), up("ua", 2))
+	if v, _, _ := m.Pin(began, "pairing", 0); v != 1 {
+		t.Errorf("got version %d after a refusal of version 2, want 1", v)
+	}
+	m.Report(began.Add(2*probeHealthy), up("ua"))
+	m.Report(began.Add(3*probeHealthy), up("ua", 2))
+	if v, _, _ := m.Pin(began, "pairing", 0); v != 2 {
+		t.Errorf("got version %d after the shard was taken over anew, want 2", v)
+	}
+}
--- a/core/route/upstream.go
+++ b/core/route/upstream.go
@@ -2,6 +2,7 @@
 
 import (
 	"math"
+	"slices"
 	"time"
 
 	"comfreypulley/core/model"
@@ -16,14 +17,17 @@
 	firstLatency   = 5 * time.Millisecond   // assumed before any answer
 	downFor        = 100 * time.Millisecond // no new attempt after a refused connection; doubles up to maxDownShift times
 	maxDownShift   = 4
-	maxRetryAfter  = 5 * time.Second // a longer Retry-After is cut, since upstreams can mislead
-	limitDecrease  = 0.5             // on shed
-	limitSlots     = 2               // attempts in flight at most, in slots
-	slowStart      = 5 * time.Second // ramp of a cold upstream
-	reportTrustFor = time.Second     // age at which a report counts for nothing
-	doubtStep      = 0.1             // change of the doubt in reports per answer
-	tripShorter    = 0.5             // weight of a shorter probe round trip
-	tripLonger     = 0.05            // weight of a longer one
+	maxRetryAfter  = 5 * time.Second       // a longer Retry-After is cut, since upstreams can mislead
+	limitDecrease  = 0.5                   // on shed
+	limitSlots     = 2                     // attempts in flight at most, in slots
+	slowStart      = 5 * time.Second       // ramp of a cold upstream
+	reportTrustFor = time.Second           // age at which a report counts for nothing
+	doubtStep      = 0.1                   // change of the doubt in reports per answer
+	tripShorter    = 0.5                   // weight of a shorter probe round trip
+	tripLonger     = 0.05                  // weight of a longer one
+	refusalFor     = time.Minute           // a refusal outweighs reports that never confirm it for this long
+	leastAsk       = 50 * time.Millisecond // between probes that refusals cause
+	restartMisses  = 2                     // probes missed in a row that show a restart rather than a lost probe
 )
 
 // Periods of probes. A healthy upstream is probed often enough for a drain to
@@ -53,8 +57,11 @@
 	misses     int       // probes without a report in a row
 	reachable  bool
 	cold       bool
-	wasDown    bool // starts slowly when it returns
-	leaving    bool // by its own report or answer
+	wasDown    bool      // starts slowly when it returns
+	leaving    bool      // by its own report or answer
+	refusedAt  time.Time // last refusal as drained that no report has confirmed; zero when none
+	denied     []denial  // shards refused that reports still list
+	askedAt    time.Time // last probe that a refusal caused
 	coldSince  time.Time
 	load       model.Load
 	loadAt     time.Time
@@ -69,6 +76,48 @@
 	version model.Version
 }
 
+// denial is a shard of a version that the upstream refused as not held.
+type denial struct {
+	version model.Version
+	shard   int
+	at      time.Time
+}
+
+// drained takes over what a report says about leaving. A report that lags
+// behind a refusal as drained says active. It counts again after a report said
+// drained as well, after a restart, or when the refusal is old.
+func (u *upstream) drained(at time.Time, reported bool) {
+	if reported || u.misses >= restartMisses || at.Sub(u.refusedAt) >= refusalFor {
+		u.refusedAt = time.Time{}
+	}
+	u.leaving = reported || !u.refusedAt.IsZero()
+}
+
+// deny notes that the upstream refused a shard as not held.
+func (u *upstream) deny(at time.Time, version model.Version, shard int) {
+	u.denied = append(u.denied, denial{version: version, shard: shard, at: at})
+}
+
+// allowed returns a report's holdings without the shards that were refused. A
+// refusal is forgotten once a report no longer lists its shard.
+func (u *upstream) allowed(at time.Time, reported []model.Holding) []model.Holding {
+	if len(u.denied) == 0 {
+		return reported
+	}
+	u.denied = slices.DeleteFunc(u.denied, func(d denial) bool {
+		return at.Sub(d.at) >= refusalFor || !slices.ContainsFunc(reported, func(h model.Holding) bool {
+			return h.Version == d.version && slices.Contains(h.Holds, d.shard)
+		})
+	})
+	list := slices.Clone(reported)
+	for i, h := range list {
+		list[i].Holds = slices.DeleteFunc(slices.Clone(h.Holds), func(shard int) bool {
+			return slices.ContainsFunc(u.denied, func(d denial) bool { return d.version == h.Version && d.shard == shard })
+		})
+	}
+	return list
+}
+
 // live reports whether the upstream takes part in answering queries.
 func (u *upstream) live() bool {
 	return u.State == model.StateActive && !u.leaving && u.reachable && !u.cold && u.conns > 0
