Wait for the vote of a replaced disk VM in its test

Change: the test waits until the leader notes that the new disk has been added as a voter. Two further VMs are killed as before, so that its vote is needed. Conclusion: the test was wrong; nothing it checks was dropped.

--- a/io/check/control_test.go
+++ b/io/check/control_test.go
@@ -10,6 +10,7 @@
 	"os"
 	"path/filepath"
 	"slices"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -181,6 +182,13 @@
 	o.more(t, 20)
 	w.startVM(replaced)
 	w.ready(replaced)
+	// Until the new disk has a vote, the old one counts as the first of two losses.
+	eventually(t, replaced.id+" votes with its new disk", func() bool {
+		notes, err := w.leader().client().Explain(t.Context(), "log")
+		return err == nil && slices.ContainsFunc(notes, func(n admin.Note) bool {
+			return strings.HasPrefix(n.Action, "added voter "+replaced.id)
+		})
+	})
 	w.leader().kill()
 	o.more(t, 20)
 	for _, v := range w.vms[:disks] {
