Do not take silent upstreams for overload

Cause: after a zone was cut off, queries missed their deadlines for upstreams of other zones until probes found those dead. Admission took that for overload and cut the rate of the index to 0.5/s, and partial answers that took the whole wait counted as slow queries, so that the rate stayed there for over 60 s. Change: a deadline missed for an upstream that said nothing since the attempt was sent does not count, and an answer at the deadline is not timed.

--- a/core/query/outcome.go
+++ b/core/query/outcome.go
@@ -64,7 +64,7 @@
 	if !q.idempotent() {
 		return t.expireRun(at, q, out)
 	}
-	if !at.Before(q.deadline()) {
+	if !at.Before(q.deadline()) && !t.silenced(q) {
 		t.limiter.Missed(q.request.Index)
 	}
 	if q.answered > 0 && q.share() >= q.class.Coverage {
@@ -76,6 +76,20 @@
 	return t.refuse(at, q, model.RefusedCoverage, "the least coverage of the class was not reached", out)
 }
 
+// silenced reports whether a missing shard waits for an upstream that said
+// nothing since the attempt was sent. Such an upstream is cut off or dead, and
+// sending it fewer queries would not help.
+func (t *Table) silenced(q *query) bool {
+	for i := range q.shards {
+		for _, id := range q.shards[i].open {
+			if a := t.attempts[id]; t.routes.Silent(a.upstream, a.started) {
+				return true
+			}
+		}
+	}
+	return false
+}
+
 // doom ends a query whose fingerprint was quarantined.
 func (t *Table) doom(at time.Time, q *query, out []effect.Effect) []effect.Effect {
 	const detail = "the request crashed upstreams that ran it"
@@ -157,7 +171,7 @@
 	}
 	q.admitted = false
 	took := time.Duration(0)
-	if q.served {
+	if q.served && at.Before(q.deadline()) {
 		took = at.Sub(q.started)
 	}
 	started, late := t.gate.Leave(at, q.ticket, took)
--- a/core/route/map.go
+++ b/core/route/map.go
@@ -435,6 +435,12 @@
 	}
 }
 
+// Silent reports whether an upstream neither answered nor reported since a time.
+func (m *Map) Silent(id model.UpstreamID, since time.Time) bool {
+	u, ok := m.upstreams[id]
+	return ok && u.answeredAt.Before(since) && u.loadAt.Before(since)
+}
+
 // Failed counts an attempt that failed after some time.
 func (m *Map) Failed(at time.Time, id model.UpstreamID, version model.Version, shard int, took time.Duration, f event.Failed) {
 	u, ok := m.upstreams[id]
--- a/core/route/map_test.go
+++ b/core/route/map_test.go
@@ -217,3 +217,22 @@
 		t.Errorf("got version %d after the shard was taken over anew, want 2", v)
 	}
 }
+
+// Guards against a zone that is cut off and takes deadlines missed for its
+// silent upstreams for overload of the others.
+func TestSilentUpstream(t *testing.T) {
+	m := newMap("a", "b")
+	sent := began.Add(time.Second)
+	if !m.Silent("ua", sent) {
+		t.Error("got not silent for an upstream that said nothing since, want silent")
+	}
+	m.Begin("ua")
+	m.Answered(sent.Add(time.Millisecond), "ua", time.Millisecond, nil, false)
+	if m.Silent("ua", sent) {
+		t.Error("got silent for an upstream that answered since, want not silent")
+	}
+	m.Report(sent.Add(time.Millisecond), up("ub"))
+	if m.Silent("ub", sent) {
+		t.Error("got silent for an upstream that reported since, want not silent")
+	}
+}
