Tell zones of the demo apart by source and fix the ports of its VMs

Cause: about half of the demo runs ended with a port in use, since ports that were free when they were chosen went to outgoing connections before the VMs listened. And with a replicated configuration every VM used the stand-ins' addresses of the leader's zone, so the latency between zones was wrong. Change: peer listeners have ports below the ephemeral range on an address for each VM; a stand-in adds the latency for sources outside its zone.

--- a/io/demo/world.go
+++ b/io/demo/world.go
@@ -4,7 +4,6 @@
 	"context"
 	"fmt"
 	"maps"
-	"net"
 	"net/http"
 	"net/netip"
 	"os"
@@ -17,7 +16,6 @@
 
 	"comfreypulley/core/model"
 	"comfreypulley/io/bench"
-	"comfreypulley/io/conf"
 	"comfreypulley/io/fault"
 	"comfreypulley/io/serve"
 	"comfreypulley/io/stub"
@@ -30,6 +28,9 @@
 	readyWithin = 20 * time.Second
 	settleTime  = 300 * time.Millisecond // after the load, for cancelled work to reach the run logs
 	finish      = 2 * time.Second        // drain time of a VM
+	zoneBits    = 24                     // of the addresses that the VMs of a zone share
+	firstPort   = 10_000                 // of the VMs' peer listeners
+	portRange   = 5000
 )
 
 // world is one fleet with its stand-ins in this process.
@@ -88,10 +89,7 @@
 			return err
 		}
 	}
-	peers, err := freeAddrs(len(w.like.settings))
-	if err != nil {
-		return err
-	}
+	peers := w.peerAddrs()
 	for i := range w.like.settings {
 		if err := w.addVM(ctx, group, i, peers); err != nil {
 			return err
@@ -123,15 +121,9 @@
 		return err
 	}
 	for id, s := range stubs {
-		var doors []stub.Door
-		for _, from := range w.like.zones {
-			door := stub.Door{Addr: loopback()}
-			if from != w.like.fleet.Upstreams[id].Zone {
-				door.Distance = w.like.distance
-			}
-			doors = append(doors, door)
-		}
-		h, err := stub.Listen(s, doors...)
+		near := w.source(w.like.fleet.Upstreams[id].Zone, 0)
+		door := stub.Door{Addr: loopback(), Distance: w.like.distance, Near: netip.PrefixFrom(near, zoneBits).Masked()}
+		h, err := stub.Listen(s, door)
 		if err != nil {
 			return err
 		}
@@ -152,7 +144,7 @@
 	if settings.Data != "" {
 		settings.Data = filepath.Join(w.folder, string(settings.VM.ID))
 	}
-	vm, err := serve.New(&settings, w.fleetOf(&settings, peers), w.logger)
+	vm, err := serve.New(&settings, w.fleetAt(peers), w.logger)
 	if err != nil {
 		return err
 	}
@@ -173,15 +165,14 @@
 	return nil
 }
 
-// fleetOf returns the fleet as a VM sees it: upstreams at the doors for its
-// zone, and only those that this world has.
-func (w *world) fleetOf(s *conf.Settings, peers []netip.AddrPort) *model.Topology {
+// fleetAt returns the fleet at the addresses of this world, with only those
+// upstreams that it has.
+func (w *world) fleetAt(peers []netip.AddrPort) *model.Topology {
 	fleet := *w.like.fleet
 	fleet.Upstreams = maps.Clone(fleet.Upstreams)
 	maps.DeleteFunc(fleet.Upstreams, func(id model.UpstreamID, _ model.Upstream) bool { return w.hosts[id] == nil })
-	door := slices.Index(w.like.zones, s.VM.Zone)
 	for id, u := range fleet.Upstreams {
-		u.Addr = w.hosts[id].Addr(door)
+		u.Addr = w.hosts[id].Addr(0)
 		fleet.Upstreams[id] = u
 	}
 	fleet.VMs = make(map[model.VMID]model.VM)
@@ -246,18 +237,22 @@
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), 0)
 }
 
-// freeAddrs returns loopback addresses that nobody listens on. Peers have to
-// know each other's addresses before any of them listens.
-func freeAddrs(n int) (addrs []netip.AddrPort, err error) {
-	for range n {
-		l, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(loopback()))
-		if err != nil {
-			return nil, err
-		}
-		defer l.Close()
-		addrs = append(addrs, l.Addr().(*net.TCPAddr).AddrPort())
+// source is the address from which the n-th VM connects. Its first three bytes
+// are those of the availability zone.
+func (w *world) source(zone model.Zone, n int) netip.Addr {
+	return netip.AddrFrom4([4]byte{127, byte(1 + os.Getpid()%250), byte(1 + slices.Index(w.like.zones, zone)), byte(1 + n)})
+}
+
+// peerAddrs are the addresses of the VMs for each other. The port is below the
+// ephemeral range, where an outgoing connection could take it before the VM
+// listens, and differs between processes.
+func (w *world) peerAddrs() []netip.AddrPort {
+	port := uint16(firstPort + os.Getpid()/250%portRange)
+	addrs := make([]netip.AddrPort, len(w.like.settings))
+	for n, s := range w.like.settings {
+		addrs[n] = netip.AddrPortFrom(w.source(s.VM.Zone, n), port)
 	}
-	return addrs, nil
+	return addrs
 }
 
 // sleep waits and reports false when ctx ends first.
--- a/io/stub/conns.go
+++ b/io/stub/conns.go
@@ -2,6 +2,7 @@
 
 import (
 	"net"
+	"net/netip"
 	"sync"
 	"time"
 )
@@ -12,6 +13,7 @@
 	*net.TCPListener
 	stub     *Stub
 	distance time.Duration
+	near     netip.Prefix
 	opened   *openConns
 }
 
@@ -24,6 +26,9 @@
 		}
 		set := l.stub.settings.Load()
 		c := &capConn{TCPConn: accepted, opened: l.opened, usable: time.Now().Add(set.Dial), distance: l.distance}
+		if l.near.Contains(accepted.RemoteAddr().(*net.TCPAddr).AddrPort().Addr().Unmap()) {
+			c.distance = 0
+		}
 		if l.opened.add(c, set.Conns) {
 			return c, nil
 		}
--- a/io/stub/host.go
+++ b/io/stub/host.go
@@ -21,11 +21,11 @@
 	reopenAfter   = 20 * time.Millisecond // from a restart that found a port in use to the next
 )
 
-// Door is one address of a Host. Callers of different availability zones use
-// different doors, so that each has its own distance.
+// Door is one address of a Host.
 type Door struct {
 	Addr     netip.AddrPort // port 0 takes a free one
 	Distance time.Duration  // one-way latency added in each direction
+	Near     netip.Prefix   // sources without the distance, those of the same availability zone
 }
 
 // Host owns the listeners and connections of a Stub. Make it with Listen.
@@ -74,7 +74,7 @@
 			return err
 		}
 		h.doors[i].Addr = l.Addr().(*net.TCPAddr).AddrPort()
-		h.listeners = append(h.listeners, &capListener{TCPListener: l, stub: h.stub, distance: door.Distance, opened: opened})
+		h.listeners = append(h.listeners, &capListener{TCPListener: l, stub: h.stub, distance: door.Distance, near: door.Near, opened: opened})
 	}
 	h.server = &http.Server{Handler: h.stub, ReadHeaderTimeout: headerTimeout, ConnContext: connContext}
 	h.crashed = make(chan struct{})
