Take queries for queued at the upstreams only when they run six times as long

Cause: in floods the rate of an index fell to a tenth of what the upstreams can run. A query whose canary goes first and whose attempts wait in an upstream's queue of two per slot runs up to six times its unloaded duration without any shed; three times was taken for overload. Change: slowFactor 6 instead of 3.

--- a/core/admit/lane.go
+++ b/core/admit/lane.go
@@ -21,7 +21,7 @@
 	nearCeiling   = 0.85 // share of the rate at the last overload, above which the rate rises slowly
 	nearIncrease  = 0.01
 	keptAfter     = 0.3 // part of the sheds and misses kept after a decrease
-	slowFactor    = 3   // times the unloaded duration, above which queries are taken to queue at the upstreams
+	slowFactor    = 6   // times the unloaded duration, above which queries are taken to queue at the upstreams
 	leastRate     = 0.5
 	burstTime     = 20 * time.Millisecond // of tokens that an unused rate saves
 	leastBurst    = 2                     // tokens
