--- a/io/admin/client.go
+++ b/io/admin/client.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -18,12 +19,10 @@
 // clientTimeout is longer than a VM takes to give up on a command.
 const clientTimeout = 15 * time.Second
 
-// transport reaches VMs directly, whatever proxy the environment names.
-var transport = &http.Transport{DisableKeepAlives: true}
-
 // Client sends operators' requests to one VM. Addr is set before use.
 type Client struct {
 	Addr netip.AddrPort
+	TLS  *tls.Config // nil for plain HTTP
 }
 
 // Change holds the headers of a change.
@@ -164,12 +163,17 @@
 			return err
 		}
 	}
-	request, err := http.NewRequestWithContext(ctx, method, "http://"+c.Addr.String()+path, bytes.NewReader(raw))
+	scheme := "http://"
+	if c.TLS != nil {
+		scheme = "https://"
+	}
+	request, err := http.NewRequestWithContext(ctx, method, scheme+c.Addr.String()+path, bytes.NewReader(raw))
 	if err != nil {
 		return err
 	}
 	request.Header = header
-	client := http.Client{Transport: transport}
+	// The transport reaches the VM directly, whatever proxy the environment names.
+	client := http.Client{Transport: &http.Transport{DisableKeepAlives: true, TLSClientConfig: c.TLS}}
 	response, err := client.Do(request)
 	if err != nil {
 		return err
--- a/io/check/control_test.go
+++ b/io/check/control_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"crypto/tls"
 	"encoding/json"
 	"errors"
 	"fmt"
@@ -391,6 +392,11 @@
 	o := w.operate("c", w.vms...)
 	o.more(t, 10)
 	v := w.vms[0]
+	for name, keys := range map[string]*tls.Config{"plain HTTP": nil, "no certificate": {InsecureSkipVerify: true}} {
+		if _, err := (&admin.Client{Addr: v.admin, TLS: keys}).Status(t.Context(), false); err == nil {
+			t.Errorf("%s: got an answer at the operators' listener, want none", name)
+		}
+	}
 	good, err := os.ReadFile(filepath.Join(w.dir, v.id+".key"))
 	if err != nil {
 		t.Fatal(err)
--- a/io/check/keys_test.go
+++ b/io/check/keys_test.go
@@ -7,7 +7,10 @@
 	"crypto/x509"
 	"encoding/pem"
 	"math/big"
+	"path/filepath"
 	"time"
+
+	"comfreypulley/io/peer"
 )
 
 // writeKeys writes an authority, and a certificate and key for each VM.
@@ -31,6 +34,11 @@
 			w.t.Fatal(err)
 		}
 		w.write(v.id+".key", string(pem.EncodeToMemory(&pem.Block{Type: "EC PRIVATE KEY", Bytes: der})))
+		file := func(name string) string { return filepath.Join(w.dir, name) }
+		v.keys, err = peer.Keys{Authority: file("ca"), Certificate: file(v.id + ".cert"), Key: file(v.id + ".key")}.Load()
+		if err != nil {
+			w.t.Fatal(err)
+		}
 	}
 }
 
--- a/io/check/operator_test.go
+++ b/io/check/operator_test.go
@@ -18,7 +18,7 @@
 // It only bounds how long a test takes.
 const tryTimeout = 5 * time.Second
 
-func (v *vm) client() *admin.Client { return &admin.Client{Addr: v.admin} }
+func (v *vm) client() *admin.Client { return &admin.Client{Addr: v.admin, TLS: v.keys} }
 
 // contractOf is a contract for nobody's requests.
 func contractOf(customer string, concurrency int) model.Contract {
--- a/io/check/world_test.go
+++ b/io/check/world_test.go
@@ -5,6 +5,7 @@
 	"cmp"
 	"context"
 	"crypto/sha256"
+	"crypto/tls"
 	"encoding/json"
 	"fmt"
 	"io"
@@ -76,6 +77,7 @@
 	admin    netip.AddrPort
 	settings string
 	gate     *fault.Proxy // of a zoned world
+	keys     *tls.Config  // of its operators, nil for plain HTTP
 }
 
 // worlds counts the worlds of this test process.
--- a/io/cmds/operator.go
+++ b/io/cmds/operator.go
@@ -8,11 +8,15 @@
 
 	"comfreypulley/core/model"
 	"comfreypulley/io/admin"
+	"comfreypulley/io/peer"
 )
 
 // adminFlags name the VM that an operator talks to.
 type adminFlags struct {
-	Admin string `required:"" placeholder:"ADDR" help:"Admin address of any VM, such as 127.0.0.1:7100."`
+	Admin string `required:"" placeholder:"ADDR" help:"Admin address of any VM, such as 127.0.0.1:7401."`
+	Cert  string `placeholder:"FILE" help:"TLS certificate of the operator, where the VMs use TLS; with --key and --ca."`
+	Key   string `placeholder:"FILE" help:"TLS key of the operator."`
+	CA    string `placeholder:"FILE" help:"TLS authority that signs the VMs' certificates."`
 }
 
 func (f adminFlags) client() (*admin.Client, error) {
@@ -20,7 +24,11 @@
 	if err != nil {
 		return nil, fmt.Errorf("--admin: %w", err)
 	}
-	return &admin.Client{Addr: addr}, nil
+	keys, err := peer.Keys{Authority: f.CA, Certificate: f.Cert, Key: f.Key}.Load()
+	if err != nil {
+		return nil, err
+	}
+	return &admin.Client{Addr: addr, TLS: keys}, nil
 }
 
 // changeFlags are those of every change.
--- a/io/peer/keys.go
+++ b/io/peer/keys.go
@@ -11,7 +11,7 @@
 )
 
 // keyErrors annotates errors.
-var keyErrors = errs.Class("keys of the peer listener")
+var keyErrors = errs.Class("keys of mutual TLS")
 
 // Keys names the files of mutual TLS, in PEM. The zero value means plain TCP.
 type Keys struct {
@@ -20,8 +20,9 @@
 	Key         string // of the certificate
 }
 
-// load reads the files. The result is nil for plain TCP.
-func (k Keys) load() (c *tls.Config, err error) {
+// Load reads the files. The result is for either side of a connection, and nil
+// for plain TCP. The sources of errors are the files.
+func (k Keys) Load() (c *tls.Config, err error) {
 	if k == (Keys{}) {
 		return nil, nil
 	}
--- a/io/peer/transport.go
+++ b/io/peer/transport.go
@@ -53,7 +53,7 @@
 // Reload reads the keys. New connections use them; after an error they go on
 // with the keys from before.
 func (t *Transport) Reload() error {
-	c, err := t.Keys.load()
+	c, err := t.Keys.Load()
 	if err != nil {
 		return err
 	}
@@ -116,6 +116,18 @@
 	}
 }
 
+// Secure puts the keys in use before a listener of operators. Without keys it
+// returns the listener.
+func (t *Transport) Secure(l net.Listener) net.Listener {
+	if t.Keys == (Keys{}) {
+		return l
+	}
+	return tls.NewListener(l, &tls.Config{
+		MinVersion:         tls.VersionTLS13,
+		GetConfigForClient: func(*tls.ClientHelloInfo) (*tls.Config, error) { return t.secure() },
+	})
+}
+
 // Close ends all connections and waits for their goroutines.
 func (t *Transport) Close() {
 	t.mu.Lock()
--- a/io/serve/vm.go
+++ b/io/serve/vm.go
@@ -93,6 +93,7 @@
 		return err
 	}
 	vm.executor.peers = vm.peers
+	vm.admin = vm.peers.Secure(vm.admin)
 	vm.counters.Share("peer", vm.peers.Counters())
 	vm.incoming, err = listen(vm.settings.VM.Peer)
 	return err
