--- a/core/crash/guard.go
+++ b/core/crash/guard.go
@@ -86,6 +86,23 @@
 	return len(s.strikes) >= quarantineAt
 }
 
+// Unproven lists the upstreams of a fingerprint's strikes that no probe has
+// confirmed yet.
+func (g *Guard) Unproven(at time.Time, fp model.Fingerprint) []model.UpstreamID {
+	s, ok := g.suspects[fp]
+	if !ok {
+		return nil
+	}
+	s.expire(at)
+	var ids []model.UpstreamID
+	for _, k := range s.strikes {
+		if !k.confirmed {
+			ids = append(ids, k.upstream)
+		}
+	}
+	return ids
+}
+
 // Enter takes the turn of a fingerprint for one attempt. It reports false while
 // another attempt has it.
 func (g *Guard) Enter(fp model.Fingerprint) bool {
--- a/core/crash/guard_test.go
+++ b/core/crash/guard_test.go
@@ -1,6 +1,7 @@
 package crash
 
 import (
+	"slices"
 	"testing"
 	"time"
 
@@ -92,3 +93,22 @@
 		t.Errorf("got %d suspects, want at most %d", got, maxSuspects)
 	}
 }
+
+// Guards against a third crash: a strike that a probe sent too early did not
+// confirm is listed for further probes until it is confirmed or expires.
+func TestUnprovenStrikesAreListed(t *testing.T) {
+	var g Guard
+	at := time.Unix(0, 0)
+	g.Judge(at, 7)
+	if !g.Reset(at, 7, "u1", true) {
+		t.Fatal("got no strike for an attempt made alone")
+	}
+	g.Reported(at.Add(time.Millisecond), "u1", false)
+	if got, want := g.Unproven(at.Add(30*time.Millisecond), 7), []model.UpstreamID{"u1"}; !slices.Equal(got, want) {
+		t.Errorf("after a healthy report: got %v, want %v", got, want)
+	}
+	g.Reported(at.Add(60*time.Millisecond), "u1", true)
+	if got := g.Unproven(at.Add(60*time.Millisecond), 7); len(got) != 0 {
+		t.Errorf("after the confirmation: got %v, want none", got)
+	}
+}
--- a/core/query/outcome.go
+++ b/core/query/outcome.go
@@ -109,7 +109,7 @@
 		if v := t.guard.Judge(at, q.request.Fingerprint); v == crash.Alone || v == crash.Quarantined {
 			q.phase, q.refusal, q.detail, q.until = phaseHolding, reason, detail, until
 			out = t.cancelOpen(q, out)
-			return t.wakeAt(q, until, out)
+			return t.wakeAt(q, earlier(until, at.Add(holdRetry)), out)
 		}
 	}
 	if !q.closed {
@@ -118,6 +118,29 @@
 	return t.end(at, q, out)
 }
 
+// hold refuses a query once its strikes are confirmed, or have expired, and are
+// shared. Until then a resend through another VM could crash another upstream.
+func (t *Table) hold(at time.Time, q *query, out []effect.Effect) []effect.Effect {
+	fp := q.request.Fingerprint
+	if len(t.guard.Unproven(at, fp)) > 0 {
+		q.until = at.Add(shareDelay)
+		out = t.prove(at, fp, out)
+		return t.wakeAt(q, at.Add(holdRetry), out)
+	}
+	if !at.Before(q.until) {
+		return t.refuse(at, q, q.refusal, q.detail, out)
+	}
+	return t.wakeAt(q, q.until, out)
+}
+
+// prove probes the upstreams whose strikes are not confirmed.
+func (t *Table) prove(at time.Time, fp model.Fingerprint, out []effect.Effect) []effect.Effect {
+	for _, id := range t.guard.Unproven(at, fp) {
+		out = t.probe(id, out)
+	}
+	return out
+}
+
 // refuseOpen refuses a non-idempotent query but keeps it until its claim is
 // settled or released.
 func (t *Table) refuseOpen(at time.Time, q *query, reason model.Refusal, detail string, out []effect.Effect) []effect.Effect {
--- a/core/query/policy.go
+++ b/core/query/policy.go
@@ -27,6 +27,8 @@
 	Judge(at time.Time, fp model.Fingerprint) crash.Verdict
 	// Hold reports that strikes have to be confirmed before another attempt.
 	Hold(at time.Time, fp model.Fingerprint) bool
+	// Unproven lists upstreams that have to be probed for such a confirmation.
+	Unproven(at time.Time, fp model.Fingerprint) []model.UpstreamID
 	Enter(fp model.Fingerprint) bool
 	Exit(fp model.Fingerprint)
 	Answered(at time.Time, fp model.Fingerprint)
@@ -75,6 +77,9 @@
 // Hold implements guard.
 func (openGuard) Hold(time.Time, model.Fingerprint) bool { return false }
 
+// Unproven implements guard.
+func (openGuard) Unproven(time.Time, model.Fingerprint) []model.UpstreamID { return nil }
+
 // Enter implements guard.
 func (openGuard) Enter(model.Fingerprint) bool { return true }
 
--- a/core/query/scatter.go
+++ b/core/query/scatter.go
@@ -17,7 +17,7 @@
 	runGrace   = 2 * time.Second        // a non-idempotent attempt may outlive its caller, so that its outcome is recorded
 	parkRetry  = 50 * time.Millisecond  // a shard without a usable replica looks again, in case no event wakes it
 	learnFor   = 500 * time.Millisecond // a query waits for reports after its version disappeared; a probe period
-	holdRetry  = 100 * time.Millisecond // a shard looks again after its strikes may have been confirmed or expired
+	holdRetry  = 30 * time.Millisecond  // between probes that may confirm a strike; an answer sent before the crash proves nothing
 
 	canaryFactor = 2 // times the hedge delay, after which a canary without a failure is taken for a slow one
 	hedgeShare   = 8 // only the last eighth of the shards is hedged
@@ -114,7 +114,7 @@
 	}
 	if turn && t.guard.Hold(at, fp) {
 		q.schedule(i, at.Add(holdRetry))
-		return out
+		return t.prove(at, fp, out)
 	}
 	choice, ok := t.picker.Pick(at, q.request.Index, q.version, i, s.tried)
 	if !ok && len(s.tried) > 0 {
@@ -173,10 +173,7 @@
 		return out
 	}
 	if q.phase == phaseHolding {
-		if !at.Before(q.until) {
-			return t.refuse(at, q, q.refusal, q.detail, out)
-		}
-		return t.wakeAt(q, q.until, out)
+		return t.hold(at, q, out)
 	}
 	if q.closed {
 		return t.background(at, q, out)
--- a/io/bench/report.go
+++ b/io/bench/report.go
@@ -29,6 +29,8 @@
 	Coverage      float64 `json:"coverage"`
 	Extra         float64 `json:"extra"`
 
+	Latencies []Latency `json:"latencies"` // of answers, ascending by share
+
 	Reasons map[string]int `json:"reasons"`
 	Faults  []string       `json:"faults,omitempty"` // the first faults found, in words
 }
@@ -41,6 +43,17 @@
 	maxFaults     = 10
 )
 
+// Latency is one point of a distribution.
+type Latency struct {
+	Share float64 `json:"share"` // of the answers, 0 to 1
+	MS    float64 `json:"ms"`    // that they do not exceed
+}
+
+// shares lists the percentages at which a distribution is reported.
+func shares() []float64 {
+	return []float64{5, 10, 25, 50, 75, 90, 95, 97.5, 99, 99.5, 99.9}
+}
+
 // Measure counts results as their callers saw them. The faults are left for
 // Evidence.
 func Measure(results []Result) *Report {
@@ -72,6 +85,9 @@
 		record(answers, result.Took)
 	}
 	r.P50, r.P99, r.RefusalP99 = quantile(answers, 50), quantile(answers, 99), quantile(refusals, 99)
+	for _, share := range shares() {
+		r.Latencies = append(r.Latencies, Latency{Share: share / 100, MS: quantile(answers, share)})
+	}
 	if n := r.Whole + r.Partial; n > 0 {
 		r.Coverage = covered / float64(n)
 	}
--- a/io/cmds/demo.go
+++ b/io/cmds/demo.go
@@ -10,6 +10,7 @@
 	"github.com/apex/log"
 
 	"comfreypulley/io/bench"
+	"comfreypulley/io/chart"
 	"comfreypulley/io/demo"
 )
 
@@ -22,6 +23,7 @@
 	Seed    uint64        `default:"1" help:"Seed of times, queries and faults."`
 	VMs     int           `name:"vms" default:"0" help:"Entry VMs; 0 takes all of the shape."`
 	Shards  int           `default:"0" help:"Shards of the looked-up index, two replicas each in one zone; 0 takes those of the shape."`
+	Chart   string        `placeholder:"FILE" help:"Draw the latencies of both policies into an SVG or PNG file."`
 	JSON    bool          `help:"Print one JSON object instead of a table."`
 }
 
@@ -35,12 +37,34 @@
 	if err != nil {
 		return err
 	}
+	if c.Chart != "" {
+		if err := drawResult(result, c.Chart); err != nil {
+			return err
+		}
+	}
 	if c.JSON {
 		return json.NewEncoder(os.Stdout).Encode(result)
 	}
 	return printResult(result)
 }
 
+func drawResult(r *demo.Result, file string) error {
+	c := chart.Chart{
+		Title: fmt.Sprintf("Latency, %s, %s, seed %d", r.Like, r.Profile, r.Seed), X: "ms", Y: "share of answers", LogX: true,
+	}
+	for _, policy := range []struct {
+		name   string
+		report *bench.Report
+	}{{"plain", r.Plain}, {"full", r.Report}} {
+		series := chart.Series{Name: policy.name}
+		for _, l := range policy.report.Latencies {
+			series.Points = append(series.Points, chart.Point{X: l.MS, Y: l.Share})
+		}
+		c.Series = append(c.Series, series)
+	}
+	return c.Write(file)
+}
+
 func printResult(r *demo.Result) error {
 	w := tabwriter.NewWriter(os.Stdout, 0, 0, 2, ' ', 0)
 	fmt.Fprintf(w, "%s, %s, seed %d, %d VMs\tplain\tfull\n", r.Like, r.Profile, r.Seed, r.VMs)
