Close the connections of a replaced pool without a data race

Cause: a changed connection limit set DisableKeepAlives on a pool in use, which is a data race; without it, connections that became idle later would have kept their places for 90 s. Change: the pool is marked as retired, and each exchange that ends on it closes its idle connections.

--- a/io/dialer/call.go
+++ b/io/dialer/call.go
@@ -22,9 +22,9 @@
 
 // call is one attempt in flight.
 type call struct {
-	dialer    *Dialer
-	transport *http.Transport
-	send      effect.Send
+	dialer *Dialer
+	client *client
+	send   effect.Send
 
 	mu     sync.Mutex
 	conn   *countedConn // connection the attempt got, nil before
@@ -48,12 +48,13 @@
 
 func (c *call) run(ctx context.Context) {
 	defer c.dialer.ended(c.send.Attempt)
+	defer c.client.release()
 	c.dialer.Post(c.exchange(ctx))
 }
 
 // exchange sends the attempt and returns its end.
 func (c *call) exchange(ctx context.Context) event.Body {
-	response, err := c.transport.RoundTrip(c.request(ctx))
+	response, err := c.client.transport.RoundTrip(c.request(ctx))
 	if err != nil {
 		return c.failed(ctx, err)
 	}
--- a/io/dialer/dialer.go
+++ b/io/dialer/dialer.go
@@ -6,6 +6,7 @@
 	"net/http"
 	"net/netip"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"comfreypulley/core/effect"
@@ -40,6 +41,15 @@
 	transport *http.Transport
 	conns     int
 	addr      netip.AddrPort
+	retired   atomic.Bool // a pool with another limit took its place
+}
+
+// release closes the connections that an exchange leaves idle on a retired pool,
+// so that they do not keep their places.
+func (c *client) release() {
+	if c.retired.Load() {
+		c.transport.CloseIdleConnections()
+	}
 }
 
 // Limit sets the connections to an upstream. A changed limit uses a new pool;
@@ -55,8 +65,8 @@
 		return
 	}
 	if ok {
-		known.transport.DisableKeepAlives = true
-		known.transport.CloseIdleConnections()
+		known.retired.Store(true)
+		known.release()
 		delete(d.upstreams, l.Upstream)
 	}
 	if d.places == nil {
@@ -115,7 +125,7 @@
 	d.calls[s.Attempt] = cancel
 	d.wg.Add(1)
 	d.mu.Unlock()
-	c := &call{dialer: d, transport: known.transport, send: s}
+	c := &call{dialer: d, client: known, send: s}
 	go c.run(ctx)
 }
 
@@ -139,7 +149,7 @@
 	}
 	d.wg.Add(1)
 	d.mu.Unlock()
-	r := &report{dialer: d, transport: known.transport, probe: p}
+	r := &report{dialer: d, client: known, probe: p}
 	go r.run()
 }
 
--- a/io/dialer/dialer_test.go
+++ b/io/dialer/dialer_test.go
@@ -188,3 +188,37 @@
 		t.Error("got a second connection before the upstream closed the first, want at most one")
 	}
 }
+
+// Guards against connections of a replaced pool that stay open and keep their
+// places, and against a data race on the pool while attempts use it.
+func TestChangedLimitClosesTheOldPool(t *testing.T) {
+	l, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	arrived, answer, closed := make(chan struct{}), make(chan struct{}), make(chan struct{})
+	server := &http.Server{
+		Handler: http.HandlerFunc(func(w http.ResponseWriter, _ *http.Request) {
+			close(arrived)
+			<-answer
+			_, _ = w.Write([]byte(`{"version":1,"shards":1,"shard":0,"items":[]}`))
+		}),
+		ReadHeaderTimeout: time.Second,
+		ConnState: func(_ net.Conn, state http.ConnState) {
+			if state == http.StateClosed {
+				close(closed)
+			}
+		},
+	}
+	go func() { _ = server.Serve(l) }()
+	t.Cleanup(func() { _ = server.Close() })
+	d, events := newDialer(t, addrOf(l))
+	d.Send(send(1, addrOf(l)))
+	<-arrived
+	d.Limit(effect.Limit{Upstream: "u", Addr: addrOf(l), Conns: 2})
+	close(answer)
+	if _, ok := (<-events).(event.Answered); !ok {
+		t.Error("the attempt was not answered on the old pool")
+	}
+	<-closed
+}
--- a/io/dialer/report.go
+++ b/io/dialer/report.go
@@ -14,9 +14,9 @@
 
 // report is one probe in flight.
 type report struct {
-	dialer    *Dialer
-	transport *http.Transport
-	probe     effect.Probe
+	dialer *Dialer
+	client *client
+	probe  effect.Probe
 }
 
 // reportBody is the body of an upstream's report.
@@ -36,6 +36,7 @@
 
 func (r *report) run() {
 	defer r.dialer.wg.Done()
+	defer r.client.release()
 	reported := event.Reported{Upstream: r.probe.Upstream}
 	if body, err := r.fetch(); err == nil {
 		reported = body.event(r.probe.Upstream)
@@ -56,7 +57,7 @@
 	if err != nil {
 		return body, err
 	}
-	response, err := r.transport.RoundTrip(request)
+	response, err := r.client.transport.RoundTrip(request)
 	if err != nil {
 		return body, err
 	}
