Measure the idle cost again and write its charts where the command says

Cause: a relative folder was taken from the package's folder, so that the documented command failed at its last step.

--- a/io/check/measure_test.go
+++ b/io/check/measure_test.go
@@ -52,7 +52,11 @@
 	if *charts == "" {
 		return
 	}
-	if err := c.Write(filepath.Join(*charts, name)); err != nil {
+	folder := *charts
+	if !filepath.IsAbs(folder) {
+		folder = filepath.Join("..", "..", folder) // tests run in the folder of their package
+	}
+	if err := c.Write(filepath.Join(folder, name)); err != nil {
 		t.Fatal(err)
 	}
 }
