--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -81,6 +81,17 @@
 	Request model.RequestID
 }
 
+// Equal reports whether two values name the same request. Start is compared as
+// a moment, since encodings give the same moment in different locations.
+func (h Holder) Equal(other Holder) bool {
+	return h.VM == other.VM && h.Loop == other.Loop && h.Request == other.Request && h.Start.Equal(other.Start)
+}
+
+// IsZero reports whether the value names no request.
+func (h Holder) IsZero() bool {
+	return h.Equal(Holder{})
+}
+
 // Settle records the outcome of a claimed request.
 type Settle struct {
 	Customer string
--- a/core/ledger/book.go
+++ b/core/ledger/book.go
@@ -35,7 +35,7 @@
 }
 
 func (r *record) floor() bool {
-	return r.Holder == entry.Holder{}
+	return r.Holder.IsZero()
 }
 
 func (r *record) name() name {
@@ -76,7 +76,7 @@
 		return invalid("the retention must be above 0")
 	}
 	known, ok := b.live(name{c.Customer, c.Key})
-	if ok && !known.Released && known.Outcome == nil && known.Holder == c.Holder && known.Fingerprint == c.Fingerprint {
+	if ok && !known.Released && known.Outcome == nil && known.Holder.Equal(c.Holder) && known.Fingerprint == c.Fingerprint {
 		return entry.Result{Status: entry.StatusOK}
 	}
 	until := c.Key.Time().Add(min(c.Retention, model.MaxRetention))
@@ -96,7 +96,7 @@
 	switch {
 	case known.Outcome != nil:
 		return entry.Result{Status: entry.StatusSettled, Outcome: known.Outcome}
-	case known.Released && known.Holder != c.Holder:
+	case known.Released && !known.Holder.Equal(c.Holder):
 		known.Released = false
 		known.Holder = c.Holder
 		known.Fingerprint = c.Fingerprint
@@ -119,7 +119,7 @@
 	switch {
 	case !ok:
 		return entry.Result{Status: entry.StatusExpired, Detail: "the key has no record"}
-	case known.Holder != c.Holder || known.Released:
+	case !known.Holder.Equal(c.Holder) || known.Released:
 		return entry.Result{Status: entry.StatusConflict, Detail: "the key has another holder"}
 	case known.Outcome == nil:
 		outcome := c.Outcome
@@ -141,7 +141,7 @@
 		b.add(entry.Claimed{
 			Customer: c.Customer, Key: c.Key, Holder: c.Holder, Released: true, Until: b.now.Add(keepUnused),
 		})
-	case known.Holder != c.Holder:
+	case !known.Holder.Equal(c.Holder):
 		return entry.Result{Status: entry.StatusConflict, Detail: "the key has another holder"}
 	case known.Outcome != nil:
 		return entry.Result{Status: entry.StatusSettled, Outcome: known.Outcome}
@@ -154,7 +154,7 @@
 // check refuses what no caller of the ledger sends in good order.
 func (b *Book) check(customer string, key model.Key, holder entry.Holder) entry.Result {
 	switch {
-	case customer == "" || holder == entry.Holder{}:
+	case customer == "" || holder.IsZero():
 		return invalid("the customer and the holder must be set")
 	case key.IsZero():
 		return invalid("the key must be set")
--- a/core/ledger/book_test.go
+++ b/core/ledger/book_test.go
@@ -208,3 +208,26 @@
 		})
 	}
 }
+
+// Guards against an outcome that is refused, and a floor that is lost, because
+// an encoding gave the same moment in another location.
+func TestHoldersAreComparedAsMoments(t *testing.T) {
+	elsewhere := time.FixedZone("elsewhere", 3600)
+	holder := entry.Holder{VM: "vm0", Start: began, Request: 1}
+	key := model.NewKey(began, [10]byte{1})
+	var first ledger.Book
+	first.Apply(began, entry.Claim{Customer: "acme", Key: key, Fingerprint: 1, Holder: holder, Retention: time.Minute})
+	image := first.Image()
+	for i := range image {
+		image[i].Holder.Start = image[i].Holder.Start.In(elsewhere)
+	}
+	var restored ledger.Book
+	restored.Restore(image, began)
+	settle := entry.Settle{Customer: "acme", Key: key, Holder: holder, Outcome: entry.Outcome{Snapshot: 1, Shards: 1}}
+	if got, want := restored.Apply(began, settle).Status, entry.StatusOK; got != want {
+		t.Errorf("got %v for the outcome, want %v", got, want)
+	}
+	if zero := (entry.Holder{Start: time.Time{}.In(elsewhere)}); !zero.IsZero() {
+		t.Error("got a holder for the zero moment of another location, want none")
+	}
+}
--- a/io/check/doc_test.go
+++ b/io/check/doc_test.go
@@ -21,5 +21,5 @@
 //	go test ./io/check -v -run TestMeasure -measure -charts docs/plots
 //
 // Each test process has loopback addresses of its own, so that fixed ports never
-// meet those of another process. Waiting is for events, within patience.
+// meet those of another process. Waiting is for events, within a limit.
 package check
--- a/io/check/main_test.go
+++ b/io/check/main_test.go
@@ -9,8 +9,8 @@
 	"time"
 )
 
-// patience is how long to wait for an event that always comes.
-const patience = 60 * time.Second
+// maxWait is how long to wait for an event that always comes.
+const maxWait = 60 * time.Second
 
 // program is the file of the program under test.
 var program string
@@ -37,9 +37,9 @@
 // eventually waits for a condition that always comes true.
 func eventually(t *testing.T, what string, met func() bool) {
 	t.Helper()
-	for deadline := time.Now().Add(patience); !met(); {
+	for deadline := time.Now().Add(maxWait); !met(); {
 		if time.Now().After(deadline) {
-			t.Fatalf("%s did not happen within %v", what, patience)
+			t.Fatalf("%s did not happen within %v", what, maxWait)
 		}
 		<-time.After(5 * time.Millisecond)
 	}
--- a/io/check/operator_test.go
+++ b/io/check/operator_test.go
@@ -68,7 +68,7 @@
 // is an error.
 func (o *operator) create(n int) error {
 	customer := fmt.Sprintf("%s%d", o.name, n)
-	for try, deadline := n, time.Now().Add(patience); time.Now().Before(deadline); try++ {
+	for try, deadline := n, time.Now().Add(maxWait); time.Now().Before(deadline); try++ {
 		ctx, cancel := context.WithTimeout(context.Background(), tryTimeout)
 		r, err := o.vms[try%len(o.vms)].client().PutContract(ctx, admin.Change{Operation: customer}, contractOf(customer, 10))
 		cancel()
@@ -85,7 +85,7 @@
 		}
 		<-time.After(5 * time.Millisecond)
 	}
-	return fmt.Errorf("contract %s was not accepted within %v", customer, patience)
+	return fmt.Errorf("contract %s was not accepted within %v", customer, maxWait)
 }
 
 func (o *operator) count() int {
--- a/io/check/world_test.go
+++ b/io/check/world_test.go
@@ -366,7 +366,7 @@
 
 // exchange sends one request on a connection of its own.
 func (w *world) exchange(method string, addr netip.AddrPort, path, body string, header map[string]string) (status int, answer []byte, err error) {
-	ctx, cancel := context.WithTimeout(context.Background(), patience)
+	ctx, cancel := context.WithTimeout(context.Background(), maxWait)
 	defer cancel()
 	r, err := http.NewRequestWithContext(ctx, method, fmt.Sprintf("http://%s%s", addr, path), bytes.NewReader([]byte(body)))
 	if err != nil {
--- a/io/peer/codec_test.go
+++ b/io/peer/codec_test.go
@@ -23,7 +23,8 @@
 		Customer: "c", Credential: [32]byte{1}, Indexes: []string{"i"}, Concurrency: 5, Capacity: 0.5, Extra: 0.1,
 		Retention: time.Hour, Classes: []model.Class{{Name: "n", Wait: time.Second, Price: 7, Weight: 2, Coverage: 1}}, Revision: 4,
 	}
-	holder := entry.Holder{VM: "vm1", Start: at, Loop: 1, Request: 6}
+	holder := entry.Holder{VM: "vm1", Start: at.UTC(), Loop: 1, Request: 6} // as node.State makes it
+	local := entry.Holder{VM: "vm1", Start: at, Loop: 1, Request: 6}        // images give times in the local location
 	outcome := entry.Outcome{Snapshot: 8, Shard: 1, Shards: 2, Items: []model.Item{{ID: "x", Rank: 1.5, Data: []byte("y")}}, Class: "n", Price: 7}
 	key := model.NewKey(at, [10]byte{1, 2})
 	change := entry.Change{Op: "op", Expect: 2, Contract: &contract, VM: &vm, Remove: &entry.Removal{Upstream: "u", VM: "v"}}
@@ -50,7 +51,7 @@
 	}
 	image := entry.Image{
 		Index: 1, Term: 2, At: at, Config: config, Log: entry.Members{Voters: []entry.Replica{replica}},
-		Ledger: []entry.Claimed{{Customer: "c", Key: key, Holder: holder, Until: at, Outcome: &outcome}},
+		Ledger: []entry.Claimed{{Customer: "c", Key: key, Holder: local, Until: at, Outcome: &outcome}},
 	}
 	return append(
 		list,
--- a/io/scale/bench_test.go
+++ b/io/scale/bench_test.go
@@ -239,7 +239,7 @@
 			if err != nil {
 				b.Fatal(err)
 			}
-			grant, err := peer.Encode(frame.Grant{N: message.N, Shares: map[string]int{"customer-1": 3}, Length: 3 * time.Second})
+			grant, err := peer.Encode(frame.Grant{N: message.N, Shares: map[string]int{"customer-1": 3}, Length: 3 * time.Second, Moved: t.Moved, Settled: time.Minute})
 			if err != nil {
 				b.Fatal(err)
 			}
