--- a/core/config/check.go
+++ b/core/config/check.go
@@ -24,7 +24,7 @@
 // the change is well formed and expects the current revision.
 func (s *Store) check(c entry.Change) (entry.Change, entry.Result) {
 	kinds := 0
-	for _, set := range []bool{c.Contract != nil, c.Upstream != nil, c.VM != nil, c.Remove != nil, c.Genesis != nil} {
+	for _, set := range []bool{c.Contract != nil, c.Upstream != nil, c.VM != nil, c.Remove != nil, c.Genesis != nil, c.Document != nil} {
 		if set {
 			kinds++
 		}
@@ -42,6 +42,8 @@
 		return s.checkVM(c)
 	case c.Remove != nil:
 		return c, s.checkRemoval(c)
+	case c.Document != nil:
+		return c, validDocument(c.Document)
 	default:
 		return s.checkGenesis(c)
 	}
@@ -215,6 +217,13 @@
 	return c, entry.Result{Status: entry.StatusOK}
 }
 
+func validDocument(d *model.Document) entry.Result {
+	if err := d.Check(); err != nil {
+		return invalid("%v", err)
+	}
+	return entry.Result{Status: entry.StatusOK}
+}
+
 // checkName refuses names that could not stand in a section of a settings file
 // or in a path.
 func checkName(kind, name, without string) entry.Result {
--- a/core/config/follow.go
+++ b/core/config/follow.go
@@ -38,7 +38,8 @@
 	}
 	changes := d.Changes[s.revision-d.From:]
 	for _, c := range changes {
-		if c.Contract == nil && c.Upstream == nil && c.VM == nil && c.Remove == nil && (c.Genesis == nil || s.revision != 0) {
+		if c.Contract == nil && c.Upstream == nil && c.VM == nil && c.Remove == nil && c.Document == nil &&
+			(c.Genesis == nil || s.revision != 0) {
 			return problem("has an empty change")
 		}
 	}
--- a/core/config/hash.go
+++ b/core/config/hash.go
@@ -114,6 +114,49 @@
 	h.number(uint64(v.Revision))
 }
 
+// hashDocument covers what the daemons act on. The source is left out: VMs
+// without a log do not keep it.
+func hashDocument(d *model.Document) uint64 {
+	h := make(hasher, 0, 256*len(d.Routes)+64*len(d.Services)+64)
+	h.text("document")
+	h.number(d.Version)
+	for i := range d.Routes {
+		h.route(&d.Routes[i])
+	}
+	for _, s := range d.Services {
+		h.text(s.Name)
+		h.text(s.Health)
+		h.number(uint64(s.Conns))
+	}
+	h.number(uint64(d.Limits.Header))
+	h.number(uint64(d.Limits.Body))
+	h.number(uint64(d.Limits.Reading))
+	h.number(uint64(d.Limits.Idle))
+	return h.sum()
+}
+
+func (h *hasher) route(r *model.Route) {
+	h.text(r.Name)
+	h.text(r.Host)
+	h.text(r.Prefix)
+	h.flag(r.Once)
+	h.number(uint64(len(r.Targets)))
+	for _, t := range r.Targets {
+		h.text(t.Service)
+		h.number(math.Float64bits(t.Weight))
+	}
+	h.number(uint64(len(r.Shards)))
+	for _, s := range r.Shards {
+		h.text(s)
+	}
+	h.number(uint64(r.Attempts))
+	h.number(uint64(r.Timeout))
+	h.number(uint64(r.Objective))
+	h.number(uint64(r.Rank))
+	h.number(uint64(r.Records))
+	h.number(math.Float64bits(r.Coverage))
+}
+
 // hashChange identifies a change as the operator sent it.
 func hashChange(c *entry.Change) uint64 {
 	var h hasher
@@ -130,6 +173,10 @@
 		h.text("vm")
 		h.vm(c.VM)
 	}
+	if c.Document != nil {
+		h.text("document")
+		h.number(hashDocument(c.Document))
+	}
 	if c.Remove != nil {
 		h.text("remove")
 		h.text(string(c.Remove.Upstream))
--- a/core/config/store.go
+++ b/core/config/store.go
@@ -24,7 +24,8 @@
 	vms       table[model.VMID, model.VM]
 	addrs     map[netip.AddrPort]model.UpstreamID
 	peers     map[netip.AddrPort]model.VMID
-	disks     int    // VMs with a disk
+	disks     int // VMs with a disk
+	document  *model.Document
 	objects   uint64 // sum of the hashes of all objects
 	ops       operations
 	changes   []entry.Change // the last one led to revision
@@ -73,6 +74,7 @@
 	if s.topology == nil {
 		s.topology = &model.Topology{
 			Revision: s.revision, Moved: s.moved, Contracts: s.contracts.share(), Upstreams: s.upstreams.share(), VMs: s.vms.share(),
+			Document: s.document,
 		}
 	}
 	return s.topology
@@ -94,6 +96,7 @@
 		Upstreams: sorted(s.upstreams.rows),
 		VMs:       sorted(s.vms.rows),
 		Ops:       s.ops.image(),
+		Document:  s.document,
 	}
 }
 
@@ -127,6 +130,9 @@
 	for _, v := range c.VMs {
 		s.putVM(v.ID, &v)
 	}
+	if c.Document != nil {
+		s.putDocument(c.Document)
+	}
 }
 
 // Since returns the changes after a revision. It reports false when some of
@@ -141,6 +147,12 @@
 // retain keeps a change for Since. It cuts the list only when it is twice as
 // long as needed, so that the cost per change stays constant.
 func (s *Store) retain(c entry.Change) {
+	if c.Document != nil {
+		// Documents are large and each replaces the last; whoever lacks more than
+		// the newest gets the whole configuration.
+		s.changes = []entry.Change{c}
+		return
+	}
 	s.changes = append(s.changes, c)
 	if len(s.changes) >= 2*maxChanges {
 		s.changes = slices.Clone(s.changes[len(s.changes)-maxChanges:])
@@ -174,6 +186,8 @@
 		back = s.putUpstream(c.Remove.Upstream, nil)
 	case c.Remove != nil:
 		back = s.putVM(c.Remove.VM, nil)
+	case c.Document != nil:
+		back = s.putDocument(c.Document)
 	default:
 		s.fill(*c.Genesis)
 		back = func() { *s = Store{} }
@@ -198,6 +212,8 @@
 	case c.VM != nil:
 		_, known := s.vms.rows[c.VM.ID]
 		return !known
+	case c.Document != nil:
+		return false
 	default:
 		return true
 	}
@@ -215,6 +231,20 @@
 	return put(&s.vms, &s.objects, id, v, hashVM, s.indexVM)
 }
 
+func (s *Store) putDocument(d *model.Document) (undo func()) {
+	old := s.document
+	set := func(d *model.Document) {
+		if s.document != nil {
+			s.objects -= hashDocument(s.document)
+		}
+		if s.document = d; d != nil {
+			s.objects += hashDocument(d)
+		}
+	}
+	set(d)
+	return func() { set(old) }
+}
+
 func (s *Store) indexUpstream(v *model.Upstream, n int) {
 	if s.addrs == nil {
 		s.addrs = make(map[netip.AddrPort]model.UpstreamID)
@@ -289,6 +319,10 @@
 	if result.Status != entry.StatusOK {
 		return result
 	}
+	if c.Document != nil && s.document != nil && c.Document.Version <= s.document.Version {
+		// Sent again, or overtaken by another operator's.
+		return entry.Result{Status: entry.StatusOK, Revision: s.revision}
+	}
 	s.advance(c)
 	s.retain(c)
 	return entry.Result{Status: entry.StatusOK, Revision: s.revision}
--- a/core/effect/control.go
+++ b/core/effect/control.go
@@ -16,6 +16,9 @@
 	Message frame.Message
 }
 
+// Read reads the platform's list of upstreams. The result is event.Listed.
+type Read struct{ Timeout time.Duration }
+
 // Append writes entries to the log, replacing any from the first one's index
 // on, and syncs them. The result is event.Synced.
 type Append struct {
@@ -70,6 +73,7 @@
 }
 
 func (Tell) effect()    {}
+func (Read) effect()    {}
 func (Append) effect()  {}
 func (Vote) effect()    {}
 func (Save) effect()    {}
--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -43,7 +43,8 @@
 	Upstream *model.Upstream // added, changed or drained
 	VM       *model.VM       // added, changed or drained
 	Remove   *Removal
-	Genesis  *Config // first configuration of a fleet, applied only at revision 0
+	Genesis  *Config         // first configuration of a fleet, applied only at revision 0
+	Document *model.Document // replaces the one in force when its version is higher, and changes nothing otherwise
 }
 
 // Removal names the upstream or VM to remove.
@@ -185,6 +186,7 @@
 	Upstreams []model.Upstream // ascending by id
 	VMs       []model.VM       // ascending by id
 	Ops       []Op             // oldest first
+	Document  *model.Document  // nil before the first one
 }
 
 // Op is the remembered result of an operator's command.
--- a/core/event/bridge.go
+++ b/core/event/bridge.go
@@ -43,6 +43,15 @@
 	Quarantine  time.Duration // remaining, 0 when not quarantined
 }
 
+// Roster publishes the platform's list of upstreams to the traffic states. Its
+// contents are immutable.
+type Roster struct {
+	Upstreams []model.Upstream // ascending by id
+	Read      time.Time        // when the list was read
+	Fleet     int              // daemons that share the upstreams; 0 when not known
+}
+
+func (Roster) body()   {}
 func (View) body()     {}
 func (Summary) body()  {}
 func (Propose) body()  {}
--- a/core/event/control.go
+++ b/core/event/control.go
@@ -53,6 +53,13 @@
 // takes no further part in the log.
 type DiskFailed struct{ Problem string }
 
+// Listed is the end of an effect.Read. The upstreams are sorted by id.
+type Listed struct {
+	Upstreams []model.Upstream
+	Problem   string // why the list was not read; empty otherwise
+}
+
+func (Listed) body()     {}
 func (Peer) body()       {}
 func (PeerDown) body()   {}
 func (Command) body()    {}
--- a/core/event/event.go
+++ b/core/event/event.go
@@ -32,6 +32,7 @@
 const (
 	RoleTraffic Role = iota
 	RoleControl
+	RoleRouted // traffic along the routes of a document
 )
 
 // Start is the first event of every state.
@@ -44,6 +45,10 @@
 	Loops   int             // number of traffic loops, over which shares are divided
 	Plain   bool            // plain baseline policy: random replica, fixed timeout, no hedge
 	Peers   []model.VM      // VMs known from the settings before any configuration
+	Enrols  bool            // VMs with disks register themselves, and the platform lists the upstreams
+	Ratio   float64         // extra attempts as a share of the requests for a service, over the fleet
+	Extra   int             // extra attempts for a service beyond that, over the fleet
+	Losses  int             // disks that may be lost at once in a fleet that enrols
 	Genesis *model.Topology // configuration from the settings: the first one of the log, or the one in force without disk VMs
 }
 
@@ -74,6 +79,9 @@
 	TimerMember                    // liveness, N is 0
 	TimerLease                     // shares, N is 0
 	TimerPropose                   // forwarded commands, N is 0
+	TimerEnrol                     // registration of disk VMs, N is 0
+	TimerRoster                    // list of upstreams, N is 0
+	TimerCall                      // routed request, N is the request id
 )
 
 func (Start) body() {}
--- a/core/frame/frame.go
+++ b/core/frame/frame.go
@@ -41,6 +41,8 @@
 	KindAsk
 	KindGrant
 	KindStrike
+	KindRoster
+	KindLack
 )
 
 // Message is a message between two VMs.
@@ -120,6 +122,7 @@
 	Revision model.Revision // in force
 	Sum      uint64         // checksum of the configuration in force
 	Below    []Heard        // what the child heard of the VMs below it, changes only
+	Roster   uint64         // stamp of the list of upstreams that the child has, 0 for none
 }
 
 // Heard is what a parent knows of a VM below it.
@@ -195,6 +198,25 @@
 	Pass        bool          // the receiver tells the other VMs of its zone
 }
 
+// Roster tells the list of upstreams, or only that it is unchanged.
+type Roster struct {
+	Stamp     uint64        // of the content
+	Age       time.Duration // since it was read
+	Fleet     int           // daemons of the fleet as far as the sender knows
+	Daemons   int           // daemons that follow the sender
+	Whole     bool          // Upstreams holds the content
+	Upstreams []model.Upstream
+}
+
+// Lack asks for the whole list of upstreams.
+type Lack struct{}
+
+// Kind returns KindRoster.
+func (Roster) Kind() Kind { return KindRoster }
+
+// Kind returns KindLack.
+func (Lack) Kind() Kind { return KindLack }
+
 // Kind returns KindVote.
 func (Vote) Kind() Kind { return KindVote }
 
--- a/core/model/reason.go
+++ b/core/model/reason.go
@@ -41,6 +41,9 @@
 	RefusedMajority   Refusal = "majority"   // the replicated log has no reachable majority
 	RefusedPending    Refusal = "pending"    // the key is claimed and its outcome is not known
 	RefusedQuarantine Refusal = "quarantine" // the request crashed upstreams that ran it
+	RefusedFailed     Refusal = "failed"     // the upstream broke off and may have run the request
+	RefusedRoute      Refusal = "route"      // no route of the document matches
+	RefusedTimeout    Refusal = "timeout"    // no answer in time from upstreams that may have run the request
 	RefusedSnapshot   Refusal = "snapshot"   // no version of the index is known
 	RefusedStale      Refusal = "stale"      // the VM has no configuration in force yet
 	RefusedWait       Refusal = "wait"       // the stated wait is below every class of the contract
@@ -50,8 +53,8 @@
 func Refusals() []Refusal {
 	return []Refusal{
 		RefusedBusy, RefusedConflict, RefusedCoverage, RefusedCredential, RefusedDeadline, RefusedDraining,
-		RefusedExhausted, RefusedExpired, RefusedIndex, RefusedInvalid, RefusedMajority, RefusedPending,
-		RefusedQuarantine, RefusedSnapshot, RefusedStale, RefusedWait,
+		RefusedExhausted, RefusedExpired, RefusedFailed, RefusedIndex, RefusedInvalid, RefusedMajority, RefusedPending,
+		RefusedQuarantine, RefusedRoute, RefusedSnapshot, RefusedStale, RefusedTimeout, RefusedWait,
 	}
 }
 
--- a/core/model/topology.go
+++ b/core/model/topology.go
@@ -43,6 +43,7 @@
 	Slots int           // requests it runs at once
 	Conns int           // connections it accepts in total
 	Dial  time.Duration // cost of a new connection
+	Cold  time.Duration // how much longer it is slow after its start
 	State UpstreamState
 
 	Revision Revision // of the last change
@@ -66,6 +67,7 @@
 	Contracts map[string]Contract
 	Upstreams map[UpstreamID]Upstream
 	VMs       map[VMID]VM
+	Document  *Document // nil before the first one
 }
 
 // Share is the part of the fleet-wide limits that one traffic state may use.
--- a/core/node/bridge.go
+++ b/core/node/bridge.go
@@ -11,7 +11,12 @@
 // process.
 func (s *State) bridge(at time.Time, body event.Body, out []effect.Effect) []effect.Effect {
 	switch body := body.(type) {
+	case event.Roster:
+		return s.routed.Roster(at, body, out)
 	case event.View:
+		if s.role == event.RoleRouted {
+			return s.routed.View(at, body, out)
+		}
 		return s.traffic.View(at, body, out)
 	case event.Proposed:
 		return s.traffic.Proposed(at, body, out)
@@ -20,8 +25,11 @@
 	case event.Propose:
 		return s.control.Propose(at, body, out)
 	case event.Struck:
-		if s.role == event.RoleControl {
+		switch s.role {
+		case event.RoleControl:
 			return s.control.Struck(at, body, out)
+		case event.RoleRouted:
+			return s.routed.Struck(at, body, out)
 		}
 		return s.traffic.Struck(at, body, out)
 	default:
--- a/core/node/caller.go
+++ b/core/node/caller.go
@@ -12,7 +12,12 @@
 	switch body := body.(type) {
 	case event.Request:
 		return s.traffic.Request(at, body, out)
+	case event.Call:
+		return s.routed.Call(at, body, out)
 	case event.Gone:
+		if s.role == event.RoleRouted {
+			return s.routed.Gone(at, body, out)
+		}
 		return s.traffic.Gone(at, body, out)
 	default:
 		return out
--- a/core/node/life.go
+++ b/core/node/life.go
@@ -16,6 +16,9 @@
 		s.compose(start)
 		return s.control.Start(at, start, out)
 	}
+	if s.role == event.RoleRouted {
+		return s.routed.Start(at, start, out)
+	}
 	return s.traffic.Start(at, start, out)
 }
 
@@ -23,6 +26,9 @@
 	if s.role == event.RoleControl {
 		return s.control.Drain(at, out)
 	}
+	if s.role == event.RoleRouted {
+		return s.routed.Drain(at, out)
+	}
 	return s.traffic.Drain(at, out)
 }
 
@@ -30,5 +36,8 @@
 	if s.role == event.RoleControl {
 		return s.control.Timer(at, id, out)
 	}
+	if s.role == event.RoleRouted {
+		return s.routed.Timer(at, id, out)
+	}
 	return s.traffic.Timer(at, id, out)
 }
--- a/core/node/parts.go
+++ b/core/node/parts.go
@@ -27,6 +27,11 @@
 		s.control.Replicate(&replica{})
 	}
 	s.control.Distribute(&relay.Tree{Store: s.control.Follower(), Peers: vms})
+	if start.Enrols {
+		// Limits are not divided through leases there, and the VMs that take
+		// requests are not registered.
+		return
+	}
 	s.control.Observe(&member.Watch{Self: start.VM, Seed: start.Seed})
 	s.control.Lease(holder, &lease.Granter{})
 }
@@ -53,5 +58,9 @@
 // Standing returns what the replica knows of the log.
 func (r *replica) Standing() plane.Standing {
 	s := r.Status()
-	return plane.Standing{Leader: s.Leader, Leading: s.Leading, Term: s.Term, Commit: s.Commit, Known: s.Known, Heard: s.Heard}
+	standing := plane.Standing{Leader: s.Leader, Leading: s.Leading, Term: s.Term, Commit: s.Commit, Known: s.Known, Heard: s.Heard}
+	for _, silent := range s.Silent {
+		standing.Silent = append(standing.Silent, plane.Silence(silent))
+	}
+	return standing
 }
--- a/core/node/platform.go
+++ b/core/node/platform.go
@@ -7,7 +7,14 @@
 	"comfreypulley/core/event"
 )
 
-// platform handles the platform's list of VMs.
-func (s *State) platform(at time.Time, body event.Platform, out []effect.Effect) []effect.Effect {
-	return s.control.Platform(at, body, out)
+// platform handles the platform's lists of VMs and upstreams.
+func (s *State) platform(at time.Time, body event.Body, out []effect.Effect) []effect.Effect {
+	switch body := body.(type) {
+	case event.Platform:
+		return s.control.Platform(at, body, out)
+	case event.Listed:
+		return s.control.Listed(at, body, out)
+	default:
+		return out
+	}
 }
--- a/core/plane/control.go
+++ b/core/plane/control.go
@@ -43,6 +43,8 @@
 	platform   event.Platform
 	wanted     model.Revision
 	strikes    strikes
+	enrol      enrol
+	roster     roster
 	draining   bool
 	stale      bool // left the log before everything on its disk was applied; waits for the tree
 }
@@ -57,6 +59,7 @@
 	c.queue.next = uint64(start.Began.UnixNano())
 	c.replicated = start.VM.Disk || len(c.disks()) > 0
 	if c.replicated {
+		out = c.startRoster(at, c.startEnrol(at, out))
 		return c.seal(from, c.startTree(at, out))
 	}
 	if start.Genesis == nil {
@@ -94,6 +97,10 @@
 		out = c.timerMember(at, out)
 	case event.TimerLease:
 		out = c.timerLease(at, out)
+	case event.TimerEnrol:
+		out = c.timerEnrol(at, out)
+	case event.TimerRoster:
+		out = c.timerRoster(at, out)
 	default:
 		return out
 	}
@@ -168,7 +175,10 @@
 	if vm, ok := c.store.VM(id); ok {
 		return vm.Peer
 	}
-	return c.known()[id].Peer
+	if vm, ok := c.known()[id]; ok {
+		return vm.Peer
+	}
+	return c.derived(id)
 }
 
 // genesis turns the settings' configuration into the first one of the log.
--- a/core/plane/history.go
+++ b/core/plane/history.go
@@ -4,6 +4,7 @@
 	"slices"
 
 	"comfreypulley/core/effect"
+	"comfreypulley/core/frame"
 )
 
 // maxNotes is how many notes are kept for operators.
@@ -35,6 +36,11 @@
 		case effect.Note:
 			c.history.add(e)
 		case effect.Tell:
+			if d, ok := e.Message.(frame.Digest); ok && c.roster.stamp != 0 {
+				d.Roster = c.roster.stamp
+				e.Message = d
+				out[from+i] = e
+			}
 			if !e.Addr.IsValid() {
 				e.Addr = c.addr(e.To)
 				out[from+i] = e
--- a/core/plane/log.go
+++ b/core/plane/log.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"time"
 
 	"comfreypulley/core/effect"
@@ -14,6 +15,18 @@
 // compactEvery is how many entries are applied between two images of the log.
 const compactEvery = 4096
 
+// compactWeight is how many bytes of documents are applied between two images;
+// it bounds the log in memory and on the disk of a small VM.
+const compactWeight = 4 << 20
+
+// weightOf estimates the bytes that a change adds to the log.
+func weightOf(c entry.Change) int {
+	if c.Document == nil {
+		return 0
+	}
+	return 2 * len(c.Document.Source) // the decoded form is about as long
+}
+
 // Replicator is the replicated log as the control state uses it. Propose gives
 // index 0 when it appended nothing; Confirm gives StatusUnknown while a read is
 // under way. Effects that tell another VM need no address.
@@ -41,6 +54,13 @@
 	Commit  uint64
 	Known   uint64    // highest commit index that a leader named; the entries up to it may be missing here
 	Heard   time.Time // when a majority was last heard of
+	Silent  []Silence // voters that the leader does not hear
+}
+
+// Silence says how long the leader has not heard a voter.
+type Silence struct {
+	VM  model.VMID
+	For time.Duration
 }
 
 // position is how far the log has been applied.
@@ -50,6 +70,7 @@
 	at      time.Time // highest entry time
 	members entry.Members
 	imaged  uint64 // index of the last image
+	weight  int    // bytes of the documents applied since
 	loaded  slot   // last entry in the data folder at start
 }
 
@@ -169,8 +190,8 @@
 			out = c.apply(at, e, out)
 		}
 	}
-	if c.applied.index-c.applied.imaged >= compactEvery {
-		c.applied.imaged = c.applied.index
+	if c.applied.index-c.applied.imaged >= compactEvery || c.applied.weight >= compactWeight {
+		c.applied.imaged, c.applied.weight = c.applied.index, 0
 		out = c.log.Compact(at, c.image(), out)
 	}
 	for _, n := range c.log.Confirmed() {
@@ -188,7 +209,9 @@
 	var result entry.Result
 	switch command := e.Command.(type) {
 	case entry.Change:
+		c.noteJoined(e.At, command)
 		result = c.store.Apply(e.At, command)
+		c.applied.weight += weightOf(command)
 		out = append(out, noteChange(at, command, result))
 	case entry.Claim, entry.Settle, entry.Release:
 		result = c.book.Apply(e.At, command)
@@ -255,6 +278,8 @@
 func noteChange(at time.Time, c entry.Change, r entry.Result) effect.Note {
 	n := effect.Note{At: at, Subject: "configuration", Action: "changed"}
 	switch {
+	case c.Document != nil:
+		n.Subject = "document " + strconv.FormatUint(c.Document.Version, 10)
 	case c.Contract != nil:
 		n.Subject = "contract " + c.Contract.Customer
 		if c.Contract.Retired {
--- a/core/plane/peer.go
+++ b/core/plane/peer.go
@@ -30,6 +30,9 @@
 	case frame.Digest:
 		out = c.heardFrom(at, p.From, out)
 		out = c.peerTree(at, p.From, m, out)
+		out = c.listen(at, p.From, m, out)
+	case frame.Roster, frame.Lack:
+		out = c.peerRoster(at, p.From, m, out)
 	case frame.Delta, frame.Full:
 		out = c.peerTree(at, p.From, m, out)
 	case frame.Ping, frame.Pong, frame.Probe, frame.Probed:
--- /dev/null
+++ b/core/plane/roster.go
@@ -0,0 +1,259 @@
+package plane
+
+import (
+	"hash/fnv"
+	"slices"
+	"time"
+
+	"comfreypulley/core/effect"
+	"comfreypulley/core/event"
+	"comfreypulley/core/frame"
+	"comfreypulley/core/model"
+)
+
+// Pace of reading the platform's list of upstreams. Calls are charged and
+// limited in rate, so the leader reads it for all; another VM reads it when it
+// has had no news for longer.
+const (
+	rosterPeriod  = 200 * time.Millisecond // between two looks at what is due
+	leaderReads   = time.Second
+	othersRead    = 1600 * time.Millisecond
+	readsApart    = 150 * time.Millisecond // between the VMs that would read in the leader's place
+	readTimeout   = 2 * time.Second
+	listenerQuiet = 4 * time.Second // after which a VM no longer counts as a listener
+	maxFleetDelay = 5 * time.Second // after which another VM's count of listeners is dropped
+)
+
+// roster is the list of upstreams as last read, by this VM or another one. The
+// zero value has none.
+type roster struct {
+	upstreams []model.Upstream
+	stamp     uint64    // of the content; 0 when none is known
+	read      time.Time // when it was read
+	asked     time.Time // when a read by this VM began; zero when none is under way
+	tried     time.Time // when the last read by this VM began
+	failing   bool
+	listeners map[model.VMID]time.Time // daemons that follow this VM, by their last digest
+	counts    map[model.VMID]counted
+	fleet     int // daemons as last published
+}
+
+// counted is how many daemons follow another VM.
+type counted struct {
+	daemons int
+	at      time.Time
+}
+
+func (c *Control) startRoster(at time.Time, out []effect.Effect) []effect.Effect {
+	if !c.start.Enrols || !c.start.VM.Disk {
+		return out
+	}
+	return setTimer(event.TimerRoster, at.Add(rosterPeriod), out)
+}
+
+// timerRoster reads the list when it is this VM's turn.
+func (c *Control) timerRoster(at time.Time, out []effect.Effect) []effect.Effect {
+	out = setTimer(event.TimerRoster, at.Add(rosterPeriod), out)
+	r := &c.roster
+	if !r.asked.IsZero() && at.Sub(r.asked) < readTimeout {
+		return out
+	}
+	if at.Sub(r.tried) < leaderReads || at.Sub(r.read) < c.readAfter() {
+		return out
+	}
+	r.asked, r.tried = at, at
+	return append(out, effect.Read{Timeout: readTimeout})
+}
+
+// readAfter is the age of the last news at which this VM reads the list.
+func (c *Control) readAfter() time.Duration {
+	if c.leading() {
+		return leaderReads - rosterPeriod/2
+	}
+	return othersRead + readsApart*time.Duration(slices.Index(c.disks(), c.start.VM.ID)+1)
+}
+
+// Listed takes the end of a read.
+func (c *Control) Listed(at time.Time, l event.Listed, out []effect.Effect) []effect.Effect {
+	from := len(out)
+	r := &c.roster
+	began := r.asked
+	r.asked = time.Time{}
+	if l.Problem != "" {
+		if !r.failing {
+			out = append(out, effect.Note{At: at, Subject: "roster", Action: "not read", Cause: l.Problem, Alert: true})
+		}
+		r.failing = true
+		return c.seal(from, out)
+	}
+	if r.failing {
+		out = append(out, effect.Note{At: at, Subject: "roster", Action: "read again", Cause: "the list answers"})
+	}
+	r.failing = false
+	if began.IsZero() {
+		began = at
+	}
+	out = c.takeRoster(at, began, l.Upstreams, out)
+	for _, id := range c.disks() {
+		if id != c.start.VM.ID {
+			out = append(out, effect.Tell{To: id, Message: c.rosterFrame(at, false)})
+		}
+	}
+	return c.seal(from, out)
+}
+
+// takeRoster puts a list in force that was read at a time.
+func (c *Control) takeRoster(at, read time.Time, upstreams []model.Upstream, out []effect.Effect) []effect.Effect {
+	r := &c.roster
+	if read.Before(r.read) {
+		return out
+	}
+	r.read = read
+	stamp := stampOf(upstreams)
+	fleet := c.countFleet(at)
+	if stamp == r.stamp && fleet == r.fleet {
+		return out
+	}
+	if stamp != r.stamp {
+		out = append(out, effect.Note{At: at, Subject: "roster", Action: "changed", Cause: rosterDifference(r.upstreams, upstreams)})
+	}
+	r.upstreams, r.stamp, r.fleet = upstreams, stamp, fleet
+	out = append(out, effect.ToTraffic{Loop: effect.AllLoops, Body: event.Roster{Upstreams: upstreams, Read: read, Fleet: fleet}})
+	for _, id := range c.following(at) {
+		out = append(out, effect.Tell{To: id, Message: c.rosterFrame(at, true)})
+	}
+	return out
+}
+
+// countFleet adds up the daemons that follow this VM and those that follow
+// others.
+func (c *Control) countFleet(at time.Time) int {
+	if !c.start.VM.Disk {
+		return c.roster.fleet
+	}
+	n := len(c.following(at))
+	for _, other := range c.roster.counts {
+		if at.Sub(other.at) < maxFleetDelay {
+			n += other.daemons
+		}
+	}
+	return n
+}
+
+// following lists the daemons that follow this VM, ascending by id.
+func (c *Control) following(at time.Time) []model.VMID {
+	var ids []model.VMID
+	for id, seen := range c.roster.listeners {
+		if at.Sub(seen) >= listenerQuiet {
+			delete(c.roster.listeners, id)
+			continue
+		}
+		ids = append(ids, id)
+	}
+	slices.Sort(ids)
+	return ids
+}
+
+func (c *Control) rosterFrame(at time.Time, whole bool) frame.Roster {
+	r := &c.roster
+	f := frame.Roster{Stamp: r.stamp, Age: max(0, at.Sub(r.read)), Fleet: r.fleet, Daemons: len(r.listeners)}
+	if whole {
+		f.Whole, f.Upstreams = true, r.upstreams
+	}
+	return f
+}
+
+// listen notes a daemon that follows this VM, and sends it the list when it has
+// another one.
+func (c *Control) listen(at time.Time, from model.VMID, d frame.Digest, out []effect.Effect) []effect.Effect {
+	if !c.start.Enrols {
+		return out
+	}
+	if c.roster.listeners == nil {
+		c.roster.listeners = make(map[model.VMID]time.Time)
+	}
+	if _, disk := c.store.VM(from); !disk {
+		c.roster.listeners[from] = at
+	}
+	if c.roster.stamp != 0 && d.Roster != c.roster.stamp {
+		out = append(out, effect.Tell{To: from, Message: c.rosterFrame(at, true)})
+	}
+	return out
+}
+
+// peerRoster takes another VM's list, or asks for the whole of it.
+func (c *Control) peerRoster(at time.Time, from model.VMID, m frame.Message, out []effect.Effect) []effect.Effect {
+	r := &c.roster
+	switch m := m.(type) {
+	case frame.Lack:
+		if r.stamp != 0 {
+			out = append(out, effect.Tell{To: from, Message: c.rosterFrame(at, true)})
+		}
+	case frame.Roster:
+		if c.start.VM.Disk {
+			if r.counts == nil {
+				r.counts = make(map[model.VMID]counted)
+			}
+			r.counts[from] = counted{daemons: m.Daemons, at: at}
+		} else {
+			r.fleet = m.Fleet
+		}
+		switch {
+		case m.Whole:
+			return c.takeRoster(at, at.Add(-m.Age), m.Upstreams, out)
+		case m.Stamp == r.stamp:
+			return c.takeRoster(at, at.Add(-m.Age), r.upstreams, out)
+		default:
+			return append(out, effect.Tell{To: from, Message: frame.Lack{}})
+		}
+	}
+	return out
+}
+
+// stampOf identifies the content of a list, which is sorted. It is never 0.
+func stampOf(upstreams []model.Upstream) uint64 {
+	h := fnv.New64a()
+	for _, u := range upstreams {
+		_, _ = h.Write([]byte(string(u.ID) + "\x00" + u.Index + "\x00" + u.Addr.String() + "\x00" + u.State.String() + "\x00" + string(u.Zone) + "\n"))
+	}
+	return h.Sum64() | 1
+}
+
+// rosterDifference says in short which upstreams came, went or began to drain.
+func rosterDifference(before, after []model.Upstream) string {
+	const most = 8 // named in one line
+	old := make(map[model.UpstreamID]model.Upstream, len(before))
+	for _, u := range before {
+		old[u.ID] = u
+	}
+	text, n := "", 0
+	add := func(sign string, id model.UpstreamID) {
+		if n++; n <= most {
+			text += " " + sign + string(id)
+		}
+	}
+	for _, u := range after {
+		known, ok := old[u.ID]
+		switch {
+		case !ok:
+			add("+", u.ID)
+		case known.State != u.State:
+			add("~", u.ID)
+		case known.Addr != u.Addr:
+			add("@", u.ID)
+		}
+		delete(old, u.ID)
+	}
+	for _, u := range before {
+		if _, gone := old[u.ID]; gone {
+			add("-", u.ID)
+		}
+	}
+	if n > most {
+		text += " and more"
+	}
+	if text == "" {
+		return "details of upstreams"
+	}
+	return text[1:]
+}
--- a/core/plane/tree.go
+++ b/core/plane/tree.go
@@ -58,12 +58,30 @@
 	}
 }
 
-// Image returns the configuration in a fixed order.
-func (f Follower) Image() entry.Config { return f.control.store.Image() }
+// Image returns the configuration in a fixed order, without the source of the
+// document: the VMs below act on its decoded form.
+func (f Follower) Image() entry.Config {
+	image := f.control.store.Image()
+	image.Document = withoutSource(image.Document)
+	return image
+}
+
+func withoutSource(d *model.Document) *model.Document {
+	if d == nil {
+		return nil
+	}
+	short := *d
+	short.Source = nil
+	return &short
+}
 
 // Since returns the changes after a revision; see config.Store.
-func (f Follower) Since(from model.Revision) ([]entry.Change, bool) {
-	return f.control.store.Since(from)
+func (f Follower) Since(from model.Revision) (changes []entry.Change, ok bool) {
+	changes, ok = f.control.store.Since(from)
+	for i := range changes {
+		changes[i].Document = withoutSource(changes[i].Document)
+	}
+	return changes, ok
 }
 
 // Topology returns the configuration in force, nil when there is none.
--- /dev/null
+++ b/core/proxy/call.go
@@ -0,0 +1,119 @@
+package proxy
+
+import (
+	"time"
+
+	"comfreypulley/core/event"
+	"comfreypulley/core/model"
+)
+
+// call is one caller's request.
+type call struct {
+	event    event.Call
+	route    *model.Route
+	pace     *pace
+	version  uint64
+	arrived  time.Time
+	deadline time.Time
+	cutoff   time.Time // when a partial answer is worth more than a late whole one
+	legs     []*leg
+	roster   time.Duration // age of the list of upstreams
+	ended    bool
+	timer    time.Time
+}
+
+// leg is the part of a call that one service answers.
+type leg struct {
+	service string
+	tries   []*attempt
+	pending int           // attempts without an end
+	part    *part         // the good answer
+	failure *part         // the upstream's own failure, passed on when nothing better comes
+	next    time.Time     // no attempt before
+	after   time.Duration // the longest wait that an upstream asked for
+	ran     model.Ran     // whether the request may have run on this leg
+	lost    bool          // no further attempt will be made
+}
+
+// part is an answer of an upstream.
+type part struct {
+	reply   model.Reply
+	receipt string
+}
+
+// attempt is one request on one upstream.
+type attempt struct {
+	id       model.AttemptID
+	call     *call
+	leg      *leg
+	host     *host
+	sent     time.Time
+	expected time.Duration // typical latency of the route on this upstream when it was sent
+	took     time.Duration
+	outcome  string
+	hedge    bool
+}
+
+// scatter reports whether the answer is merged from shards.
+func (c *call) scatter() bool { return len(c.route.Shards) > 0 }
+
+// included counts the legs with a good answer.
+func (c *call) included() int {
+	n := 0
+	for _, l := range c.legs {
+		if l.part != nil {
+			n++
+		}
+	}
+	return n
+}
+
+// enough reports whether the answered legs reach the least coverage.
+func (c *call) enough() bool {
+	n := c.included()
+	return n > 0 && float64(n) >= c.route.Coverage*float64(len(c.legs))
+}
+
+// ran says whether the request may have run anywhere.
+func (c *call) ran() model.Ran {
+	ran := model.RanNo
+	for _, l := range c.legs {
+		switch {
+		case l.part != nil || l.ran == model.RanYes:
+			return model.RanYes
+		case l.ran == model.RanUnknown || l.pending > 0:
+			ran = model.RanUnknown
+		}
+	}
+	return ran
+}
+
+// after returns the longest wait that an upstream asked for.
+func (c *call) after() time.Duration {
+	var longest time.Duration
+	for _, l := range c.legs {
+		longest = max(longest, l.after)
+	}
+	return longest
+}
+
+// tried reports whether the leg was sent to an upstream.
+func (l *leg) tried(h *host) bool {
+	for _, a := range l.tries {
+		if a.host == h {
+			return true
+		}
+	}
+	return false
+}
+
+// arrivals counts the attempts that may have reached an upstream.
+func (l *leg) arrivals() int {
+	n := 0
+	for _, a := range l.tries {
+		if a.outcome != string(model.FailedRefused) {
+			n++
+		}
+	}
+	return n
+}
--- /dev/null
+++ b/core/proxy/doc.go
@@ -0,0 +1,20 @@
+// Package proxy forwards callers' requests along the routes of the document in
+// force: to one upstream of a service, or to one upstream of each shard, whose
+// parts it merges.
+//
+// # Usage
+//
+//	var t proxy.Table
+//	out = t.Start(at, start, out)
+//	out = t.View(at, view, out)       // the document in force
+//	out = t.Roster(at, roster, out)   // the upstreams there are
+//	out = t.Call(at, call, out)       // ends in Deliver, Merge or Refuse
+//	out = t.Returned(at, returned, out)
+//
+// A call keeps the route it started with, so that all parts of an answer come
+// from the shards of one document. match.go finds the route, host.go judges an
+// upstream, pick.go chooses one, call.go and leg.go hold one request, step.go
+// decides what is sent next, and finish.go ends a request.
+//
+// Shares are 0 to 1, times are those of the events.
+package proxy
--- /dev/null
+++ b/core/proxy/finish.go
@@ -0,0 +1,188 @@
+package proxy
+
+import (
+	"time"
+
+	"comfreypulley/core/effect"
+	"comfreypulley/core/event"
+	"comfreypulley/core/model"
+)
+
+// shortWait is when a refused caller may come back if no upstream said so.
+const shortWait = 50 * time.Millisecond
+
+// Returned takes a complete response.
+func (t *Table) Returned(at time.Time, e event.Returned, out []effect.Effect) []effect.Effect {
+	a, ok := t.attempts[e.Attempt]
+	if !ok {
+		return out
+	}
+	h := a.host
+	if e.Load != nil {
+		h.load, h.loadAt = *e.Load, at
+	}
+	if e.Leaving {
+		h.leaving = at
+	}
+	status := e.Reply.Status
+	switch {
+	case e.Other:
+		h.other = true
+		return t.broken(at, a, model.FailedVersion, model.RanNo, 0, out)
+	case e.NotRun:
+		h.fails.add(at, 1, 0, failGain, failFade)
+		return t.broken(at, a, model.FailedShed, model.RanNo, e.After, out)
+	case e.Receipt == "":
+		h.failed(at, model.FailedInvalid)
+		return t.broken(at, a, model.FailedInvalid, model.RanUnknown, 0, out)
+	case status < 200 || status >= 300:
+		h.failed(at, model.FailedInvalid)
+		a.leg.failure = &part{reply: e.Reply, receipt: e.Receipt}
+		return t.broken(at, a, model.FailedInvalid, model.RanYes, 0, out)
+	}
+	took := at.Sub(a.sent)
+	expected := a.call.pace.expected(a.call.route)
+	a.call.pace.add(took)
+	h.answered(at, float64(took)/float64(max(expected, time.Millisecond)))
+	t.suspects.clear(a.call.event.Fingerprint)
+	t.end(at, a, "answered")
+	a.leg.ran = model.RanYes
+	if a.leg.part == nil {
+		a.leg.part = &part{reply: e.Reply, receipt: e.Receipt}
+	}
+	return t.step(at, a.call, out)
+}
+
+// Failed takes an attempt without a complete response.
+func (t *Table) Failed(at time.Time, e event.Failed, out []effect.Effect) []effect.Effect {
+	a, ok := t.attempts[e.Attempt]
+	if !ok {
+		return out
+	}
+	if e.Reason != model.FailedCancelled {
+		a.host.failed(at, e.Reason)
+	}
+	if e.Reason == model.FailedReset && e.Ran != model.RanNo {
+		if struck, news := t.suspects.add(at, a.call.event.Fingerprint, a.host.upstream.ID); news {
+			out = append(out, effect.ToControl{Body: struck})
+		}
+	}
+	return t.broken(at, a, e.Reason, e.Ran, e.After, out)
+}
+
+// broken ends an attempt that gave no answer and goes on with its call.
+func (t *Table) broken(at time.Time, a *attempt, reason model.Failure, ran model.Ran, after time.Duration, out []effect.Effect) []effect.Effect {
+	t.end(at, a, string(reason))
+	out = append(out, effect.Count{Counter: effect.CountFailed, Reason: string(reason), N: 1})
+	l := a.leg
+	l.after = max(l.after, after)
+	if ran == model.RanYes || ran == model.RanUnknown && l.ran == model.RanNo {
+		l.ran = ran
+	}
+	return t.step(at, a.call, out)
+}
+
+// end takes an attempt out of the books.
+func (t *Table) end(at time.Time, a *attempt, outcome string) {
+	delete(t.attempts, a.id)
+	delete(a.host.live, a.id)
+	a.leg.pending--
+	a.took, a.outcome = at.Sub(a.sent), outcome
+}
+
+// Gone takes a caller's leaving. Upstreams stop working on the request, unless
+// it must not be broken off midway.
+func (t *Table) Gone(at time.Time, e event.Gone, out []effect.Effect) []effect.Effect {
+	c, ok := t.calls[e.Request]
+	if !ok {
+		return out
+	}
+	for _, l := range c.legs {
+		for _, a := range l.tries {
+			if a.outcome == "" && !c.route.Once {
+				out = append(out, effect.Cancel{Attempt: a.id})
+			}
+		}
+	}
+	return t.close(at, c, "left", "", out)
+}
+
+// finish answers the caller with the best there is.
+func (t *Table) finish(at time.Time, c *call, out []effect.Effect) []effect.Effect {
+	n := c.included()
+	switch {
+	case c.scatter() && c.enough():
+		merged := merge(c)
+		out = append(out, effect.Merge{Request: c.event.ID, Merged: merged})
+		outcome := "served"
+		if merged.Missing > 0 {
+			outcome = "partial"
+		}
+		return t.close(at, c, outcome, "", out)
+	case !c.scatter() && n == 1:
+		out = append(out, effect.Deliver{Request: c.event.ID, Reply: c.legs[0].part.reply})
+		return t.close(at, c, "served", "", out)
+	case !c.scatter() && c.legs[0].failure != nil:
+		out = append(out, effect.Deliver{Request: c.event.ID, Reply: c.legs[0].failure.reply})
+		return t.close(at, c, "failed", "", out)
+	}
+	r := model.Rejection{Request: c.event.ID, Ran: c.ran(), Detail: c.route.Name}
+	switch {
+	case r.Ran == model.RanNo:
+		r.Reason = model.RefusedExhausted
+		r.After = max(c.after(), shortWait)
+	case !at.Before(c.deadline):
+		r.Reason = model.RefusedTimeout
+	case c.scatter():
+		r.Reason = model.RefusedCoverage
+	default:
+		r.Reason = model.RefusedFailed
+	}
+	if r.Ran == model.RanNo {
+		// The refusal states that the request never runs, so nothing may be left.
+		for _, l := range c.legs {
+			l.lost = true
+		}
+	}
+	out = append(out, effect.Refuse{Rejection: r}, effect.Count{Counter: effect.CountRefused, Reason: string(r.Reason), N: 1})
+	return t.close(at, c, "refused", r.Reason, out)
+}
+
+// refuseEarly refuses a request of which nothing was sent.
+func (t *Table) refuseEarly(e event.Call, route *model.Route, reason model.Refusal, out []effect.Effect) []effect.Effect {
+	trace := effect.Trace{Tag: e.Tag, Outcome: "refused", Reason: reason}
+	r := model.Rejection{Request: e.ID, Reason: reason, Ran: model.RanNo, After: shortWait}
+	if t.document != nil {
+		trace.Version = t.document.Version
+	}
+	if route != nil {
+		trace.Route = route.Name
+	}
+	return append(out,
+		effect.Refuse{Rejection: r}, effect.Count{Counter: effect.CountRefused, Reason: string(reason), N: 1}, trace)
+}
+
+// close takes a call out of the books. Attempts without an end go on: their
+// answers tell of their upstreams, and their connections stay usable.
+func (t *Table) close(at time.Time, c *call, outcome string, reason model.Refusal, out []effect.Effect) []effect.Effect {
+	c.ended = true
+	delete(t.calls, c.event.ID)
+	if !c.timer.IsZero() {
+		out = append(out, effect.StopTimer{ID: event.TimerID{Kind: event.TimerCall, N: uint64(c.event.ID)}})
+	}
+	trace := effect.Trace{
+		Tag: c.event.Tag, Route: c.route.Name, Outcome: outcome, Reason: reason, Took: at.Sub(c.arrived), Version: c.version,
+		Roster: c.roster, Included: c.included(),
+	}
+	for _, l := range c.legs {
+		info := model.Leg{Service: l.service}
+		for _, a := range l.tries {
+			info.Attempts = append(info.Attempts, model.Try{
+				Upstream: a.host.upstream.ID, Sent: a.sent.Sub(c.arrived), Took: a.took, Outcome: a.outcome,
+			})
+		}
+		trace.Legs = append(trace.Legs, info)
+	}
+	out = append(out, effect.Count{Counter: effect.CountServed, Reason: outcome, N: 1}, trace)
+	return t.drained(out)
+}
--- /dev/null
+++ b/core/proxy/host.go
@@ -0,0 +1,110 @@
+package proxy
+
+import (
+	"math"
+	"time"
+
+	"comfreypulley/core/model"
+)
+
+// How an upstream is judged.
+const (
+	ratioGain    = 0.3                    // weight of a new latency in the average
+	maxRatio     = 5                      // a single pause must not count for more than this
+	ratioFade    = 3 * time.Second        // in which an old average loses most of its weight
+	failGain     = 0.3                    // weight of a new outcome in the share of failures
+	failFade     = 3 * time.Second        // in which old failures lose most of their weight
+	firstDown    = 200 * time.Millisecond // after a failed connection; doubles with each further one
+	longestDown  = 1600 * time.Millisecond
+	loadFade     = 400 * time.Millisecond // in which a load report loses most of its weight
+	leavingFor   = 3 * time.Second        // an upstream that closes connections may be leaving
+	coldFactor   = 1.6                    // work of an upstream that has just started, in parts of the usual
+	failCost     = 60 * time.Millisecond  // expected loss of time by a failure
+	leavingCost  = 20 * time.Millisecond
+	outsideCost  = 1 * time.Millisecond // of another zone, beyond what the latency shows
+	stalledCost  = 20 * time.Millisecond
+	stalledAfter = 1.5 // times the expected latency, after which an attempt counts as stalled
+)
+
+// host is what is known of one upstream.
+type host struct {
+	upstream model.Upstream
+	live     map[model.AttemptID]*attempt // attempts without an end, also of calls that have ended
+	ratio    average                      // latency in parts of the route's typical one
+	fails    average                      // share of attempts that failed
+	load     model.Load
+	loadAt   time.Time
+	down     time.Time // no attempt before, while another upstream can be tried
+	refusals int       // connections that failed in a row
+	other    bool      // another upstream answers at the address
+	leaving  time.Time // when it last closed a connection by its own wish
+	coldTo   time.Time
+}
+
+// average is a moving average that fades toward a rest value.
+type average struct {
+	value float64
+	at    time.Time
+}
+
+func (a *average) read(at time.Time, rest float64, fade time.Duration) float64 {
+	if a.at.IsZero() {
+		return rest
+	}
+	return rest + (a.value-rest)*math.Exp(-float64(at.Sub(a.at))/float64(fade))
+}
+
+func (a *average) add(at time.Time, sample, rest, gain float64, fade time.Duration) {
+	old := a.read(at, rest, fade)
+	a.value, a.at = old+gain*(sample-old), at
+}
+
+// answered notes a good answer.
+func (h *host) answered(at time.Time, ratio float64) {
+	h.ratio.add(at, min(ratio, maxRatio), 1, ratioGain, ratioFade)
+	h.fails.add(at, 0, 0, failGain, failFade)
+	h.refusals, h.down = 0, time.Time{}
+}
+
+// failed notes an attempt that the upstream is to blame for.
+func (h *host) failed(at time.Time, reason model.Failure) {
+	h.fails.add(at, 1, 0, failGain, failFade)
+	if reason == model.FailedRefused || reason == model.FailedTimeout {
+		h.down = at.Add(min(firstDown<<min(h.refusals, 8), longestDown))
+		h.refusals++
+	}
+}
+
+// cost estimates the time until an answer of the upstream to a request that
+// typically takes as long as given.
+func (h *host) cost(at time.Time, typical time.Duration, zone model.Zone) time.Duration {
+	slots := float64(max(1, h.upstream.Slots))
+	fresh := math.Exp(-float64(at.Sub(h.loadAt)) / float64(loadFade))
+	busy := fresh*float64(h.load.Inflight+h.load.Queued) + float64(len(h.live))
+	expected := float64(typical) * h.ratio.read(at, 1, ratioFade)
+	if at.Before(h.coldTo) {
+		expected *= coldFactor
+	}
+	total := expected * (1 + 0.4*min(busy, slots)/slots + max(0, busy+1-slots)/slots)
+	total += h.fails.read(at, 0, failFade) * float64(failCost)
+	if h.upstream.Zone != zone {
+		total += float64(outsideCost)
+	}
+	if at.Sub(h.leaving) < leavingFor {
+		total += float64(leavingCost)
+	}
+	return time.Duration(total) + h.stalled(at)
+}
+
+// stalled returns what an overdue attempt says about the next one: an upstream
+// that pauses or is silent answers nobody.
+func (h *host) stalled(at time.Time) time.Duration {
+	var worst time.Duration
+	for _, a := range h.live {
+		age := at.Sub(a.sent)
+		if float64(age) > stalledAfter*float64(a.expected) {
+			worst = max(worst, age+stalledCost)
+		}
+	}
+	return worst
+}
--- /dev/null
+++ b/core/proxy/merge.go
@@ -0,0 +1,38 @@
+package proxy
+
+import (
+	"bytes"
+	"slices"
+
+	"comfreypulley/core/model"
+)
+
+// recordSize is the length of one record of a part, in bytes.
+const recordSize = 16
+
+// merge puts the highest records of all parts together. Equal records all
+// count; a shorter rest at the end of a part is no record.
+func merge(c *call) model.Merged {
+	var m model.Merged
+	var records [][]byte
+	for _, l := range c.legs {
+		if l.part == nil {
+			m.Missing++
+			continue
+		}
+		m.Receipts = append(m.Receipts, l.part.receipt)
+		body := l.part.reply.Body
+		for ; len(body) >= recordSize; body = body[recordSize:] {
+			records = append(records, body[:recordSize])
+		}
+	}
+	slices.SortFunc(records, func(a, b []byte) int { return bytes.Compare(b, a) })
+	if len(records) > c.route.Records {
+		records = records[:c.route.Records]
+	}
+	m.Records = make([]byte, 0, recordSize*len(records))
+	for _, r := range records {
+		m.Records = append(m.Records, r...)
+	}
+	return m
+}
--- /dev/null
+++ b/core/proxy/pick.go
@@ -0,0 +1,61 @@
+package proxy
+
+import (
+	"time"
+
+	"comfreypulley/core/model"
+)
+
+const (
+	defaultConns = 2    // connections to an upstream while the size of the fleet is not known
+	mostConns    = 8    // connections to an upstream that a VM needs at the most
+	connsUsed    = 0.85 // part of the connections that the fleet may use
+	costNoise    = 0.08 // random part of a cost, so that VMs do not all choose alike
+)
+
+// pick chooses the upstream of a service with the least expected time. It
+// returns nil when none can take an attempt now.
+func (t *Table) pick(at time.Time, l *leg, typical time.Duration) *host {
+	var best, resting *host
+	var least time.Duration
+	for _, h := range t.services[l.service] {
+		if h.other || h.upstream.State != model.StateActive || l.tried(h) || len(h.live) >= t.conns(h) {
+			continue
+		}
+		if at.Before(h.down) {
+			if resting == nil || h.down.Before(resting.down) {
+				resting = h
+			}
+			continue
+		}
+		cost := h.cost(at, typical, t.start.VM.Zone)
+		cost += time.Duration(costNoise * t.random.Float64() * float64(cost))
+		if best == nil || cost < least {
+			best, least = h, cost
+		}
+	}
+	if best == nil {
+		return resting
+	}
+	return best
+}
+
+// untried reports whether the service has an upstream left for the leg, now or
+// later.
+func (t *Table) untried(l *leg) bool {
+	for _, h := range t.services[l.service] {
+		if !h.other && h.upstream.State == model.StateActive && !l.tried(h) {
+			return true
+		}
+	}
+	return false
+}
+
+// conns is how many connections this VM may hold to an upstream.
+func (t *Table) conns(h *host) int {
+	most := t.limits[h.upstream.Index].Conns
+	if most <= 0 || t.fleet <= 0 {
+		return defaultConns
+	}
+	return max(1, min(mostConns, int(connsUsed*float64(most)/float64(t.fleet))))
+}
--- /dev/null
+++ b/core/proxy/step.go
@@ -0,0 +1,207 @@
+package proxy
+
+import (
+	"strconv"
+	"time"
+
+	"comfreypulley/core/effect"
+	"comfreypulley/core/event"
+	"comfreypulley/core/model"
+)
+
+// Times of one call.
+const (
+	replyMargin  = 9 * time.Millisecond  // before the objective, for the way back to the caller
+	lastMargin   = 15 * time.Millisecond // before the caller's deadline
+	leastTime    = 4 * time.Millisecond  // an attempt with less time left is not made
+	repick       = 3 * time.Millisecond  // until an upstream is looked for again
+	abandonAfter = 300 * time.Millisecond
+)
+
+func versionText(version uint64) string { return "version " + strconv.FormatUint(version, 10) }
+
+// Call takes a request.
+func (t *Table) Call(at time.Time, e event.Call, out []effect.Effect) []effect.Effect {
+	if t.document == nil || !t.listed {
+		return t.refuseEarly(e, nil, model.RefusedStale, out)
+	}
+	route := t.routes.find(e.Host, e.Path)
+	switch {
+	case route == nil:
+		return t.refuseEarly(e, nil, model.RefusedRoute, out)
+	case t.suspects.quarantined(at, e.Fingerprint):
+		return t.refuseEarly(e, route, model.RefusedQuarantine, out)
+	}
+	c := &call{
+		event: e, route: route, pace: t.pace(route), version: t.document.Version, arrived: at, roster: at.Sub(t.read),
+	}
+	wait := route.Timeout
+	if e.Wait > 0 {
+		wait = min(wait, e.Wait)
+	}
+	c.deadline = at.Add(wait - min(lastMargin, wait/8))
+	c.cutoff = at.Add(objective(route) - replyMargin)
+	for _, service := range t.target(route) {
+		c.legs = append(c.legs, &leg{service: service, ran: model.RanNo})
+		t.allowance(service).Earn()
+	}
+	t.calls[e.ID] = c
+	return t.step(at, c, out)
+}
+
+// target returns the services that a request of the route goes to.
+func (t *Table) target(r *model.Route) []string {
+	if len(r.Shards) > 0 {
+		return r.Shards
+	}
+	if len(r.Targets) == 1 {
+		return []string{r.Targets[0].Service}
+	}
+	next, ok := t.turns[r.Name]
+	if !ok {
+		next = &turn{}
+		t.turns[r.Name] = next
+	}
+	return []string{next.next(r, t.random.Float64)}
+}
+
+func (t *Table) pace(r *model.Route) *pace {
+	p, ok := t.paces[r.Name]
+	if !ok {
+		p = &pace{}
+		t.paces[r.Name] = p
+	}
+	return p
+}
+
+// step sends what is due and ends the call when nothing more can come.
+func (t *Table) step(at time.Time, c *call, out []effect.Effect) []effect.Effect {
+	if c.ended {
+		return out
+	}
+	open := 0
+	for _, l := range c.legs {
+		if l.part != nil {
+			continue
+		}
+		out = t.advance(at, c, l, out)
+		if l.pending > 0 || !l.lost {
+			open++
+		}
+	}
+	switch {
+	case open == 0:
+		return t.finish(at, c, out)
+	case c.scatter() && !at.Before(c.cutoff) && c.enough():
+		return t.finish(at, c, out)
+	case !at.Before(c.deadline):
+		return t.finish(at, c, out)
+	}
+	return t.wake(at, c, out)
+}
+
+// advance makes the next attempt of a leg when it is due.
+func (t *Table) advance(at time.Time, c *call, l *leg, out []effect.Effect) []effect.Effect {
+	if l.lost || at.Before(l.next) {
+		return out
+	}
+	if len(l.tries) > 0 && !t.mayRepeat(at, c, l) {
+		return out
+	}
+	if c.deadline.Sub(at) < leastTime {
+		return out
+	}
+	h := t.pick(at, l, c.pace.expected(c.route))
+	if h == nil {
+		l.next = at.Add(repick)
+		if !t.untried(l) && len(l.tries) > 0 {
+			l.lost = true
+		}
+		return out
+	}
+	if l.arrivals() > 0 && !t.allowance(l.service).Spend() {
+		// The allowance grows with the next requests.
+		l.next = at.Add(repick)
+		return out
+	}
+	return t.send(at, c, l, h, out)
+}
+
+// mayRepeat reports whether another attempt of the leg is allowed now: after a
+// failure, or beside an attempt that is overdue.
+func (t *Table) mayRepeat(at time.Time, c *call, l *leg) bool {
+	if l.arrivals() >= max(1, c.route.Attempts) {
+		l.lost = true
+		return false
+	}
+	if c.route.Once {
+		if l.pending == 0 && l.ran != model.RanNo {
+			l.lost = true
+		}
+		return l.pending == 0 && l.ran == model.RanNo
+	}
+	if l.pending == 0 {
+		return true
+	}
+	last := l.tries[len(l.tries)-1]
+	return at.Sub(last.sent) >= c.pace.hedge(c.route)
+}
+
+// send makes an attempt.
+func (t *Table) send(at time.Time, c *call, l *leg, h *host, out []effect.Effect) []effect.Effect {
+	t.next++
+	a := &attempt{
+		id: t.next, call: c, leg: l, host: h, sent: at, hedge: l.pending > 0,
+		expected: time.Duration(float64(c.pace.expected(c.route)) * min(2, h.ratio.read(at, 1, ratioFade))),
+	}
+	kind := "first"
+	switch {
+	case a.hedge:
+		kind = "hedge"
+	case len(l.tries) > 0:
+		kind = "retry"
+	}
+	l.tries = append(l.tries, a)
+	l.pending++
+	h.live[a.id] = a
+	t.attempts[a.id] = a
+	out = append(out, effect.Count{Counter: effect.CountAttempts, Reason: kind, N: 1})
+	return append(out, effect.Forward{
+		Attempt: a.id, Request: c.event.ID, Upstream: h.upstream.ID, Addr: h.upstream.Addr,
+		Timeout: c.deadline.Sub(at), Fresh: c.route.Once,
+	})
+}
+
+// wake sets the timer to the next time at which something may be due.
+func (t *Table) wake(at time.Time, c *call, out []effect.Effect) []effect.Effect {
+	due := c.deadline
+	if c.scatter() && at.Before(c.cutoff) && c.cutoff.Before(due) {
+		due = c.cutoff
+	}
+	for _, l := range c.legs {
+		if l.part != nil || l.lost {
+			continue
+		}
+		next := l.next
+		if l.pending > 0 {
+			if c.route.Once {
+				continue
+			}
+			last := l.tries[len(l.tries)-1]
+			if hedge := last.sent.Add(c.pace.hedge(c.route)); hedge.After(next) {
+				next = hedge
+			}
+		}
+		if next.Before(due) {
+			due = next
+		}
+	}
+	if due.Before(at) {
+		due = at
+	}
+	if due.Equal(c.timer) {
+		return out
+	}
+	c.timer = due
+	return append(out, effect.SetTimer{ID: event.TimerID{Kind: event.TimerCall, N: uint64(c.event.ID)}, At: due})
+}
--- /dev/null
+++ b/core/proxy/table.go
@@ -0,0 +1,177 @@
+package proxy
+
+import (
+	"math/rand/v2"
+	"time"
+
+	"comfreypulley/core/effect"
+	"comfreypulley/core/event"
+	"comfreypulley/core/model"
+	"comfreypulley/core/retry"
+)
+
+// Parts of the bounds on extra attempts that are used, so that the sum over the
+// fleet stays below them.
+const (
+	ratioUsed    = 0.9
+	extraUsed    = 0.8
+	defaultExtra = 2 // attempts of one VM while the size of the fleet is not known
+	mostExtra    = 8
+	sweepPeriod  = time.Second
+)
+
+// Table is the state of the traffic along routes. The zero value refuses every
+// call until it has a document and a list of upstreams.
+type Table struct {
+	start    event.Start
+	random   *rand.Rand
+	document *model.Document
+	routes   routes
+	limits   map[string]model.Service
+	read     time.Time // when the list of upstreams was read
+	listed   bool
+	fleet    int
+	hosts    map[model.UpstreamID]*host
+	services map[string][]*host
+	paces    map[string]*pace
+	turns    map[string]*turn
+	extras   map[string]*retry.Allowance
+	calls    map[model.RequestID]*call
+	attempts map[model.AttemptID]*attempt
+	next     model.AttemptID
+	suspects suspects
+	draining bool
+}
+
+// Start takes over the settings.
+func (t *Table) Start(at time.Time, start event.Start, out []effect.Effect) []effect.Effect {
+	t.start = start
+	t.random = rand.New(rand.NewPCG(start.Seed, uint64(start.Loop)))
+	t.hosts = make(map[model.UpstreamID]*host)
+	t.services = make(map[string][]*host)
+	t.paces = make(map[string]*pace)
+	t.turns = make(map[string]*turn)
+	t.extras = make(map[string]*retry.Allowance)
+	t.calls = make(map[model.RequestID]*call)
+	t.attempts = make(map[model.AttemptID]*attempt)
+	return append(out, effect.SetTimer{ID: event.TimerID{Kind: event.TimerSweep}, At: at.Add(sweepPeriod)})
+}
+
+// View takes the document in force. One of a lower version than before is
+// ignored.
+func (t *Table) View(at time.Time, v event.View, out []effect.Effect) []effect.Effect {
+	d := v.Topology.Document
+	if d == nil || t.document != nil && d.Version <= t.document.Version {
+		return out
+	}
+	t.document, t.routes = d, newRoutes(d)
+	t.limits = make(map[string]model.Service, len(d.Services))
+	for _, s := range d.Services {
+		t.limits[s.Name] = s
+	}
+	out = append(out, effect.Note{At: at, Subject: "document", Action: "in force", Cause: versionText(d.Version)})
+	return t.ready(out)
+}
+
+// Roster takes the list of upstreams.
+func (t *Table) Roster(at time.Time, r event.Roster, out []effect.Effect) []effect.Effect {
+	t.read, t.listed, t.fleet = r.Read, true, r.Fleet
+	before := t.hosts
+	t.hosts = make(map[model.UpstreamID]*host, len(r.Upstreams))
+	t.services = make(map[string][]*host)
+	for _, u := range r.Upstreams {
+		h, known := before[u.ID]
+		if !known || h.upstream.Addr != u.Addr || h.upstream.Index != u.Index {
+			h = &host{live: make(map[model.AttemptID]*attempt)}
+		}
+		if u.Cold > 0 && h.coldTo.IsZero() {
+			h.coldTo = r.Read.Add(u.Cold)
+		}
+		h.upstream = u
+		t.hosts[u.ID] = h
+		t.services[u.Index] = append(t.services[u.Index], h)
+	}
+	for id, h := range before {
+		if now, ok := t.hosts[id]; !ok || now != h {
+			out = append(out, effect.Forget{Upstream: id})
+		}
+	}
+	for _, a := range t.extras {
+		a.Limit(t.extra())
+	}
+	return t.ready(out)
+}
+
+// ready tells the balancer's check once requests can be served.
+func (t *Table) ready(out []effect.Effect) []effect.Effect {
+	if t.document == nil || !t.listed || t.draining {
+		return out
+	}
+	return append(out, effect.Ready{Ready: true})
+}
+
+// extra returns this VM's part of the bounds on extra attempts.
+func (t *Table) extra() (ratio, most float64) {
+	most = defaultExtra
+	if t.fleet > 0 {
+		most = max(1, min(mostExtra, extraUsed*float64(t.start.Extra)/float64(t.fleet)))
+	}
+	return ratioUsed * t.start.Ratio, most
+}
+
+// allowance returns the extra attempts of a service.
+func (t *Table) allowance(service string) *retry.Allowance {
+	a, ok := t.extras[service]
+	if !ok {
+		a = &retry.Allowance{}
+		a.Limit(t.extra())
+		t.extras[service] = a
+	}
+	return a
+}
+
+// Struck takes what other VMs hold against a request.
+func (t *Table) Struck(at time.Time, s event.Struck, out []effect.Effect) []effect.Effect {
+	_, _ = t.suspects.add(at, s.Fingerprint, s.Upstreams...)
+	return out
+}
+
+// Drain reports effect.Drained once no call is left.
+func (t *Table) Drain(_ time.Time, out []effect.Effect) []effect.Effect {
+	t.draining = true
+	return t.drained(out)
+}
+
+func (t *Table) drained(out []effect.Effect) []effect.Effect {
+	if t.draining && len(t.calls) == 0 {
+		out = append(out, effect.Drained{})
+	}
+	return out
+}
+
+// Timer takes a timer.
+func (t *Table) Timer(at time.Time, id event.TimerID, out []effect.Effect) []effect.Effect {
+	switch id.Kind {
+	case event.TimerCall:
+		if c, ok := t.calls[model.RequestID(id.N)]; ok {
+			c.timer = time.Time{}
+			return t.step(at, c, out)
+		}
+	case event.TimerSweep:
+		t.suspects.sweep(at)
+		out = t.sweep(at, out)
+		return append(out, effect.SetTimer{ID: id, At: at.Add(sweepPeriod)})
+	}
+	return out
+}
+
+// sweep cancels attempts that outlived their call, so that upstreams do not go
+// on working for nobody.
+func (t *Table) sweep(at time.Time, out []effect.Effect) []effect.Effect {
+	for _, a := range t.attempts {
+		if a.call.ended && at.Sub(a.sent) >= abandonAfter && !a.call.route.Once {
+			out = append(out, effect.Cancel{Attempt: a.id})
+		}
+	}
+	return out
+}
--- a/core/quorum/log.go
+++ b/core/quorum/log.go
@@ -1,6 +1,7 @@
 package quorum
 
 import (
+	"cmp"
 	"math/rand/v2"
 	"slices"
 	"time"
@@ -109,7 +110,14 @@
 	Last    uint64
 	Heard   time.Time // when a majority, or the leader for it, was last heard of
 	Members entry.Members
-	Failed  bool // the disk failed; this replica takes no further part
+	Silent  []Silence // voters that the leader does not hear, ascending by VM
+	Failed  bool      // the disk failed; this replica takes no further part
+}
+
+// Silence says how long the leader has not heard a voter.
+type Silence struct {
+	VM  model.VMID
+	For time.Duration
 }
 
 // Loaded takes over the content of the data folder. The VMs in first form the
@@ -318,10 +326,23 @@
 	}
 	if l.role == leader {
 		s.Heard = l.majorityHeard()
+		s.Silent = l.silence()
 	}
 	return s
 }
 
+// silence lists the voters that were not heard for an election timeout.
+func (l *Log) silence() []Silence {
+	var list []Silence
+	for _, r := range l.members.Voters {
+		if p := l.progress[r]; p != nil && l.heard.Sub(p.heard) >= maxElection {
+			list = append(list, Silence{VM: r.VM, For: l.heard.Sub(p.heard)})
+		}
+	}
+	slices.SortFunc(list, func(a, b Silence) int { return cmp.Compare(a.VM, b.VM) })
+	return list
+}
+
 // refusal says why a command or read cannot be taken, or entry.StatusUnknown.
 func (l *Log) refusal() entry.Status {
 	switch {
--- a/core/quorum/tail.go
+++ b/core/quorum/tail.go
@@ -115,13 +115,22 @@
 	return term > own || term == own && index >= l.last()
 }
 
-// weight estimates the encoded size of an entry. Only settlements carry data.
+// weight estimates the encoded size of an entry.
 func weight(e entry.Entry) int {
-	size := 512
-	if s, ok := e.Command.(entry.Settle); ok {
-		for _, item := range s.Outcome.Items {
+	const (
+		fixed    = 512
+		perRoute = 512 // with its shards
+	)
+	size := fixed
+	switch c := e.Command.(type) {
+	case entry.Settle:
+		for _, item := range c.Outcome.Items {
 			size += len(item.ID) + len(item.Data) + 16
 		}
+	case entry.Change:
+		if c.Document != nil {
+			size += len(c.Document.Source) + perRoute*len(c.Document.Routes)
+		}
 	}
 	return size
 }
--- a/io/admin/server.go
+++ b/io/admin/server.go
@@ -128,11 +128,27 @@
 		}
 		c.Expect = model.Revision(expect)
 	}
-	answer, ok := s.ask(r.Context(), func(n uint64) event.Body { return event.Command{N: n, Command: c} })
+	result := s.Change(r.Context(), c)
+	write(w, code(result.Status), resultFrom(c.Op, result))
+}
+
+// Change sends a change to the log and returns its result.
+func (s *Server) Change(ctx context.Context, c entry.Change) entry.Result {
+	answer, ok := s.ask(ctx, func(n uint64) event.Body { return event.Command{N: n, Command: c} })
 	if !ok {
-		answer.Result = entry.Result{Status: entry.StatusUnavailable, Detail: "too many operators' requests are waiting"}
+		return entry.Result{Status: entry.StatusUnavailable, Detail: "too many operators' requests are waiting"}
+	}
+	return answer.Result
+}
+
+// Inquire asks the control loop. It reports false without an answer, or when a
+// confirmed one was asked for and the leader did not confirm it.
+func (s *Server) Inquire(ctx context.Context, confirmed bool) (*effect.Status, bool) {
+	answer, ok := s.ask(ctx, func(n uint64) event.Body { return event.Inquiry{N: n, Linearizable: confirmed} })
+	if !ok || answer.Status == nil || confirmed && !answer.Status.Current {
+		return answer.Status, false
 	}
-	write(w, code(answer.Result.Status), resultFrom(c.Op, answer.Result))
+	return answer.Status, true
 }
 
 func code(s entry.Status) int {
@@ -228,18 +244,16 @@
 // that the leader confirmed.
 func (s *Server) inquire(w http.ResponseWriter, r *http.Request) (*effect.Status, bool) {
 	linearizable := r.URL.Query().Get("current") == "yes"
-	answer, ok := s.ask(r.Context(), func(n uint64) event.Body { return event.Inquiry{N: n, Linearizable: linearizable} })
-	if !ok || answer.Status == nil {
+	status, ok := s.Inquire(r.Context(), linearizable)
+	switch {
+	case status == nil:
 		write(w, http.StatusServiceUnavailable, Result{Status: entry.StatusUnavailable.String()})
-		return nil, false
-	}
-	if linearizable && !answer.Status.Current {
+	case !ok:
 		write(w, http.StatusServiceUnavailable, Result{
 			Status: entry.StatusNoMajority.String(), Detail: "the leader did not confirm that the configuration is the newest",
 		})
-		return nil, false
 	}
-	return answer.Status, true
+	return status, ok
 }
 
 // list writes the objects in the order of their ids.
--- a/io/cmds/main.go
+++ b/io/cmds/main.go
@@ -25,6 +25,7 @@
 	Status   statusCommand   `cmd:"" help:"Print what a VM knows of the fleet."`
 	Explain  explainCommand  `cmd:"" help:"Print a VM's decisions and their causes."`
 	Demo     demoCommand     `cmd:"" help:"Run zones of VMs, stand-in upstreams and a load in one process."`
+	Platform platformCommand `cmd:"" help:"Run a process on the users' platform."`
 	Fanout   fanoutCommand   `cmd:"" help:"Drive the reducer in virtual time over many shards and print latencies."`
 }
 
--- /dev/null
+++ b/io/cmds/platform.go
@@ -0,0 +1,71 @@
+package cmds
+
+import (
+	"os"
+	"os/signal"
+	"sync"
+	"syscall"
+
+	"github.com/apex/log"
+	"github.com/oklog/run"
+
+	"comfreypulley/io/serve"
+	"comfreypulley/platform"
+)
+
+// platformCommand runs a process on the users' platform, whose settings file
+// says where and with which limits.
+type platformCommand struct {
+	Role platform.Role `arg:"" enum:"entry,control" help:"What the process does: entry takes requests, control keeps the configuration."`
+}
+
+// Run implements the subcommand.
+func (c *platformCommand) Run(s *scope) (err error) {
+	settings, err := platform.Read()
+	if err != nil {
+		return err
+	}
+	site, err := settings.Site(c.Role)
+	if err != nil {
+		return err
+	}
+	logger := s.logger.WithFields(log.Fields{"vm": string(site.VM.ID), "zone": string(site.VM.Zone)})
+	resident, err := serve.NewResident(site, logger)
+	if err != nil {
+		return err
+	}
+	h := &hangups{logger: logger, stopped: make(chan struct{})}
+	var group run.Group
+	group.Add(func() error { return resident.Run(s.ctx) }, func(error) {})
+	group.Add(h.run, h.stop)
+	return group.Run()
+}
+
+// hangups takes SIGHUP, which says that the settings file changed. What a
+// running process uses of it stays in force until its next start: addresses and
+// limits are fixed by then, and the seeds count only for a start.
+type hangups struct {
+	logger  log.Interface
+	stopped chan struct{}
+	once    sync.Once
+}
+
+func (h *hangups) run() error {
+	signals := make(chan os.Signal, 1)
+	signal.Notify(signals, syscall.SIGHUP)
+	defer signal.Stop(signals)
+	for {
+		select {
+		case <-signals:
+			if _, err := platform.Read(); err != nil {
+				h.logger.WithError(err).Error("settings not read again; the old ones stay in use")
+				continue
+			}
+			h.logger.Info("settings read again")
+		case <-h.stopped:
+			return nil
+		}
+	}
+}
+
+func (h *hangups) stop(error) { h.once.Do(func() { close(h.stopped) }) }
--- a/io/disk/store.go
+++ b/io/disk/store.go
@@ -8,6 +8,7 @@
 	"os"
 	"path/filepath"
 	"sync"
+	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
 
@@ -19,6 +20,8 @@
 
 // Store owns a data folder. Open makes it.
 type Store struct {
+	Patience time.Duration // how long a failing disk is tried again; set before Run
+
 	folder string
 	post   func(event.Body)
 	lock   *os.File
@@ -81,8 +84,6 @@
 		case <-s.signal:
 		}
 		if err := s.write(s.take()); err != nil {
-			// After a failed sync the kernel may have dropped what was not written,
-			// so that a later sync that succeeds would prove nothing.
 			s.post(event.DiskFailed{Problem: err.Error()})
 			<-s.stop
 			return
@@ -90,6 +91,28 @@
 	}
 }
 
+// again repeats a write that failed until it succeeds or the patience ends.
+// After a failed sync the kernel may have dropped what was not written, so that
+// a later sync of the same file that succeeds would prove nothing: a new file
+// with the whole state takes its place.
+func (s *Store) again(problem error, write func() error) error {
+	end := time.Now().Add(s.Patience)
+	for problem != nil && time.Now().Before(end) {
+		timer := time.NewTimer(retryPause)
+		select {
+		case <-timer.C:
+		case <-s.stop:
+			timer.Stop()
+			return problem
+		}
+		problem = write()
+	}
+	return problem
+}
+
+// retryPause is the time between two tries of a write that failed.
+const retryPause = 200 * time.Millisecond
+
 func (s *Store) take() []effect.Effect {
 	s.mu.Lock()
 	defer s.mu.Unlock()
@@ -117,7 +140,7 @@
 			if err := s.sync(&records); err != nil {
 				return err
 			}
-			if err := s.save(w); err != nil {
+			if err := s.again(s.save(w), func() error { return s.save(w) }); err != nil {
 				return err
 			}
 			last = w.N
@@ -141,11 +164,12 @@
 	if records.Len() == 0 {
 		return nil
 	}
-	if _, err := s.log.Write(records.Bytes()); err != nil {
-		return err
-	}
+	_, err := s.log.Write(records.Bytes())
 	records.Reset()
-	return s.log.Sync()
+	if err == nil {
+		err = s.log.Sync()
+	}
+	return s.again(err, s.renew)
 }
 
 // save replaces the image and then the log file, which holds entries that the
--- a/io/peer/codec.go
+++ b/io/peer/codec.go
@@ -68,6 +68,8 @@
 	frame.KindAsk:      decode[frame.Ask],
 	frame.KindGrant:    decode[frame.Grant],
 	frame.KindStrike:   decode[frame.Strike],
+	frame.KindRoster:   decode[frame.Roster],
+	frame.KindLack:     decode[frame.Lack],
 	kindHello:          decode[hello],
 }
 
@@ -168,7 +170,7 @@
 	case frame.Propose:
 		return wirePropose{N: m.N, Command: command{m.Command}}
 	case frame.Digest:
-		w := wireDigest{VM: m.VM, Zone: m.Zone, Revision: m.Revision, Sum: m.Sum, Below: m.Below}
+		w := wireDigest{VM: m.VM, Zone: m.Zone, Revision: m.Revision, Sum: m.Sum, Below: m.Below, Roster: m.Roster}
 		if !m.Start.IsZero() {
 			w.Start = m.Start.UnixNano()
 		}
@@ -223,10 +225,11 @@
 	Revision model.Revision
 	Sum      uint64
 	Below    []frame.Heard
+	Roster   uint64
 }
 
 func (w wireDigest) message() frame.Message {
-	m := frame.Digest{VM: w.VM, Zone: w.Zone, Revision: w.Revision, Sum: w.Sum, Below: w.Below}
+	m := frame.Digest{VM: w.VM, Zone: w.Zone, Revision: w.Revision, Sum: w.Sum, Below: w.Below, Roster: w.Roster}
 	if w.Start != 0 {
 		m.Start = time.Unix(0, w.Start)
 	}
--- /dev/null
+++ b/io/proxy/server.go
@@ -0,0 +1,169 @@
+package proxy
+
+import (
+	"errors"
+	"io"
+	"math"
+	"net/http"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"comfreypulley/core/effect"
+	"comfreypulley/core/event"
+	"comfreypulley/core/model"
+)
+
+// Bounds of what callers may send.
+const (
+	maxBody     = 1 << 20
+	maxRequests = 4096 // in hand at once
+)
+
+// Server takes callers' requests and answers them. Dialect and Post are set
+// before use.
+type Server struct {
+	Dialect *Dialect
+	Post    func(event.Body)
+
+	next    atomic.Uint64
+	ready   atomic.Bool
+	leaving atomic.Bool
+	mu      sync.Mutex
+	pending map[model.RequestID]*Exchange
+}
+
+// SetReady sets what the balancer's check sees. A server that is leaving stays
+// unready.
+func (s *Server) SetReady(ready bool) { s.ready.Store(ready) }
+
+// Leave makes the server unready for good and asks callers to close their
+// connections.
+func (s *Server) Leave() { s.leaving.Store(true) }
+
+// Ready reports whether the balancer should send callers here.
+func (s *Server) Ready() bool { return s.ready.Load() && !s.leaving.Load() }
+
+// Exchange returns a request in hand, nil when it has ended.
+func (s *Server) Exchange(id model.RequestID) *Exchange {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.pending[id]
+}
+
+// Finish hands an effect.Deliver, effect.Merge or effect.Refuse to the request
+// that waits for it.
+func (s *Server) Finish(id model.RequestID, e effect.Effect) {
+	s.mu.Lock()
+	x, ok := s.pending[id]
+	delete(s.pending, id)
+	s.mu.Unlock()
+	if ok {
+		x.answer <- e
+	}
+}
+
+// ServeHTTP implements http.Handler.
+func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if s.leaving.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
+	if err != nil {
+		var large *http.MaxBytesError
+		if errors.As(err, &large) {
+			w.WriteHeader(http.StatusRequestEntityTooLarge)
+			return
+		}
+		w.WriteHeader(http.StatusBadRequest)
+		return
+	}
+	x := &Exchange{
+		Method: r.Method, Host: r.Host, URI: r.RequestURI, Headers: r.Header, Body: body, Tag: r.Header.Get(s.Dialect.Tag),
+		answer: make(chan effect.Effect, 1),
+	}
+	id := model.RequestID(s.next.Add(1))
+	if !s.add(id, x) {
+		s.refuse(w, model.Rejection{Reason: model.RefusedBusy, Ran: model.RanNo, After: busyPause})
+		return
+	}
+	path, _, _ := strings.Cut(x.URI, "?")
+	s.Post(event.Call{
+		ID: id, Tag: x.Tag, Host: r.Host, Path: path, Wait: s.Dialect.wait(r.Header), Fingerprint: x.fingerprint(),
+	})
+	select {
+	case e := <-x.answer:
+		s.write(w, e)
+	case <-r.Context().Done():
+		s.mu.Lock()
+		delete(s.pending, id)
+		s.mu.Unlock()
+		s.Post(event.Gone{Request: id})
+	}
+}
+
+// busyPause is when a caller may come back that found too many requests in hand.
+const busyPause = 100 * time.Millisecond
+
+func (s *Server) add(id model.RequestID, x *Exchange) bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if len(s.pending) >= maxRequests {
+		return false
+	}
+	if s.pending == nil {
+		s.pending = make(map[model.RequestID]*Exchange)
+	}
+	s.pending[id] = x
+	return true
+}
+
+func (s *Server) write(w http.ResponseWriter, e effect.Effect) {
+	switch e := e.(type) {
+	case effect.Deliver:
+		for _, h := range e.Reply.Headers {
+			w.Header().Add(h.Name, h.Value)
+		}
+		s.body(w, e.Reply.Status, e.Reply.Body)
+	case effect.Merge:
+		for _, receipt := range e.Merged.Receipts {
+			w.Header().Add(s.Dialect.Receipts, receipt)
+		}
+		w.Header().Set(s.Dialect.Missing, strconv.Itoa(e.Merged.Missing))
+		s.body(w, http.StatusOK, e.Merged.Records)
+	case effect.Refuse:
+		s.refuse(w, e.Rejection)
+	}
+}
+
+func (s *Server) body(w http.ResponseWriter, status int, body []byte) {
+	if w.Header().Get("Content-Type") == "" {
+		w.Header()["Content-Type"] = nil // none is guessed
+	}
+	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
+	w.WriteHeader(status)
+	_, _ = w.Write(body) // a caller that left is told by its request's context
+}
+
+// refuse writes a refusal. The statuses 429 and 503 state that the request did
+// not run and never will.
+func (s *Server) refuse(w http.ResponseWriter, r model.Rejection) {
+	status := http.StatusServiceUnavailable
+	switch r.Reason {
+	case model.RefusedRoute:
+		status = http.StatusNotFound
+	case model.RefusedQuarantine:
+		status = http.StatusTooManyRequests
+	case model.RefusedFailed, model.RefusedCoverage:
+		status = http.StatusBadGateway
+	case model.RefusedTimeout:
+		status = http.StatusGatewayTimeout
+	}
+	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
+		seconds := math.Ceil(r.After.Seconds()*1000) / 1000
+		w.Header().Set("Retry-After", strconv.FormatFloat(seconds, 'f', -1, 64))
+	}
+	s.body(w, status, []byte(string(r.Reason)+"\n"))
+}
--- a/io/serve/control.go
+++ b/io/serve/control.go
@@ -1,9 +1,12 @@
 package serve
 
 import (
+	"context"
+
 	"github.com/apex/log"
 
 	"comfreypulley/core/effect"
+	"comfreypulley/core/event"
 	"comfreypulley/io/admin"
 	"comfreypulley/io/disk"
 	"comfreypulley/io/loop"
@@ -18,9 +21,23 @@
 	operators *admin.Server
 	store     *disk.Store     // nil on a VM without a data folder
 	peers     *peer.Transport // nil on a VM without a peer address
+	lister    Lister          // nil in a fleet without a platform's list
+	self      *loop.Loop
 	drained   chan struct{}
 }
 
+// read reads the platform's list of upstreams.
+func (c *control) read(e effect.Read) {
+	ctx, cancel := context.WithTimeout(context.Background(), e.Timeout)
+	defer cancel()
+	upstreams, err := c.lister.List(ctx)
+	listed := event.Listed{Upstreams: upstreams}
+	if err != nil {
+		listed = event.Listed{Problem: err.Error()}
+	}
+	c.self.Post(listed)
+}
+
 // Execute implements loop.Executor.
 func (c *control) Execute(e effect.Effect) {
 	switch e := e.(type) {
@@ -39,19 +56,12 @@
 	case effect.Respond:
 		c.operators.Respond(e)
 	case effect.Drained:
-		select {
-		case <-c.drained:
-		default:
-			close(c.drained)
-		}
+		closeOnce(c.drained)
 	case effect.Count:
 		c.counters.Add(e)
 	case effect.Note:
-		entry := c.logger.WithFields(log.Fields{"subject": e.Subject, "cause": e.Cause})
-		if e.Alert {
-			entry.Warn(e.Action)
-			return
-		}
-		entry.Info(e.Action)
+		writeNote(c.logger, e)
+	case effect.Read:
+		go c.read(e)
 	}
 }
--- /dev/null
+++ b/io/serve/site.go
@@ -0,0 +1,38 @@
+package serve
+
+import (
+	"context"
+	"net/http"
+	"net/netip"
+	"time"
+
+	"comfreypulley/core/model"
+	"comfreypulley/io/proxy"
+)
+
+// Site is what a process of a fleet that enrols by itself learns from its
+// platform.
+type Site struct {
+	VM       model.VM
+	Seeds    []model.VM // VMs with disks that may be asked first
+	Founding bool       // the fleet starts for the first time; the seeds found the log
+	Losses   int        // disks that may be lost at once
+	Data     string     // data folder; empty on a VM without a disk
+	Callers  netip.AddrPort
+	Ready    netip.AddrPort
+	Control  netip.AddrPort // of operators
+	Metrics  netip.AddrPort
+	Memory   int64         // bytes
+	Grace    time.Duration // from the request to stop until the process is killed
+	Ratio    float64       // extra attempts as a share of the requests for a service
+	Extra    int           // extra attempts for a service beyond that
+	Dialect  *proxy.Dialect
+	Lister   Lister
+	Operator func(Asker) http.Handler // the operators' interface
+	Probe    func(ready func() bool) http.Handler
+}
+
+// Lister reads the platform's list of upstreams.
+type Lister interface {
+	List(ctx context.Context) ([]model.Upstream, error)
+}
--- a/io/serve/traffic.go
+++ b/io/serve/traffic.go
@@ -53,10 +53,6 @@
 	case effect.ToControl:
 		t.control.Post(e.Body)
 	case effect.Drained:
-		select {
-		case <-t.drained:
-		default:
-			close(t.drained)
-		}
+		closeOnce(t.drained)
 	}
 }
