Refuse requests before connections are closed, and place hedges by the allowance

Requests on open connections are now refused from three quarters of the grace period on, and connections close when nothing is in hand.

--- a/core/effect/call.go
+++ b/core/effect/call.go
@@ -15,6 +15,7 @@
 	Upstream model.UpstreamID
 	Addr     netip.AddrPort
 	Timeout  time.Duration // what is left of the caller's time
+	Part     bool          // only the receipt and the body of the answer are needed
 	Fresh    bool          // use no connection that was idle for long: the request must not run twice
 }
 
--- a/core/event/bridge.go
+++ b/core/event/bridge.go
@@ -47,6 +47,7 @@
 // contents are immutable.
 type Roster struct {
 	Upstreams []model.Upstream // ascending by id
+	Stamp     uint64           // the same number means the same upstreams
 	Read      time.Time        // when the list was read
 	Fleet     int              // daemons that share the upstreams; 0 when not known
 }
--- a/core/plane/roster.go
+++ b/core/plane/roster.go
@@ -111,14 +111,17 @@
 	r.read = read
 	stamp := stampOf(upstreams)
 	fleet := c.countFleet(at)
-	if stamp == r.stamp && fleet == r.fleet {
-		return out
-	}
-	if stamp != r.stamp {
+	changed := stamp != r.stamp
+	if changed {
 		out = append(out, effect.Note{At: at, Subject: "roster", Action: "changed", Cause: rosterDifference(r.upstreams, upstreams)})
 	}
 	r.upstreams, r.stamp, r.fleet = upstreams, stamp, fleet
-	out = append(out, effect.ToTraffic{Loop: effect.AllLoops, Body: event.Roster{Upstreams: upstreams, Read: read, Fleet: fleet}})
+	out = append(out, effect.ToTraffic{
+		Loop: effect.AllLoops, Body: event.Roster{Upstreams: upstreams, Stamp: stamp, Read: read, Fleet: fleet},
+	})
+	if !changed {
+		return out
+	}
 	for _, id := range c.following(at) {
 		out = append(out, effect.Tell{To: id, Message: c.rosterFrame(at, true)})
 	}
@@ -175,10 +178,10 @@
 	if _, disk := c.store.VM(from); !disk {
 		c.roster.listeners[from] = at
 	}
-	if c.roster.stamp != 0 && d.Roster != c.roster.stamp {
-		out = append(out, effect.Tell{To: from, Message: c.rosterFrame(at, true)})
+	if c.roster.stamp == 0 {
+		return out
 	}
-	return out
+	return append(out, effect.Tell{To: from, Message: c.rosterFrame(at, d.Roster != c.roster.stamp)})
 }
 
 // peerRoster takes another VM's list, or asks for the whole of it.
--- a/core/proxy/call.go
+++ b/core/proxy/call.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"math"
 	"time"
 
 	"comfreypulley/core/event"
@@ -30,6 +31,7 @@
 	part    *part         // the good answer
 	failure *part         // the upstream's own failure, passed on when nothing better comes
 	next    time.Time     // no attempt before
+	blocked time.Time     // since when an attempt waits for an allowance; zero when none does
 	after   time.Duration // the longest wait that an upstream asked for
 	ran     model.Ran     // whether the request may have run on this leg
 	lost    bool          // no further attempt will be made
@@ -70,8 +72,41 @@
 
 // enough reports whether the answered legs reach the least coverage.
 func (c *call) enough() bool {
-	n := c.included()
-	return n > 0 && float64(n) >= c.route.Coverage*float64(len(c.legs))
+	return c.included() >= c.least()
+}
+
+// least is the number of legs that an answer must have.
+func (c *call) least() int {
+	return max(1, int(math.Ceil(c.route.Coverage*float64(len(c.legs))-coverageSlack)))
+}
+
+// coverageSlack keeps a product such as 0.7*10 from being rounded up.
+const coverageSlack = 1e-9
+
+// lacking is how many more legs a call needs than are answered or under way.
+func (c *call) lacking() int {
+	n := c.least()
+	for _, l := range c.legs {
+		if l.part != nil || l.pending > 0 {
+			n--
+		}
+	}
+	return n
+}
+
+// hopeless reports whether too many legs cannot be answered any more. A caller
+// that is told so early may try again within its objective.
+func (c *call) hopeless(at time.Time) bool {
+	left := len(c.legs)
+	for _, l := range c.legs {
+		if l.part != nil || l.pending > 0 {
+			continue
+		}
+		if l.lost || !l.blocked.IsZero() && at.Sub(l.blocked) >= giveUpAfter {
+			left--
+		}
+	}
+	return left < c.least()
 }
 
 // ran says whether the request may have run anywhere.
--- a/core/proxy/finish.go
+++ b/core/proxy/finish.go
@@ -42,7 +42,7 @@
 	}
 	took := at.Sub(a.sent)
 	expected := a.call.pace.expected(a.call.route)
-	a.call.pace.add(took)
+	a.call.pace.add(a.call.route, took)
 	h.answered(at, float64(took)/float64(max(expected, time.Millisecond)))
 	t.suspects.clear(a.call.event.Fingerprint)
 	t.end(at, a, "answered")
--- a/core/proxy/pace.go
+++ b/core/proxy/pace.go
@@ -9,23 +9,34 @@
 
 // How long an answer on a route usually takes.
 const (
-	typicalGain   = 0.05
-	typicalCap    = 4    // a latency counts for at most this many typical ones
-	firstTypical  = 8    // part of the objective assumed before the first answer
-	hedgeQuantile = 0.9  // of the latencies, after which a second attempt is worth its load
-	firstHedge    = 4    // part of the objective used before the quantile is known
-	latestHedge   = 2.5  // part of the objective after which a hedge comes too late
-	singleHedge   = 0.95 // quantile for a request to one upstream
+	typicalGain  = 0.05
+	typicalCap   = 4    // a latency counts for at most this many typical ones
+	firstTypical = 8    // part of the objective assumed before the first answer
+	lateHedge    = 0.92 // quantile of the latencies after which an attempt is hedged when few extra attempts are left
+	earlyHedge   = 0.8  // the same when the allowance is full, since it cannot be saved up
+	firstHedge   = 4    // part of the objective used before the quantile is known
+	latestHedge  = 2.5  // part of the objective after which a hedge comes too late
+	singleHedge  = 0.95 // quantile for a request to one upstream
 )
 
 // pace is what is known of the latencies on a route.
 type pace struct {
 	typical time.Duration
 	seen    retry.Histogram
+	fresh   int           // latencies since the hedge delays were computed
+	late    time.Duration // hedge delay when few extra attempts are left; 0 while not known
+	early   time.Duration // hedge delay when the allowance is full
 }
 
-func (p *pace) add(latency time.Duration) {
+// refresh is how many latencies pass between two computations of the delays.
+const refresh = 32
+
+func (p *pace) add(r *model.Route, latency time.Duration) {
 	p.seen.Add(latency)
+	if p.fresh++; p.fresh >= refresh || p.late == 0 {
+		p.fresh = 0
+		p.delays(r)
+	}
 	if p.typical == 0 {
 		p.typical = latency
 		return
@@ -34,6 +45,20 @@
 	p.typical += time.Duration(typicalGain * float64(latency-p.typical))
 }
 
+// delays computes the hedge delays.
+func (p *pace) delays(r *model.Route) {
+	late, early := lateHedge, earlyHedge
+	if len(r.Shards) == 0 {
+		late, early = singleHedge, singleHedge
+	}
+	d, ok := p.seen.Quantile(late)
+	if !ok {
+		return
+	}
+	p.late = d
+	p.early, _ = p.seen.Quantile(early)
+}
+
 func (p *pace) expected(r *model.Route) time.Duration {
 	if p.typical > 0 {
 		return p.typical
@@ -41,15 +66,12 @@
 	return objective(r) / firstTypical
 }
 
-// hedge returns how long an attempt may take before it is hedged.
-func (p *pace) hedge(r *model.Route) time.Duration {
-	q := hedgeQuantile
-	if len(r.Shards) == 0 {
-		q = singleHedge
-	}
-	delay, ok := p.seen.Quantile(q)
-	if !ok {
-		delay = objective(r) / firstHedge
+// hedge returns how long an attempt may take before it is hedged, when a share
+// of the allowance for extra attempts is left.
+func (p *pace) hedge(r *model.Route, left float64) time.Duration {
+	delay := objective(r) / firstHedge
+	if p.late > 0 {
+		delay = p.late - time.Duration(left*float64(p.late-p.early))
 	}
 	return min(delay, time.Duration(float64(objective(r))/latestHedge))
 }
--- a/core/proxy/step.go
+++ b/core/proxy/step.go
@@ -15,6 +15,10 @@
 	lastMargin   = 15 * time.Millisecond // before the caller's deadline
 	leastTime    = 4 * time.Millisecond  // an attempt with less time left is not made
 	repick       = 3 * time.Millisecond  // until an upstream is looked for again
+	recheck      = 8 * time.Millisecond  // until the allowance for extra attempts is looked at again
+	giveUpAfter  = 12 * time.Millisecond // without an allowance, when the call cannot succeed without the leg
+	fewLegs      = 2                     // legs that a call may lack to have a claim on the last extra attempts
+	keptExtra    = 1                     // extra attempts kept for such calls
 	abandonAfter = 300 * time.Millisecond
 )
 
@@ -90,7 +94,7 @@
 		}
 	}
 	switch {
-	case open == 0:
+	case open == 0 || c.scatter() && c.hopeless(at):
 		return t.finish(at, c, out)
 	case c.scatter() && !at.Before(c.cutoff) && c.enough():
 		return t.finish(at, c, out)
@@ -119,14 +123,28 @@
 		}
 		return out
 	}
-	if l.arrivals() > 0 && !t.allowance(l.service).Spend() {
-		// The allowance grows with the next requests.
-		l.next = at.Add(repick)
+	if l.arrivals() > 0 && !t.spend(c, l) {
+		if l.pending == 0 && l.blocked.IsZero() {
+			l.blocked = at
+		}
+		l.next = at.Add(recheck)
 		return out
 	}
+	l.blocked = time.Time{}
 	return t.send(at, c, l, h, out)
 }
 
+// spend takes an extra attempt from the allowance of the leg's service. The
+// last ones are kept for calls that fail without them and need few.
+func (t *Table) spend(c *call, l *leg) bool {
+	a := t.allowance(l.service)
+	least := 1.0
+	if lacking := c.lacking(); l.pending > 0 || lacking <= 0 || lacking > fewLegs {
+		least += keptExtra
+	}
+	return a.Left() >= least && a.Spend()
+}
+
 // mayRepeat reports whether another attempt of the leg is allowed now: after a
 // failure, or beside an attempt that is overdue.
 func (t *Table) mayRepeat(at time.Time, c *call, l *leg) bool {
@@ -144,7 +162,12 @@
 		return true
 	}
 	last := l.tries[len(l.tries)-1]
-	return at.Sub(last.sent) >= c.pace.hedge(c.route)
+	return at.Sub(last.sent) >= t.hedge(c, l)
+}
+
+// hedge returns how long an attempt of the leg may take before it is hedged.
+func (t *Table) hedge(c *call, l *leg) time.Duration {
+	return c.pace.hedge(c.route, t.allowance(l.service).Share())
 }
 
 // send makes an attempt.
@@ -168,7 +191,7 @@
 	out = append(out, effect.Count{Counter: effect.CountAttempts, Reason: kind, N: 1})
 	return append(out, effect.Forward{
 		Attempt: a.id, Request: c.event.ID, Upstream: h.upstream.ID, Addr: h.upstream.Addr,
-		Timeout: c.deadline.Sub(at), Fresh: c.route.Once,
+		Timeout: c.deadline.Sub(at), Fresh: c.route.Once, Part: c.scatter(),
 	})
 }
 
@@ -188,7 +211,7 @@
 				continue
 			}
 			last := l.tries[len(l.tries)-1]
-			if hedge := last.sent.Add(c.pace.hedge(c.route)); hedge.After(next) {
+			if hedge := last.sent.Add(t.hedge(c, l)); hedge.After(next) {
 				next = hedge
 			}
 		}
--- a/core/proxy/table.go
+++ b/core/proxy/table.go
@@ -30,6 +30,7 @@
 	limits   map[string]model.Service
 	read     time.Time // when the list of upstreams was read
 	listed   bool
+	stamp    uint64 // of the list
 	fleet    int
 	hosts    map[model.UpstreamID]*host
 	services map[string][]*host
@@ -75,7 +76,17 @@
 
 // Roster takes the list of upstreams.
 func (t *Table) Roster(at time.Time, r event.Roster, out []effect.Effect) []effect.Effect {
-	t.read, t.listed, t.fleet = r.Read, true, r.Fleet
+	resized := t.fleet != r.Fleet
+	t.read, t.fleet = r.Read, r.Fleet
+	if resized {
+		for _, a := range t.extras {
+			a.Limit(t.extra())
+		}
+	}
+	if t.listed && r.Stamp == t.stamp {
+		return out
+	}
+	t.listed, t.stamp = true, r.Stamp
 	before := t.hosts
 	t.hosts = make(map[model.UpstreamID]*host, len(r.Upstreams))
 	t.services = make(map[string][]*host)
@@ -96,9 +107,6 @@
 			out = append(out, effect.Forget{Upstream: id})
 		}
 	}
-	for _, a := range t.extras {
-		a.Limit(t.extra())
-	}
 	return t.ready(out)
 }
 
--- a/core/retry/allowance.go
+++ b/core/retry/allowance.go
@@ -28,6 +28,14 @@
 // Left returns how many extra attempts are allowed now.
 func (a *Allowance) Left() float64 { return a.tokens }
 
+// Share returns the part of the fixed number that is left, 0 to 1.
+func (a *Allowance) Share() float64 {
+	if a.most <= 0 {
+		return 0
+	}
+	return a.tokens / a.most
+}
+
 // Spend takes one extra attempt and reports whether it was allowed.
 func (a *Allowance) Spend() bool {
 	if a.tokens < 1 {
--- /dev/null
+++ b/io/proxy/bench_test.go
@@ -0,0 +1,152 @@
+package proxy_test
+
+import (
+	"bufio"
+	"bytes"
+	"net"
+	"net/http"
+	"net/netip"
+	"testing"
+	"time"
+
+	"comfreypulley/core/effect"
+	"comfreypulley/core/event"
+	"comfreypulley/core/model"
+	"comfreypulley/io/loop"
+	"comfreypulley/io/proxy"
+)
+
+// executor carries out the effects of a routed loop, as io/serve does.
+type executor struct {
+	client *proxy.Client
+	server *proxy.Server
+}
+
+func (x *executor) Execute(e effect.Effect) {
+	switch e := e.(type) {
+	case effect.Forward:
+		x.client.Forward(e)
+	case effect.Cancel:
+		x.client.Cancel(e)
+	case effect.Deliver:
+		x.server.Finish(e.Request, e)
+	case effect.Merge:
+		x.server.Finish(e.Request, e)
+	case effect.Refuse:
+		x.server.Finish(e.Rejection.Request, e)
+	}
+}
+
+// canned is an upstream that answers every request with the same bytes.
+type canned struct{ net.Listener }
+
+func (c *canned) run() {
+	for {
+		conn, err := c.Accept()
+		if err != nil {
+			return
+		}
+		s := &cannedConn{conn: conn}
+		go s.run()
+	}
+}
+
+type cannedConn struct{ conn net.Conn }
+
+func (s *cannedConn) run() {
+	defer s.conn.Close()
+	answer := []byte("HTTP/1.1 200 OK\r\nReceipt: r\r\nLoad: 1,0,4\r\nKeep-Alive: timeout=10\r\nContent-Length: 160\r\n\r\n" +
+		string(bytes.Repeat([]byte("x"), 160)))
+	r := bufio.NewReader(s.conn)
+	for {
+		for {
+			line, err := r.ReadSlice('\n')
+			if err != nil {
+				return
+			}
+			if len(line) <= 2 {
+				break
+			}
+		}
+		if _, err := s.conn.Write(answer); err != nil {
+			return
+		}
+	}
+}
+
+// BenchmarkScatter measures one request to 36 shards through the whole entry
+// path, whose processor time small VMs pay for.
+func BenchmarkScatter(b *testing.B) {
+	const shards = 36
+	d := &proxy.Dialect{
+		Tag: "Tag", Wait: "Wait", Receipt: "Receipt", Expect: "Expect-Upstream", NotRun: "Not-Run", Load: "Load",
+		Receipts: "Receipts", Missing: "Missing",
+	}
+	x := &executor{}
+	l := loop.New(x)
+	x.server = &proxy.Server{Dialect: d, Post: l.Post}
+	x.client = &proxy.Client{Dialect: d, Post: l.Post, Exchange: x.server.Exchange}
+	w := &looper{loop: l}
+	go w.run()
+	defer l.Stop(nil)
+	defer x.client.Close()
+	route := model.Route{
+		Name: "all", Host: "a.example", Prefix: "/q/", Timeout: 5 * time.Second, Objective: 2 * time.Second, Records: 20,
+		Attempts: 1, Coverage: 1,
+	}
+	document := &model.Document{Version: 1}
+	var upstreams []model.Upstream
+	for n := range shards {
+		service := "s" + string(rune('A'+n))
+		listener, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			b.Fatal(err)
+		}
+		defer listener.Close()
+		c := &canned{listener}
+		go c.run()
+		route.Shards = append(route.Shards, service)
+		document.Services = append(document.Services, model.Service{Name: service, Conns: 100})
+		upstreams = append(upstreams, model.Upstream{
+			ID: model.UpstreamID(service), Addr: listener.Addr().(*net.TCPAddr).AddrPort(), Index: service, Slots: 4, Zone: "a",
+		})
+	}
+	document.Routes = []model.Route{route}
+	l.Post(event.View{Topology: &model.Topology{Document: document}})
+	l.Post(event.Roster{Upstreams: upstreams, Read: time.Now()})
+	front, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		b.Fatal(err)
+	}
+	server := &http.Server{Handler: x.server, ReadHeaderTimeout: time.Second}
+	f := &fronter{server: server, listener: front}
+	go f.run()
+	defer server.Close()
+	url := "http://" + netip.MustParseAddrPort(front.Addr().String()).String() + "/q/1"
+	b.ReportAllocs()
+	for b.Loop() {
+		r, _ := http.NewRequest(http.MethodGet, url, http.NoBody)
+		r.Host = "a.example"
+		r.Header.Set("Wait", "4000")
+		r.Header.Set("Tag", "9c41d07be2a35f68")
+		response, err := http.DefaultClient.Do(r)
+		if err != nil {
+			b.Fatal(err)
+		}
+		response.Body.Close()
+		if response.StatusCode != http.StatusOK {
+			b.Fatalf("got status %d", response.StatusCode)
+		}
+	}
+}
+
+type looper struct{ loop *loop.Loop }
+
+func (w *looper) run() { _ = w.loop.Run(event.Start{Role: event.RoleRouted, VM: model.VM{Zone: "a"}}) }
+
+type fronter struct {
+	server   *http.Server
+	listener net.Listener
+}
+
+func (f *fronter) run() { _ = f.server.Serve(f.listener) }
--- a/io/proxy/call.go
+++ b/io/proxy/call.go
@@ -1,13 +1,10 @@
 package proxy
 
 import (
-	"bufio"
-	"bytes"
 	"errors"
 	"fmt"
 	"io"
 	"net/http"
-	"net/url"
 	"os"
 	"strconv"
 	"strings"
@@ -25,24 +22,75 @@
 	pool     *pool
 	exchange *Exchange
 	forward  effect.Forward
+	end      time.Time // when what is left of the caller's time ends
+	fresh    bool      // a new connection was made
 
 	mu        sync.Mutex
-	conn      *conn
+	conn      *conn // nil before the connection is made
 	cancelled bool
+	done      bool
 }
 
+// start sends the request on an idle connection, or on a new one.
+func (a *call) start(now time.Time) {
+	longest := idleTimeout
+	if a.forward.Fresh {
+		longest = freshWithin
+	}
+	c := a.pool.take(a, now, a.end.Add(lateAnswer), longest)
+	if c == nil {
+		a.fresh = true
+		a.client.wg.Add(1)
+		go a.run()
+		return
+	}
+	if !a.own(c) {
+		c.fail(errCancelled)
+		return
+	}
+	if len(a.exchange.Body) > inlineBody {
+		w := &writer{call: a, conn: c}
+		go w.run()
+		return
+	}
+	a.write(c)
+}
+
+// errCancelled ends a connection whose call was cancelled before it was used.
+var errCancelled = errors.New("cancelled")
+
+// writer sends a long request beside the loop, which must not block.
+type writer struct {
+	call *call
+	conn *conn
+}
+
+func (w *writer) run() { w.call.write(w.conn) }
+
+// run makes a connection, sends the request and reads the connection from then on.
 func (a *call) run() {
-	defer a.client.ended(a.forward.Attempt)
-	a.client.Post(a.perform(time.Now()))
+	raw, err := a.client.dial(a.pool.addr, min(dialTimeout, a.forward.Timeout))
+	if err != nil {
+		a.client.wg.Done()
+		a.fail(model.FailedRefused)
+		return
+	}
+	c := newConn(raw, a.client, a.pool)
+	if !c.begin(a, a.end.Add(lateAnswer)) || !a.own(c) {
+		c.end()
+		a.client.wg.Done()
+		a.fail(model.FailedCancelled)
+		return
+	}
+	a.write(c)
+	c.run()
 }
 
-// cancel breaks the attempt off.
-func (a *call) cancel() {
-	a.mu.Lock()
-	defer a.mu.Unlock()
-	a.cancelled = true
-	if a.conn != nil {
-		a.conn.Close()
+// write sends the request. The reader of the connection notices a failure.
+func (a *call) write(c *conn) {
+	a.exchange.once.Do(func() { a.exchange.render(a.client.Dialect) })
+	if _, err := c.Write(a.exchange.request(a.client.Dialect, a.end, a.forward.Upstream)); err != nil {
+		c.Close() // the reader of the connection ends the call
 	}
 }
 
@@ -55,51 +103,38 @@
 	return !a.cancelled
 }
 
-// disown takes the connection back, and reports false when it was cancelled.
-func (a *call) disown() bool {
+// cancel breaks the attempt off.
+func (a *call) cancel() {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	a.conn = nil
-	return !a.cancelled
+	a.cancelled = true
+	if a.conn != nil && !a.done {
+		a.conn.Close()
+	}
 }
 
-// perform makes the attempt and returns its end.
-func (a *call) perform(now time.Time) event.Body {
-	end := now.Add(a.forward.Timeout)
-	longest := idleTimeout
-	if a.forward.Fresh {
-		longest = freshWithin
-	}
-	c := a.pool.take(now, longest)
-	fresh := c == nil
-	if fresh {
-		dialled, err := a.client.dial(a.pool.addr, min(dialTimeout, a.forward.Timeout))
-		if err != nil {
-			return a.failed(model.FailedRefused, model.RanNo, fresh)
-		}
-		c = &conn{Conn: dialled, reader: bufio.NewReader(dialled)}
-	}
-	if !a.own(c) {
-		c.Close()
-		return a.failed(model.FailedCancelled, model.RanNo, fresh)
-	}
-	returned, keep, err := a.exchangeOn(c, end)
-	sound := a.disown()
-	if err != nil || !keep || !sound {
-		c.Close()
-	} else {
-		c.used, c.since = true, time.Now()
-		a.pool.put(c)
-	}
-	if err != nil {
-		return a.failed(a.reason(err), model.RanUnknown, fresh)
+// finish posts the end of the attempt, once.
+func (a *call) finish(end event.Body) {
+	a.mu.Lock()
+	first := !a.done
+	a.done = true
+	a.mu.Unlock()
+	if first {
+		a.client.ended(a.forward.Attempt)
+		a.client.Post(end)
 	}
-	returned.Fresh = fresh
-	return returned
 }
 
-func (a *call) failed(reason model.Failure, ran model.Ran, fresh bool) event.Failed {
-	return event.Failed{Attempt: a.forward.Attempt, Reason: reason, Ran: ran, Fresh: fresh}
+// fail posts the end of the attempt without an answer.
+func (a *call) fail(reason model.Failure) {
+	a.mu.Lock()
+	sent := a.conn != nil
+	a.mu.Unlock()
+	ran := model.RanNo
+	if sent {
+		ran = model.RanUnknown
+	}
+	a.finish(event.Failed{Attempt: a.forward.Attempt, Reason: reason, Ran: ran, Fresh: a.fresh})
 }
 
 // reason turns an error of a connection into a reason.
@@ -125,61 +160,74 @@
 // Error implements error.
 func (e *AnswerError) Error() string { return "answer of an upstream: " + e.Problem }
 
-// exchangeOn writes the request and reads its answer, which is complete when
-// there is no error. Keep tells that the connection can be used again.
-func (a *call) exchangeOn(c *conn, end time.Time) (returned event.Returned, keep bool, err error) {
-	if err = c.SetDeadline(end.Add(lateAnswer)); err != nil {
-		return returned, false, err
-	}
-	request := a.request(end)
-	if err = request.Write(c); err != nil {
-		return returned, false, err
-	}
-	response, err := a.response(c, request)
+// read reads the answer, which is complete when there is no error. Keep is how
+// long the connection may stay idle, 0 when it must not be used again.
+func (a *call) read(c *conn) (returned event.Returned, keep time.Duration, err error) {
+	response, err := a.response(c)
 	if err != nil {
-		return returned, false, err
+		return returned, 0, err
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswer+1))
+	body, err := readBody(response)
 	if err != nil {
-		return returned, false, fmt.Errorf("body: %w", err)
+		return returned, 0, fmt.Errorf("body: %w", err)
 	}
 	d := a.client.Dialect
 	tag := response.Header.Get(d.Tag)
 	switch {
 	case len(body) > maxAnswer:
-		return returned, false, &AnswerError{Problem: "is too long"}
+		return returned, 0, &AnswerError{Problem: "is too long"}
 	case tag != "" && tag != a.exchange.Tag:
-		return returned, false, &AnswerError{Problem: "belongs to another request"}
+		return returned, 0, &AnswerError{Problem: "belongs to another request"}
 	case response.Header.Get("Content-Encoding") != "":
-		return returned, false, &AnswerError{Problem: "is encoded"}
+		return returned, 0, &AnswerError{Problem: "is encoded"}
 	}
 	returned = event.Returned{
 		Attempt: a.forward.Attempt, Receipt: response.Header.Get(d.Receipt), Leaving: response.Close,
 		NotRun: response.Header.Get(d.NotRun) != "", Other: response.StatusCode == http.StatusMisdirectedRequest,
-		After: after(response.Header), Load: d.load(response.Header),
+		After: after(response.Header), Load: d.load(response.Header), Fresh: a.fresh,
 		Reply: model.Reply{Status: response.StatusCode, Body: body},
 	}
-	for name, values := range passing(response.Header) {
+	if !a.forward.Part {
+		returned.Reply.Headers = replyHeaders(response.Header)
+	}
+	if !response.Close && c.reader.Buffered() == 0 {
+		keep = keepFor(response.Header)
+	}
+	return returned, keep, nil
+}
+
+// readBody reads a body up to maxAnswer and one byte more.
+func readBody(response *http.Response) (body []byte, err error) {
+	if n := response.ContentLength; n >= 0 && n <= maxAnswer {
+		body = make([]byte, n)
+		_, err = io.ReadFull(response.Body, body)
+		return body, err
+	}
+	return io.ReadAll(io.LimitReader(response.Body, maxAnswer+1))
+}
+
+// replyHeaders lists the headers that are passed to the caller.
+func replyHeaders(h http.Header) []model.Header {
+	var list []model.Header
+	for name, values := range passing(h) {
 		for _, value := range values {
 			if name != "Content-Length" && name != "Date" {
-				returned.Reply.Headers = append(returned.Reply.Headers, model.Header{Name: name, Value: value})
+				list = append(list, model.Header{Name: name, Value: value})
 			}
 		}
 	}
-	c.until = time.Now().Add(keepFor(response.Header))
-	return returned, !response.Close && c.reader.Buffered() == 0, nil
+	return list
 }
 
 // response reads the header of the answer, past interim ones.
-func (a *call) response(c *conn, request *http.Request) (*http.Response, error) {
+func (a *call) response(c *conn) (*http.Response, error) {
+	request := &http.Request{Method: a.exchange.Method}
 	for {
-		if _, err := c.reader.Peek(1); err != nil {
-			return nil, err
-		}
 		response, err := http.ReadResponse(c.reader, request)
+		var network interface{ Timeout() bool }
 		switch {
-		case err != nil && (errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, os.ErrDeadlineExceeded)):
+		case err != nil && (errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.EOF) || errors.As(err, &network)):
 			return nil, err
 		case err != nil:
 			return nil, &AnswerError{Problem: err.Error()}
@@ -189,30 +237,6 @@
 	}
 }
 
-// request builds the request as the caller sent it, with what is left of the
-// time and the upstream it is meant for.
-func (a *call) request(end time.Time) *http.Request {
-	x, d := a.exchange, a.client.Dialect
-	headers := passing(x.Headers)
-	headers.Set(d.Wait, strconv.FormatInt(max(1, time.Until(end).Milliseconds()), 10))
-	headers.Set(d.Expect, string(a.forward.Upstream))
-	if _, ok := headers["User-Agent"]; !ok {
-		headers["User-Agent"] = nil // none is added
-	}
-	target := &url.URL{Scheme: "http", Host: x.Host, Opaque: x.URI}
-	if strings.HasPrefix(x.URI, "//") {
-		path, query, _ := strings.Cut(x.URI, "?")
-		target = &url.URL{Path: path, RawPath: path, RawQuery: query}
-	}
-	r := &http.Request{
-		Method: x.Method, URL: target, Host: x.Host, Header: headers, Proto: "HTTP/1.1", ProtoMajor: 1, ProtoMinor: 1,
-	}
-	if len(x.Body) > 0 {
-		r.Body, r.ContentLength = io.NopCloser(bytes.NewReader(x.Body)), int64(len(x.Body))
-	}
-	return r
-}
-
 // keepFor returns how long a connection may stay idle.
 func keepFor(h http.Header) time.Duration {
 	for part := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
--- a/io/proxy/client.go
+++ b/io/proxy/client.go
@@ -19,6 +19,7 @@
 	lateAnswer   = 30 * time.Millisecond  // an attempt may end this much after its timeout
 	maxAnswer    = 8 << 20                // bytes of one answer
 	mostIdle     = 8                      // connections kept for one upstream
+	inlineBody   = 4096                   // bytes of a body that are sent without a goroutine of their own
 	idleMargin   = time.Second            // a connection is closed this long before the upstream would
 	shortestIdle = 500 * time.Millisecond
 )
@@ -34,17 +35,17 @@
 	pools  map[model.UpstreamID]*pool
 	calls  map[model.AttemptID]*call
 	closed bool
-	wg     sync.WaitGroup
+	wg     sync.WaitGroup // connections
 }
 
 // Forward starts an attempt.
 func (c *Client) Forward(f effect.Forward) {
 	x := c.Exchange(f.Request)
 	c.mu.Lock()
-	defer c.mu.Unlock()
 	if x == nil || c.closed {
+		c.mu.Unlock()
 		// The caller left before anything was sent.
-		go c.Post(event.Failed{Attempt: f.Attempt, Reason: model.FailedCancelled, Ran: model.RanNo})
+		c.Post(event.Failed{Attempt: f.Attempt, Reason: model.FailedCancelled, Ran: model.RanNo})
 		return
 	}
 	if c.calls == nil {
@@ -59,10 +60,11 @@
 		p = &pool{addr: f.Addr}
 		c.pools[f.Upstream] = p
 	}
-	a := &call{client: c, pool: p, exchange: x, forward: f}
+	now := time.Now()
+	a := &call{client: c, pool: p, exchange: x, forward: f, end: now.Add(f.Timeout)}
 	c.calls[f.Attempt] = a
-	c.wg.Add(1)
-	go a.run()
+	c.mu.Unlock()
+	a.start(now)
 }
 
 // Cancel ends an attempt early.
@@ -103,7 +105,6 @@
 	c.mu.Lock()
 	delete(c.calls, id)
 	c.mu.Unlock()
-	c.wg.Done()
 }
 
 func (c *Client) dial(addr netip.AddrPort, timeout time.Duration) (net.Conn, error) {
--- a/io/proxy/server.go
+++ b/io/proxy/server.go
@@ -33,6 +33,8 @@
 	leaving atomic.Bool
 	mu      sync.Mutex
 	pending map[model.RequestID]*Exchange
+	active  int           // requests being served
+	idle    chan struct{} // closed when none is left after Refuse; nil before
 }
 
 // SetReady sets what the balancer's check sees. A server that is leaving stays
@@ -43,6 +45,37 @@
 // connections.
 func (s *Server) Leave() { s.leaving.Store(true) }
 
+// Refuse makes the server refuse every further request. The channel is closed
+// once those in hand have their answers.
+func (s *Server) Refuse() (idle <-chan struct{}) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.idle = make(chan struct{})
+	if s.active == 0 {
+		close(s.idle)
+	}
+	return s.idle
+}
+
+// enter counts a request. It reports false when requests are refused.
+func (s *Server) enter() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.idle != nil {
+		return false
+	}
+	s.active++
+	return true
+}
+
+func (s *Server) exit() {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.active--; s.active == 0 && s.idle != nil {
+		close(s.idle)
+	}
+}
+
 // Ready reports whether the balancer should send callers here.
 func (s *Server) Ready() bool { return s.ready.Load() && !s.leaving.Load() }
 
@@ -70,6 +103,11 @@
 	if s.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	if !s.enter() {
+		s.refuse(w, model.Rejection{Reason: model.RefusedDraining, Ran: model.RanNo, After: drainPause})
+		return
+	}
+	defer s.exit()
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBody))
 	if err != nil {
 		var large *http.MaxBytesError
@@ -104,6 +142,10 @@
 	}
 }
 
+// drainPause is when a caller may come back that met a server which is leaving:
+// another one takes its next connection.
+const drainPause = time.Millisecond
+
 // busyPause is when a caller may come back that found too many requests in hand.
 const busyPause = 100 * time.Millisecond
 
--- a/io/serve/leaver.go
+++ b/io/serve/leaver.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"net/http"
 	"time"
 
 	"comfreypulley/core/event"
@@ -24,9 +23,9 @@
 		return nil
 	}
 	r := l.resident
-	end := time.Now().Add(time.Duration(finishingShare * float64(r.site.Grace)))
+	began := time.Now()
 	r.logger.WithField("grace", r.site.Grace.String()).Info("draining")
-	if r.routed != nil && !l.drainRouted(end) {
+	if r.routed != nil && !l.drainRouted(began) {
 		return nil
 	}
 	r.control.Post(event.Drain{})
@@ -35,48 +34,36 @@
 	return nil
 }
 
-// drainRouted returns false when the group stops meanwhile.
-func (l *leaver) drainRouted(end time.Time) bool {
+// drainRouted ends the traffic in steps. Callers may use open connections until
+// the process is gone, and a request must not be read and then left without an
+// answer, so requests are refused before connections are closed. It returns
+// false when the group stops meanwhile.
+func (l *leaver) drainRouted(began time.Time) bool {
 	r := l.resident
+	at := func(share float64) time.Time { return began.Add(time.Duration(share * float64(r.site.Grace))) }
 	r.routed.server.Leave()
-	unready := time.Now().Add(time.Duration(unreadyShare * float64(r.site.Grace)))
-	if !l.wait(nil, unready) {
+	if !l.wait(nil, at(unreadyShare)) {
 		return false
 	}
-	// The loop drains only after the server: a request that the server has read
-	// may not have reached the loop yet.
-	c := &closer{server: r.servers[0].server, limit: time.Until(end), done: make(chan struct{})}
-	go c.run()
-	if !l.wait(c.done, end) {
+	r.callers.closeListener()
+	if !l.wait(nil, at(refuseShare)) {
 		return false
 	}
-	r.routed.loop.Post(event.Drain{})
-	if !l.wait(r.routed.drained, end) {
+	idle := r.routed.server.Refuse()
+	if !l.wait(idle, at(finishingShare)) || !l.wait(nil, time.Now().Add(flushPause)) {
 		return false
 	}
 	select {
-	case <-r.routed.drained:
+	case <-idle:
 	default:
 		r.logger.Warn("grace period is over; requests in flight are cut off")
 	}
 	return true
 }
 
-// closer shuts a server down while others wait for it.
-type closer struct {
-	server *http.Server
-	limit  time.Duration
-	done   chan struct{}
-}
-
-func (c *closer) run() {
-	defer close(c.done)
-	shutdownWithin(c.server, c.limit)
-}
-
 // wait returns at a time or when the channel is closed, and false when the
 // group stops meanwhile.
-func (l *leaver) wait(done chan struct{}, until time.Time) bool {
+func (l *leaver) wait(done <-chan struct{}, until time.Time) bool {
 	timer := time.NewTimer(time.Until(until))
 	defer timer.Stop()
 	select {
--- a/io/serve/resident.go
+++ b/io/serve/resident.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"net"
 	"net/http"
@@ -29,8 +28,10 @@
 	gcPercent      = 200             // a small heap is cheap to let grow, and collections cost processor time
 	diskPatience   = time.Hour       // a full or stalled disk is waited for; the replica stays silent meanwhile
 	lastAnswers    = 300 * time.Millisecond
-	unreadyShare   = 0.5 // of the grace period, until the balancer sends no more callers
-	finishingShare = 0.9 // of the grace period, until requests in flight are cut off
+	unreadyShare   = 0.5                   // of the grace period, until no new connections are accepted
+	refuseShare    = 0.75                  // of the grace period, until requests on open connections are refused
+	finishingShare = 0.92                  // of the grace period, until requests in flight are cut off
+	flushPause     = 30 * time.Millisecond // for the last answers to leave
 )
 
 // Resident is a process of a fleet that enrols by itself: an entry VM without a
@@ -47,16 +48,11 @@
 	store    *disk.Store // nil on a VM without a disk
 	admin    *admin.Server
 
-	servers []served
+	callers *web // nil on a VM that takes no callers
+	others  []*web
 	peering net.Listener
 }
 
-// served is an HTTP server with its listener.
-type served struct {
-	server   *http.Server
-	listener net.Listener
-}
-
 // NewResident opens the listeners and files of a process.
 func NewResident(site *Site, logger log.Interface) (r *Resident, err error) {
 	defer func() {
@@ -89,9 +85,11 @@
 	}
 	if site.Callers.IsValid() {
 		r.assembleRouted()
-		if err = r.open(site.Callers, r.routed.server); err != nil {
+		l, err := listen(site.Callers)
+		if err != nil {
 			return nil, err
 		}
+		r.callers = newWeb(r.routed.server, l, lastAnswers)
 		if err = r.open(site.Ready, site.Probe(r.routed.server.Ready)); err != nil {
 			return nil, err
 		}
@@ -121,9 +119,7 @@
 	if err != nil {
 		return err
 	}
-	server := newServer(handler)
-	server.IdleTimeout = callerIdle
-	r.servers = append(r.servers, served{server: server, listener: l})
+	r.others = append(r.others, newWeb(handler, l, lastAnswers))
 	return nil
 }
 
@@ -145,8 +141,11 @@
 	}
 	start.Role = event.RoleControl
 	group.Add(func() error { return r.control.Run(start) }, r.control.Stop)
-	for _, s := range r.servers {
-		group.Add(func() error { return serveHTTP(s.server, s.listener) }, func(error) { shutdownWithin(s.server, lastAnswers) })
+	if r.callers != nil {
+		group.Add(r.callers.run, r.callers.stop)
+	}
+	for _, w := range r.others {
+		group.Add(w.run, w.stop)
 	}
 	if r.store != nil {
 		group.Add(r.store.Run, r.store.Stop)
@@ -175,12 +174,3 @@
 	}
 	return start
 }
-
-// shutdownWithin lets answers that are being written end within a time.
-func shutdownWithin(s *http.Server, limit time.Duration) {
-	ctx, cancel := context.WithTimeout(context.Background(), limit)
-	defer cancel()
-	if err := s.Shutdown(ctx); errors.Is(err, context.DeadlineExceeded) {
-		_ = s.Close() // what is left is cut off when the process ends
-	}
-}
