Drop a leg that has no time left, and test the routed promises

Cause: a leg with less than the least time left kept its due time in the past, so its call set a timer that was due at once, again and again, for up to 4 ms.

--- a/core/proxy/step.go
+++ b/core/proxy/step.go
@@ -113,6 +113,7 @@
 		return out
 	}
 	if c.deadline.Sub(at) < leastTime {
+		l.lost = true
 		return out
 	}
 	h := t.pick(at, l, c.pace.expected(c.route))
--- /dev/null
+++ b/core/proxy/world_test.go
@@ -0,0 +1,334 @@
+package proxy_test
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"time"
+
+	"pgregory.net/rapid"
+
+	"comfreypulley/core/effect"
+	"comfreypulley/core/event"
+	"comfreypulley/core/model"
+	"comfreypulley/core/proxy"
+)
+
+var began = time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
+
+const (
+	shards   = 5
+	replicas = 3
+	ratio    = 0.2
+	extra    = 10
+)
+
+// world is a table with callers and upstreams whose events come in any order.
+type world struct {
+	t       *rapid.T
+	table   proxy.Table
+	now     time.Time
+	version uint64
+	stamp   uint64
+	hosts   map[model.UpstreamID]*fakeHost
+	flights map[model.AttemptID]*flight
+	callers map[model.RequestID]*caller
+	timers  map[event.TimerID]time.Time
+	first   map[string]int // first arrivals by service
+	again   map[string]int // arrivals beyond them
+	next    model.RequestID
+}
+
+type fakeHost struct {
+	upstream model.Upstream
+	drained  bool // as the table was told
+}
+
+type flight struct {
+	forward effect.Forward
+	service string
+	ran     bool
+}
+
+type caller struct {
+	path     string
+	arrived  time.Time
+	version  uint64
+	flights  []*flight
+	runs     map[string]int // by service
+	finals   int
+	gone     bool
+	statedNo bool // the refusal said that it did not run
+}
+
+func service(version uint64, n int) string { return fmt.Sprintf("set%d-%d", version%2, n) }
+
+// document names one of two sets of shards, by the parity of its version.
+func document(version uint64) *model.Document {
+	d := &model.Document{Version: version, Services: []model.Service{{Name: "single", Conns: 60}}}
+	all := model.Route{
+		Name: "all", Host: "a.example", Prefix: "/all/", Attempts: 2, Timeout: time.Second, Objective: 100 * time.Millisecond,
+		Records: 4, Coverage: 0.6,
+	}
+	for n := range shards {
+		all.Shards = append(all.Shards, service(version, n))
+		d.Services = append(d.Services, model.Service{Name: service(version, n), Conns: 60})
+	}
+	one := model.Route{
+		Name: "one", Host: "a.example", Prefix: "/one/", Attempts: 2, Timeout: time.Second, Objective: 100 * time.Millisecond,
+		Targets: []model.Target{{Service: "single", Weight: 1}},
+	}
+	once := one
+	once.Name, once.Prefix, once.Once = "once", "/once/", true
+	d.Routes = []model.Route{all, one, once}
+	return d
+}
+
+func newWorld(t *rapid.T) *world {
+	w := &world{
+		t: t, now: began, hosts: make(map[model.UpstreamID]*fakeHost), flights: make(map[model.AttemptID]*flight),
+		callers: make(map[model.RequestID]*caller), timers: make(map[event.TimerID]time.Time),
+		first: make(map[string]int), again: make(map[string]int),
+	}
+	for v := range uint64(2) {
+		for n := range shards {
+			w.addHosts(service(v, n))
+		}
+	}
+	w.addHosts("single")
+	w.do(w.table.Start(w.now, event.Start{VM: model.VM{Zone: "a"}, Ratio: ratio, Extra: extra, Seed: rapid.Uint64().Draw(t, "seed")}, nil))
+	w.view()
+	w.roster()
+	return w
+}
+
+func (w *world) addHosts(service string) {
+	for n := range replicas {
+		id := model.UpstreamID(fmt.Sprintf("%s/%d", service, n))
+		w.hosts[id] = &fakeHost{upstream: model.Upstream{
+			ID: id, Index: service, Slots: 3, Zone: model.Zone(rune('a' + n)),
+			Addr: netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), uint16(1000+len(w.hosts))),
+		}}
+	}
+}
+
+func (w *world) view() {
+	w.version++
+	w.do(w.table.View(w.now, event.View{Topology: &model.Topology{Document: document(w.version)}}, nil))
+}
+
+// roster tells the table the upstreams there are.
+func (w *world) roster() {
+	var list []model.Upstream
+	for _, h := range w.hosts {
+		list = append(list, h.upstream)
+		h.drained = h.upstream.State == model.StateDraining
+	}
+	slices.SortFunc(list, func(a, b model.Upstream) int { return int(a.Addr.Port()) - int(b.Addr.Port()) })
+	w.stamp++
+	w.do(w.table.Roster(w.now, event.Roster{Upstreams: list, Stamp: w.stamp, Read: w.now, Fleet: 1}, nil))
+}
+
+func (w *world) call(path string) {
+	w.next++
+	w.callers[w.next] = &caller{path: path, arrived: w.now, version: w.version, runs: make(map[string]int)}
+	w.do(w.table.Call(w.now, event.Call{
+		ID: w.next, Host: "a.example:80", Path: path + "x", Fingerprint: model.Fingerprint(w.next), Wait: 500 * time.Millisecond,
+	}, nil))
+}
+
+// do checks and carries out effects.
+func (w *world) do(out []effect.Effect) {
+	for _, e := range out {
+		switch e := e.(type) {
+		case effect.SetTimer:
+			w.timers[e.ID] = e.At
+		case effect.StopTimer:
+			delete(w.timers, e.ID)
+		case effect.Forward:
+			w.forward(e)
+		case effect.Deliver:
+			w.final(e.Request)
+		case effect.Merge:
+			w.final(e.Request)
+			w.merged(e)
+		case effect.Refuse:
+			c := w.final(e.Rejection.Request)
+			c.statedNo = e.Rejection.Ran == model.RanNo
+			if c.statedNo {
+				w.neverRan(c, "it was refused as not run")
+			}
+		}
+	}
+}
+
+func (w *world) forward(e effect.Forward) {
+	c := w.callers[e.Request]
+	h := w.hosts[e.Upstream]
+	f := &flight{forward: e, service: h.upstream.Index}
+	switch {
+	case c.finals > 0 || c.gone:
+		w.t.Fatalf("request %d is sent to %s after its end", e.Request, e.Upstream)
+	case h.drained:
+		w.t.Fatalf("request %d is sent to %s, which is draining", e.Request, e.Upstream)
+	case c.arrived.Add(500 * time.Millisecond).Before(w.now.Add(e.Timeout)):
+		w.t.Fatalf("request %d may take %v at %v after its arrival, the caller waits 500ms", e.Request, e.Timeout, w.now.Sub(c.arrived))
+	}
+	sent := 0
+	for _, other := range c.flights {
+		if other.service == f.service {
+			sent++
+		}
+	}
+	if c.path == "/once/" && sent > 0 && c.runs[f.service] > 0 {
+		w.t.Fatalf("request %d may run once and is sent again after it ran", e.Request)
+	}
+	c.flights = append(c.flights, f)
+	w.flights[e.Attempt] = f
+}
+
+// arrived counts an attempt that reached its upstream.
+func (w *world) arrived(f *flight) {
+	c := w.callers[f.forward.Request]
+	n := 0
+	for _, other := range c.flights {
+		if other.service == f.service && other != f && other.ran {
+			n++
+		}
+	}
+	f.ran = true
+	if n == 0 {
+		w.first[f.service]++
+		return
+	}
+	w.again[f.service]++
+	if limit := ratio*float64(w.first[f.service]) + extra; float64(w.again[f.service]) > limit {
+		w.t.Fatalf("%s got %d extra arrivals, limit %v", f.service, w.again[f.service], limit)
+	}
+	if n >= 2 {
+		w.t.Fatalf("%s got request %d %d times, want at most 2", f.service, f.forward.Request, n+1)
+	}
+}
+
+func (w *world) final(id model.RequestID) *caller {
+	c := w.callers[id]
+	if c.finals++; c.finals > 1 || c.gone {
+		w.t.Fatalf("request %d ends again", id)
+	}
+	return c
+}
+
+func (w *world) neverRan(c *caller, why string) {
+	for service, n := range c.runs {
+		if n > 0 && c.path == "/once/" {
+			w.t.Fatalf("%s ran %d times, but %s", service, n, why)
+		}
+	}
+}
+
+// merged checks that an answer holds parts of one document's shards, each once,
+// and states what is missing.
+func (w *world) merged(e effect.Merge) {
+	c := w.callers[e.Request]
+	seen := make(map[string]bool)
+	for _, receipt := range e.Merged.Receipts {
+		if seen[receipt] {
+			w.t.Fatalf("receipt %s appears twice", receipt)
+		}
+		seen[receipt] = true
+		ok := false
+		for n := range shards {
+			ok = ok || receipt == fmt.Sprintf("%d@%s", e.Request, service(c.version, n))
+		}
+		if !ok {
+			w.t.Fatalf("receipt %s does not belong to request %d over the shards of version %d", receipt, e.Request, c.version)
+		}
+	}
+	if got := len(seen) + e.Merged.Missing; got != shards {
+		w.t.Fatalf("got %d parts and missing shards, want %d", got, shards)
+	}
+	if float64(len(seen)) < 0.6*shards {
+		w.t.Fatalf("got %d parts, want at least 3", len(seen))
+	}
+	if n := len(e.Merged.Records); n > 4*16 || n%16 != 0 {
+		w.t.Fatalf("got %d bytes of records", n)
+	}
+}
+
+// end ends a random flight.
+func (w *world) end(outcome int) {
+	ids := make([]model.AttemptID, 0, len(w.flights))
+	for id := range w.flights {
+		ids = append(ids, id)
+	}
+	if len(ids) == 0 {
+		return
+	}
+	slices.Sort(ids)
+	id := ids[rapid.IntRange(0, len(ids)-1).Draw(w.t, "flight")]
+	f := w.flights[id]
+	delete(w.flights, id)
+	c := w.callers[f.forward.Request]
+	ran := func() {
+		w.arrived(f)
+		c.runs[f.service]++
+		if c.path == "/once/" && (c.runs[f.service] > 1 || c.statedNo) {
+			w.t.Fatalf("request %d ran %d times, refused as not run: %v", f.forward.Request, c.runs[f.service], c.statedNo)
+		}
+	}
+	reply := model.Reply{Status: 200, Body: []byte(fmt.Sprintf("%016d%016dshort", id, id*7))}
+	returned := event.Returned{Attempt: id, Reply: reply, Receipt: fmt.Sprintf("%d@%s", f.forward.Request, f.service)}
+	switch outcome {
+	case 0, 1, 2:
+		ran()
+		w.do(w.table.Returned(w.now, returned, nil))
+	case 3:
+		w.arrived(f)
+		returned.Reply.Status, returned.NotRun, returned.Receipt = 503, true, ""
+		w.do(w.table.Returned(w.now, returned, nil))
+	case 4:
+		ran()
+		returned.Reply.Status = 500
+		w.do(w.table.Returned(w.now, returned, nil))
+	case 5:
+		w.arrived(f)
+		returned.Other, returned.Receipt = true, ""
+		w.do(w.table.Returned(w.now, returned, nil))
+	case 6:
+		ran()
+		returned.Receipt = ""
+		w.do(w.table.Returned(w.now, returned, nil))
+	case 7:
+		w.do(w.table.Failed(w.now, event.Failed{Attempt: id, Reason: model.FailedRefused, Ran: model.RanNo}, nil))
+	default:
+		if rapid.Bool().Draw(w.t, "ran") {
+			ran()
+		} else {
+			w.arrived(f)
+		}
+		w.do(w.table.Failed(w.now, event.Failed{Attempt: id, Reason: model.FailedReset, Ran: model.RanUnknown}, nil))
+	}
+}
+
+// pass lets time pass and fires what is due.
+func (w *world) pass(d time.Duration) {
+	end := w.now.Add(d)
+	for {
+		var next event.TimerID
+		var due time.Time
+		for id, at := range w.timers {
+			if !at.After(end) && (due.IsZero() || at.Before(due) || at.Equal(due) && id.N < next.N) {
+				next, due = id, at
+			}
+		}
+		if due.IsZero() {
+			break
+		}
+		delete(w.timers, next)
+		if due.After(w.now) {
+			w.now = due
+		}
+		w.do(w.table.Timer(w.now, next, nil))
+	}
+	w.now = end
+}
