--- a/core/node/bridge.go
+++ b/core/node/bridge.go
@@ -30,8 +30,9 @@
 			return s.control.Struck(at, body, out)
 		case event.RoleRouted:
 			return s.routed.Struck(at, body, out)
+		default:
+			return s.traffic.Struck(at, body, out)
 		}
-		return s.traffic.Struck(at, body, out)
 	default:
 		return out
 	}
--- a/core/plane/enrol.go
+++ b/core/plane/enrol.go
@@ -111,7 +111,7 @@
 		if !ok || silent.For < replaceAfter {
 			continue
 		}
-		cause := ""
+		var cause string
 		switch {
 		case c.replaced(at, vm, silent.For, disks):
 			cause = "a newcomer of its zone took its place"
--- a/core/proxy/finish.go
+++ b/core/proxy/finish.go
@@ -30,7 +30,7 @@
 		h.other = true
 		return t.broken(at, a, model.FailedVersion, model.RanNo, 0, out)
 	case e.NotRun:
-		h.fails.add(at, 1, 0, failGain, failFade)
+		h.fails.add(at, 1, 0)
 		return t.broken(at, a, model.FailedShed, model.RanNo, e.After, out)
 	case e.Receipt == "":
 		h.failed(at, model.FailedInvalid)
--- a/core/proxy/host.go
+++ b/core/proxy/host.go
@@ -9,11 +9,9 @@
 
 // How an upstream is judged.
 const (
-	ratioGain    = 0.3                    // weight of a new latency in the average
+	averageGain  = 0.3                    // weight of a new sample in a moving average
 	maxRatio     = 5                      // a single pause must not count for more than this
-	ratioFade    = 3 * time.Second        // in which an old average loses most of its weight
-	failGain     = 0.3                    // weight of a new outcome in the share of failures
-	failFade     = 3 * time.Second        // in which old failures lose most of their weight
+	averageFade  = 3 * time.Second        // in which an old average loses most of its weight
 	firstDown    = 200 * time.Millisecond // after a failed connection; doubles with each further one
 	longestDown  = 1600 * time.Millisecond
 	loadFade     = 400 * time.Millisecond // in which a load report loses most of its weight
@@ -47,28 +45,28 @@
 	at    time.Time
 }
 
-func (a *average) read(at time.Time, rest float64, fade time.Duration) float64 {
+func (a *average) read(at time.Time, rest float64) float64 {
 	if a.at.IsZero() {
 		return rest
 	}
-	return rest + (a.value-rest)*math.Exp(-float64(at.Sub(a.at))/float64(fade))
+	return rest + (a.value-rest)*math.Exp(-float64(at.Sub(a.at))/float64(averageFade))
 }
 
-func (a *average) add(at time.Time, sample, rest, gain float64, fade time.Duration) {
-	old := a.read(at, rest, fade)
-	a.value, a.at = old+gain*(sample-old), at
+func (a *average) add(at time.Time, sample, rest float64) {
+	old := a.read(at, rest)
+	a.value, a.at = old+averageGain*(sample-old), at
 }
 
 // answered notes a good answer.
 func (h *host) answered(at time.Time, ratio float64) {
-	h.ratio.add(at, min(ratio, maxRatio), 1, ratioGain, ratioFade)
-	h.fails.add(at, 0, 0, failGain, failFade)
+	h.ratio.add(at, min(ratio, maxRatio), 1)
+	h.fails.add(at, 0, 0)
 	h.refusals, h.down = 0, time.Time{}
 }
 
 // failed notes an attempt that the upstream is to blame for.
 func (h *host) failed(at time.Time, reason model.Failure) {
-	h.fails.add(at, 1, 0, failGain, failFade)
+	h.fails.add(at, 1, 0)
 	if reason == model.FailedRefused || reason == model.FailedTimeout {
 		h.down = at.Add(min(firstDown<<min(h.refusals, 8), longestDown))
 		h.refusals++
@@ -81,12 +79,12 @@
 	slots := float64(max(1, h.upstream.Slots))
 	fresh := math.Exp(-float64(at.Sub(h.loadAt)) / float64(loadFade))
 	busy := fresh*float64(h.load.Inflight+h.load.Queued) + float64(len(h.live))
-	expected := float64(typical) * h.ratio.read(at, 1, ratioFade)
+	expected := float64(typical) * h.ratio.read(at, 1)
 	if at.Before(h.coldTo) {
 		expected *= coldFactor
 	}
 	total := expected * (1 + 0.4*min(busy, slots)/slots + max(0, busy+1-slots)/slots)
-	total += h.fails.read(at, 0, failFade) * float64(failCost)
+	total += h.fails.read(at, 0) * float64(failCost)
 	if h.upstream.Zone != zone {
 		total += float64(outsideCost)
 	}
--- a/core/proxy/step.go
+++ b/core/proxy/step.go
@@ -176,7 +176,7 @@
 	t.next++
 	a := &attempt{
 		id: t.next, call: c, leg: l, host: h, sent: at, hedge: l.pending > 0,
-		expected: time.Duration(float64(c.pace.expected(c.route)) * min(2, h.ratio.read(at, 1, ratioFade))),
+		expected: time.Duration(float64(c.pace.expected(c.route)) * min(2, h.ratio.read(at, 1))),
 	}
 	kind := "first"
 	switch {
--- a/core/proxy/table.go
+++ b/core/proxy/table.go
@@ -75,7 +75,7 @@
 }
 
 // Roster takes the list of upstreams.
-func (t *Table) Roster(at time.Time, r event.Roster, out []effect.Effect) []effect.Effect {
+func (t *Table) Roster(_ time.Time, r event.Roster, out []effect.Effect) []effect.Effect {
 	resized := t.fleet != r.Fleet
 	t.read, t.fleet = r.Read, r.Fleet
 	if resized {
@@ -169,6 +169,7 @@
 		t.suspects.sweep(at)
 		out = t.sweep(at, out)
 		return append(out, effect.SetTimer{ID: id, At: at.Add(sweepPeriod)})
+	default:
 	}
 	return out
 }
--- a/io/proxy/server.go
+++ b/io/proxy/server.go
@@ -202,6 +202,7 @@
 		status = http.StatusBadGateway
 	case model.RefusedTimeout:
 		status = http.StatusGatewayTimeout
+	default:
 	}
 	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
 		seconds := math.Ceil(r.After.Seconds()*1000) / 1000
