Hedge only when the parts of a call stop coming; leave time for the way back by the machine's speed

Cause: on a grown site 54 parts of 1,000 bytes need 40 ms of a 14 Mbit/s link; legs that waited for the link were hedged, up to 54 of 54, which loaded it further. Ruled out: processor time (0.2 ms a leg) and the upstreams (11 ms). The answer at the cutoff left 9 ms before the objective, too little for callers 3 ms away on a slow VM.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -47,6 +47,7 @@
 	Peers   []model.VM      // VMs known from the settings before any configuration
 	Enrols  bool            // VMs with disks register themselves, and the platform lists the upstreams
 	Ratio   float64         // extra attempts as a share of the requests for a service, over the fleet
+	Speed   float64         // processor of the VM, in cores; 0 when not known
 	Extra   int             // extra attempts for a service beyond that, over the fleet
 	Losses  int             // disks that may be lost at once in a fleet that enrols
 	Genesis *model.Topology // configuration from the settings: the first one of the log, or the one in force without disk VMs
--- a/core/proxy/call.go
+++ b/core/proxy/call.go
@@ -19,6 +19,7 @@
 	cutoff   time.Time // when a partial answer is worth more than a late whole one
 	legs     []*leg
 	roster   time.Duration // age of the list of upstreams
+	flow     time.Time     // when the last part came; the arrival of the call before the first one
 	ended    bool
 	timer    time.Time
 }
--- a/core/proxy/finish.go
+++ b/core/proxy/finish.go
@@ -47,6 +47,7 @@
 	t.suspects.clear(a.call.event.Fingerprint)
 	t.end(at, a, "answered")
 	a.leg.ran = model.RanYes
+	a.call.flow = at
 	if a.leg.part == nil {
 		a.leg.part = &part{reply: e.Reply, receipt: e.Receipt}
 	}
--- a/core/proxy/step.go
+++ b/core/proxy/step.go
@@ -11,14 +11,16 @@
 
 // Times of one call.
 const (
-	replyMargin  = 9 * time.Millisecond  // before the objective, for the way back to the caller
-	lastMargin   = 15 * time.Millisecond // before the caller's deadline
-	leastTime    = 4 * time.Millisecond  // an attempt with less time left is not made
-	repick       = 3 * time.Millisecond  // until an upstream is looked for again
-	recheck      = 8 * time.Millisecond  // until the allowance for extra attempts is looked at again
-	giveUpAfter  = 12 * time.Millisecond // without an allowance, when the call cannot succeed without the leg
-	fewLegs      = 2                     // legs that a call may lack to have a claim on the last extra attempts
-	keptExtra    = 1                     // extra attempts kept for such calls
+	wayMargin    = 5 * time.Millisecond    // before the objective, for the ways from and to the caller
+	workMargin   = 1100 * time.Microsecond // the same for the work on request and answer, at the speed of a whole core
+	flowGap      = 4 * time.Millisecond    // without a part of a call, after which the missing ones count as overdue
+	lastMargin   = 15 * time.Millisecond   // before the caller's deadline
+	leastTime    = 4 * time.Millisecond    // an attempt with less time left is not made
+	repick       = 3 * time.Millisecond    // until an upstream is looked for again
+	recheck      = 8 * time.Millisecond    // until the allowance for extra attempts is looked at again
+	giveUpAfter  = 12 * time.Millisecond   // without an allowance, when the call cannot succeed without the leg
+	fewLegs      = 2                       // legs that a call may lack to have a claim on the last extra attempts
+	keptExtra    = 1                       // extra attempts kept for such calls
 	abandonAfter = 300 * time.Millisecond
 )
 
@@ -37,14 +39,14 @@
 		return t.refuseEarly(e, route, model.RefusedQuarantine, out)
 	}
 	c := &call{
-		event: e, route: route, pace: t.pace(route), version: t.document.Version, arrived: at, roster: at.Sub(t.read),
+		event: e, route: route, pace: t.pace(route), version: t.document.Version, arrived: at, flow: at, roster: at.Sub(t.read),
 	}
 	wait := route.Timeout
 	if e.Wait > 0 {
 		wait = min(wait, e.Wait)
 	}
 	c.deadline = at.Add(wait - min(lastMargin, wait/8))
-	c.cutoff = at.Add(objective(route) - replyMargin)
+	c.cutoff = at.Add(objective(route) - t.margin())
 	for _, service := range t.target(route) {
 		c.legs = append(c.legs, &leg{service: service, ran: model.RanNo})
 		t.allowance(service).Earn()
@@ -53,6 +55,14 @@
 	return t.step(at, c, out)
 }
 
+// margin is how long before the objective an answer has to leave.
+func (t *Table) margin() time.Duration {
+	if t.start.Speed <= 0 {
+		return wayMargin + workMargin
+	}
+	return wayMargin + time.Duration(float64(workMargin)/t.start.Speed)
+}
+
 // target returns the services that a request of the route goes to.
 func (t *Table) target(r *model.Route) []string {
 	if len(r.Shards) > 0 {
@@ -162,13 +172,20 @@
 	if l.pending == 0 {
 		return true
 	}
-	last := l.tries[len(l.tries)-1]
-	return at.Sub(last.sent) >= t.hedge(c, l)
+	return !at.Before(t.hedgeDue(c, l))
 }
 
-// hedge returns how long an attempt of the leg may take before it is hedged.
-func (t *Table) hedge(c *call, l *leg) time.Duration {
-	return c.pace.hedge(c.route, t.allowance(l.service).Share())
+// hedgeDue returns when the last attempt of a leg is hedged: when it takes
+// longer than most, and no other part of the call has come for a while. As long
+// as parts come one after the other, the missing ones wait for this VM's own
+// link or processor, which a hedge would load further.
+func (t *Table) hedgeDue(c *call, l *leg) time.Time {
+	last := l.tries[len(l.tries)-1]
+	due := last.sent.Add(c.pace.hedge(c.route, t.allowance(l.service).Share()))
+	if flow := c.flow.Add(flowGap); c.scatter() && flow.After(due) {
+		return flow
+	}
+	return due
 }
 
 // send makes an attempt.
@@ -211,8 +228,7 @@
 			if c.route.Once {
 				continue
 			}
-			last := l.tries[len(l.tries)-1]
-			if hedge := last.sent.Add(t.hedge(c, l)); hedge.After(next) {
+			if hedge := t.hedgeDue(c, l); hedge.After(next) {
 				next = hedge
 			}
 		}
--- a/io/serve/resident.go
+++ b/io/serve/resident.go
@@ -164,7 +164,7 @@
 	now := time.Now()
 	start := event.Start{
 		VM: r.site.VM, Seed: uint64(now.UnixNano()), Began: now, Loops: 1, Enrols: true, Losses: r.site.Losses,
-		Ratio: r.site.Ratio, Extra: r.site.Extra, Peers: r.site.Seeds,
+		Ratio: r.site.Ratio, Extra: r.site.Extra, Speed: r.site.Speed, Peers: r.site.Seeds,
 	}
 	if r.site.Founding {
 		start.Genesis = &model.Topology{VMs: make(map[model.VMID]model.VM)}
--- a/io/serve/site.go
+++ b/io/serve/site.go
@@ -23,6 +23,7 @@
 	Control  netip.AddrPort // of operators
 	Metrics  netip.AddrPort
 	Memory   int64         // bytes
+	Speed    float64       // processor, in cores
 	Grace    time.Duration // from the request to stop until the process is killed
 	Ratio    float64       // extra attempts as a share of the requests for a service
 	Extra    int           // extra attempts for a service beyond that
