Let the VMs of a zone tell each other of slow and silent upstreams

Cause: one daemon sees an upstream about once a second and had to find each slow or dark one by itself; an attempt that was abandoned after its call ended was not held against its upstream at all. Ruled out: sharing every overdue attempt, since a pause ends before the news helps; a slow answer counts only when a second one follows 0.2 to 2 s later.

--- a/core/event/bridge.go
+++ b/core/event/bridge.go
@@ -52,6 +52,14 @@
 	Fleet     int              // daemons that share the upstreams; 0 when not known
 }
 
+// Hint tells what a traffic state found of an upstream, to those of the other VMs
+// of the zone.
+type Hint struct {
+	Upstream model.UpstreamID
+	Sure     bool // silent or gone; otherwise an answer was slow
+}
+
+func (Hint) body()     {}
 func (Roster) body()   {}
 func (View) body()     {}
 func (Summary) body()  {}
--- a/core/frame/frame.go
+++ b/core/frame/frame.go
@@ -43,6 +43,7 @@
 	KindStrike
 	KindRoster
 	KindLack
+	KindHint
 )
 
 // Message is a message between two VMs.
@@ -211,6 +212,15 @@
 // Lack asks for the whole list of upstreams.
 type Lack struct{}
 
+// Hint tells the VMs of a zone that an upstream is slow or, when Sure, silent.
+type Hint struct {
+	Upstream model.UpstreamID
+	Sure     bool
+}
+
+// Kind returns KindHint.
+func (Hint) Kind() Kind { return KindHint }
+
 // Kind returns KindRoster.
 func (Roster) Kind() Kind { return KindRoster }
 
--- a/core/node/bridge.go
+++ b/core/node/bridge.go
@@ -11,6 +11,11 @@
 // process.
 func (s *State) bridge(at time.Time, body event.Body, out []effect.Effect) []effect.Effect {
 	switch body := body.(type) {
+	case event.Hint:
+		if s.role == event.RoleControl {
+			return s.control.Hint(at, body, out)
+		}
+		return s.routed.Hint(at, body, out)
 	case event.Roster:
 		return s.routed.Roster(at, body, out)
 	case event.View:
--- a/core/node/state.go
+++ b/core/node/state.go
@@ -30,7 +30,8 @@
 		return s.caller(ev.At, body, out)
 	case event.Answered, event.Returned, event.Failed, event.Reported:
 		return s.upstream(ev.At, body, out)
-	case event.View, event.Summary, event.Propose, event.Proposed, event.Struck, event.Roster:
+	case event.View, event.Summary, event.Propose, event.Proposed, event.Struck, event.Roster,
+		event.Hint:
 		return s.bridge(ev.At, body, out)
 	case event.Peer, event.PeerDown:
 		return s.peer(ev.At, body, out)
--- a/core/plane/peer.go
+++ b/core/plane/peer.go
@@ -31,6 +31,8 @@
 		out = c.heardFrom(at, p.From, out)
 		out = c.peerTree(at, p.From, m, out)
 		out = c.listen(at, p.From, m, out)
+	case frame.Hint:
+		out = c.peerHint(at, p.From, m, out)
 	case frame.Roster, frame.Lack:
 		out = c.peerRoster(at, p.From, m, out)
 	case frame.Delta, frame.Full:
--- a/core/proxy/call.go
+++ b/core/proxy/call.go
@@ -46,15 +46,16 @@
 
 // attempt is one request on one upstream.
 type attempt struct {
-	id       model.AttemptID
-	call     *call
-	leg      *leg
-	host     *host
-	sent     time.Time
-	expected time.Duration // typical latency of the route on this upstream when it was sent
-	took     time.Duration
-	outcome  string
-	hedge    bool
+	id        model.AttemptID
+	call      *call
+	leg       *leg
+	host      *host
+	sent      time.Time
+	expected  time.Duration // typical latency of the route on this upstream when it was sent
+	took      time.Duration
+	outcome   string
+	hedge     bool
+	abandoned bool // cancelled after its call ended without it
 }
 
 // scatter reports whether the answer is merged from shards.
--- a/core/proxy/finish.go
+++ b/core/proxy/finish.go
@@ -33,15 +33,18 @@
 		h.fails.add(at, 1, 0)
 		return t.broken(at, a, model.FailedShed, model.RanNo, e.After, out)
 	case e.Receipt == "":
-		h.failed(at, model.FailedInvalid)
+		out = t.blame(at, h, model.FailedInvalid, out)
 		return t.broken(at, a, model.FailedInvalid, model.RanUnknown, 0, out)
 	case status < 200 || status >= 300:
-		h.failed(at, model.FailedInvalid)
+		out = t.blame(at, h, model.FailedInvalid, out)
 		a.leg.failure = &part{reply: e.Reply, receipt: e.Receipt}
 		return t.broken(at, a, model.FailedInvalid, model.RanYes, 0, out)
 	}
 	took := at.Sub(a.sent)
 	expected := a.call.pace.expected(a.call.route)
+	if took > slowFactor*expected && took > expected+slowLeast {
+		out = t.tell(at, h, false, out)
+	}
 	a.call.pace.add(a.call.route, took)
 	h.answered(at, float64(took)/float64(max(expected, time.Millisecond)))
 	t.suspects.clear(a.call.event.Fingerprint)
@@ -61,7 +64,7 @@
 		return out
 	}
 	if e.Reason != model.FailedCancelled {
-		a.host.failed(at, e.Reason)
+		out = t.blame(at, a.host, e.Reason, out)
 	}
 	if e.Reason == model.FailedReset && e.Ran != model.RanNo {
 		if struck, news := t.suspects.add(at, a.call.event.Fingerprint, a.host.upstream.ID); news {
--- /dev/null
+++ b/core/proxy/hint.go
@@ -0,0 +1,78 @@
+package proxy
+
+import (
+	"math"
+	"time"
+
+	"comfreypulley/core/effect"
+	"comfreypulley/core/event"
+	"comfreypulley/core/model"
+)
+
+// What VMs of a zone tell each other of upstreams. One VM sees an upstream
+// about once a second, all together see it many times.
+const (
+	slowFactor = 3                      // times the expected latency, after which an answer is told
+	slowLeast  = 30 * time.Millisecond  // beyond the expected latency, below which nothing is told
+	hintPause  = 500 * time.Millisecond // between two hints of this VM about one upstream
+	apartLeast = 200 * time.Millisecond // between two hints about slow answers; a pause is shorter
+	apartMost  = 2 * time.Second        // and less than the time between two pauses
+	hintFade   = 1500 * time.Millisecond
+	hintCost   = 25 * time.Millisecond
+)
+
+// rumour is what other VMs said of an upstream.
+type rumour struct {
+	told  time.Time // last hint of this VM
+	first time.Time // hint that a second one would confirm
+	bad   time.Time // when the upstream was last taken for slow or silent by hearsay
+}
+
+// cost is the expected loss of time by hearsay.
+func (r *rumour) cost(at time.Time) time.Duration {
+	if r.bad.IsZero() {
+		return 0
+	}
+	return time.Duration(float64(hintCost) * math.Exp(-float64(at.Sub(r.bad))/float64(hintFade)))
+}
+
+// hear takes a hint. A single slow answer proves nothing: it may end a pause.
+func (r *rumour) hear(at time.Time, sure bool) {
+	apart := at.Sub(r.first)
+	switch {
+	case sure:
+		r.bad = at
+	case apart > apartMost:
+		r.first = at
+	case apart >= apartLeast:
+		r.bad, r.first = at, at
+	}
+}
+
+// Hint takes what another VM of the zone told.
+func (t *Table) Hint(at time.Time, e event.Hint, out []effect.Effect) []effect.Effect {
+	if h, ok := t.hosts[e.Upstream]; ok {
+		h.rumour.hear(at, e.Sure)
+	}
+	return out
+}
+
+// tell tells the other VMs of the zone that an upstream is slow or, when it is
+// sure, silent or gone.
+func (t *Table) tell(at time.Time, h *host, sure bool, out []effect.Effect) []effect.Effect {
+	if at.Sub(h.rumour.told) < hintPause {
+		return out
+	}
+	h.rumour.told = at
+	h.rumour.hear(at, sure)
+	return append(out, effect.ToControl{Body: event.Hint{Upstream: h.upstream.ID, Sure: sure}})
+}
+
+// blame notes a failure of an upstream, and tells it when it is out of service.
+func (t *Table) blame(at time.Time, h *host, reason model.Failure, out []effect.Effect) []effect.Effect {
+	h.failed(at, reason)
+	if reason == model.FailedRefused || reason == model.FailedTimeout {
+		return t.tell(at, h, true, out)
+	}
+	return out
+}
--- a/core/proxy/host.go
+++ b/core/proxy/host.go
@@ -12,8 +12,8 @@
 	averageGain  = 0.3                    // weight of a new sample in a moving average
 	maxRatio     = 5                      // a single pause must not count for more than this
 	averageFade  = 3 * time.Second        // in which an old average loses most of its weight
-	firstDown    = 200 * time.Millisecond // after a failed connection; doubles with each further one
-	longestDown  = 1600 * time.Millisecond
+	firstDown    = 400 * time.Millisecond // after a failed connection; doubles with each further one
+	longestDown  = 5 * time.Second
 	loadFade     = 400 * time.Millisecond // in which a load report loses most of its weight
 	leavingFor   = 3 * time.Second        // an upstream that closes connections may be leaving
 	coldFactor   = 1.6                    // work of an upstream that has just started, in parts of the usual
@@ -37,6 +37,7 @@
 	other    bool      // another upstream answers at the address
 	leaving  time.Time // when it last closed a connection by its own wish
 	coldTo   time.Time
+	rumour   rumour
 }
 
 // average is a moving average that fades toward a rest value.
@@ -62,6 +63,9 @@
 	h.ratio.add(at, min(ratio, maxRatio), 1)
 	h.fails.add(at, 0, 0)
 	h.refusals, h.down = 0, time.Time{}
+	if ratio < slowFactor {
+		h.rumour.bad = time.Time{}
+	}
 }
 
 // failed notes an attempt that the upstream is to blame for.
@@ -91,7 +95,7 @@
 	if at.Sub(h.leaving) < leavingFor {
 		total += float64(leavingCost)
 	}
-	return time.Duration(total) + h.stalled(at)
+	return time.Duration(total) + h.stalled(at) + h.rumour.cost(at)
 }
 
 // stalled returns what an overdue attempt says about the next one: an upstream
--- a/core/proxy/table.go
+++ b/core/proxy/table.go
@@ -1,7 +1,9 @@
 package proxy
 
 import (
+	"maps"
 	"math/rand/v2"
+	"slices"
 	"time"
 
 	"comfreypulley/core/effect"
@@ -17,7 +19,7 @@
 	extraUsed    = 0.8
 	defaultExtra = 2 // attempts of one VM while the size of the fleet is not known
 	mostExtra    = 8
-	sweepPeriod  = time.Second
+	sweepPeriod  = 100 * time.Millisecond
 )
 
 // Table is the state of the traffic along routes. The zero value refuses every
@@ -177,8 +179,11 @@
 // sweep cancels attempts that outlived their call, so that upstreams do not go
 // on working for nobody.
 func (t *Table) sweep(at time.Time, out []effect.Effect) []effect.Effect {
-	for _, a := range t.attempts {
-		if a.call.ended && at.Sub(a.sent) >= abandonAfter && !a.call.route.Once {
+	for _, id := range slices.Sorted(maps.Keys(t.attempts)) {
+		a := t.attempts[id]
+		if a.call.ended && at.Sub(a.sent) >= abandonAfter && !a.call.route.Once && !a.abandoned {
+			a.abandoned = true
+			out = t.blame(at, a.host, model.FailedTimeout, out)
 			out = append(out, effect.Cancel{Attempt: a.id})
 		}
 	}
--- a/io/peer/codec.go
+++ b/io/peer/codec.go
@@ -70,6 +70,7 @@
 	frame.KindStrike:   decode[frame.Strike],
 	frame.KindRoster:   decode[frame.Roster],
 	frame.KindLack:     decode[frame.Lack],
+	frame.KindHint:     decode[frame.Hint],
 	kindHello:          decode[hello],
 }
 
--- a/io/peer/codec_test.go
+++ b/io/peer/codec_test.go
@@ -80,6 +80,7 @@
 		}},
 	},
 	frame.Lack{},
+	frame.Hint{Upstream: "u", Sure: true},
 		frame.Strike{Fingerprint: 3, Upstreams: []model.UpstreamID{"u"}, Quarantine: time.Second, Pass: true},
 	)
 }
