Test enrolment, the roster, documents, choice of upstreams and a disk that fails for a while

Cause: the parts grown for the platform had no test of their own but the routed promises. The tests of enrolment found that a long silent VM was judged by the standing of the event before; it is asked anew now.

--- a/core/plane/enrol.go
+++ b/core/plane/enrol.go
@@ -106,7 +106,7 @@
 // still bear the losses of the settings.
 func (c *Control) removeLost(at time.Time, out []effect.Effect) []effect.Effect {
 	disks := c.disks()
-	for _, silent := range c.lead.Silent {
+	for _, silent := range c.log.Standing().Silent {
 		vm, ok := c.store.VM(silent.VM)
 		if !ok || silent.For < replaceAfter {
 			continue
--- a/core/plane/log.go
+++ b/core/plane/log.go
@@ -209,10 +209,13 @@
 	var result entry.Result
 	switch command := e.Command.(type) {
 	case entry.Change:
+		before := c.store.Revision()
 		c.noteJoined(e.At, command)
 		result = c.store.Apply(e.At, command)
 		c.applied.weight += weightOf(command)
-		out = append(out, noteChange(at, command, result))
+		if command.Document == nil || c.store.Revision() != before {
+			out = append(out, noteChange(at, command, result))
+		}
 	case entry.Claim, entry.Settle, entry.Release:
 		result = c.book.Apply(e.At, command)
 	case entry.Members:
--- /dev/null
+++ b/core/proxy/choice_test.go
@@ -0,0 +1,213 @@
+package proxy_test
+
+import (
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	"comfreypulley/core/effect"
+	"comfreypulley/core/event"
+	"comfreypulley/core/model"
+	"comfreypulley/core/proxy"
+)
+
+// bench is a table in front of services with replicas in zones a, b and c.
+type bench struct {
+	table proxy.Table
+	now   time.Time
+	next  model.RequestID
+}
+
+func newBench(route model.Route, services ...string) *bench {
+	b := &bench{now: began}
+	b.table.Start(b.now, event.Start{VM: model.VM{Zone: "a"}, Ratio: 0.2, Extra: 10, Speed: 1}, nil)
+	d := &model.Document{Version: 1, Routes: []model.Route{route}}
+	var list []model.Upstream
+	for _, s := range services {
+		d.Services = append(d.Services, model.Service{Name: s, Conns: 60})
+		for n := range 3 {
+			list = append(list, model.Upstream{
+				ID: model.UpstreamID(fmt.Sprintf("%s/%c", s, 'a'+n)), Index: s, Slots: 3, Zone: model.Zone(rune('a' + n)),
+				Addr: netip.AddrPortFrom(netip.MustParseAddr("10.0.0.1"), uint16(1+len(list))),
+			})
+		}
+	}
+	b.table.View(b.now, event.View{Topology: &model.Topology{Document: d}}, nil)
+	b.table.Roster(b.now, event.Roster{Upstreams: list, Stamp: 1, Read: b.now, Fleet: 1}, nil)
+	return b
+}
+
+func (b *bench) call() []effect.Forward {
+	b.next++
+	return sent(b.table.Call(b.now, event.Call{ID: b.next, Host: "h", Path: "/x", Fingerprint: model.Fingerprint(b.next)}, nil))
+}
+
+func (b *bench) answer(f effect.Forward, after time.Duration) []effect.Effect {
+	b.now = b.now.Add(after)
+	return b.table.Returned(b.now, event.Returned{
+		Attempt: f.Attempt, Receipt: "r", Reply: model.Reply{Status: 200, Body: make([]byte, 16)},
+	}, nil)
+}
+
+func sent(out []effect.Effect) (list []effect.Forward) {
+	for _, e := range out {
+		if f, ok := e.(effect.Forward); ok {
+			list = append(list, f)
+		}
+	}
+	return list
+}
+
+func single(once bool) model.Route {
+	return model.Route{
+		Name: "r", Host: "h", Prefix: "/", Once: once, Attempts: 2, Timeout: time.Second, Objective: 100 * time.Millisecond,
+		Targets: []model.Target{{Service: "s", Weight: 1}},
+	}
+}
+
+// Guards against bytes between zones for nothing, and against an own zone that
+// is used although its upstream does not answer.
+func TestOwnZoneUnlessItStalls(t *testing.T) {
+	b := newBench(single(false), "s")
+	first := b.call()
+	if got, want := first[0].Upstream, model.UpstreamID("s/a"); got != want {
+		t.Errorf("got %s, want %s of the own zone", got, want)
+	}
+	b.now = b.now.Add(60 * time.Millisecond)
+	if got := b.call()[0].Upstream; got == "s/a" {
+		t.Errorf("got %s, which has not answered for 60ms", got)
+	}
+}
+
+// Guards against an abandoned attempt that is not held against its upstream:
+// every request would then meet the silent one first.
+func TestSilentUpstreamIsAvoided(t *testing.T) {
+	b := newBench(single(false), "s")
+	silent := b.call()[0]
+	b.now = b.now.Add(50 * time.Millisecond)
+	hedge := sent(b.table.Timer(b.now, event.TimerID{Kind: event.TimerCall, N: 1}, nil))
+	if len(hedge) != 1 {
+		t.Fatalf("got %d hedges of an overdue attempt, want 1", len(hedge))
+	}
+	b.answer(hedge[0], 10*time.Millisecond)
+	b.now = b.now.Add(400 * time.Millisecond)
+	out := b.table.Timer(b.now, event.TimerID{Kind: event.TimerSweep}, nil)
+	told := false
+	for _, e := range out {
+		switch e := e.(type) {
+		case effect.Cancel:
+			b.table.Failed(b.now, event.Failed{Attempt: e.Attempt, Reason: model.FailedCancelled, Ran: model.RanUnknown}, nil)
+		case effect.ToControl:
+			hint, ok := e.Body.(event.Hint)
+			told = told || ok && hint.Upstream == silent.Upstream && hint.Sure
+		}
+	}
+	if !told {
+		t.Error("the other VMs are not told of the silent upstream")
+	}
+	if got := b.call()[0].Upstream; got == silent.Upstream {
+		t.Errorf("got %s again, which was silent for 400ms", got)
+	}
+}
+
+// Guards against VMs that must each find a slow upstream for themselves, and
+// against a single pause that passes for a slow upstream.
+func TestHintsOfOtherVMs(t *testing.T) {
+	for name, c := range map[string]struct {
+		hints []time.Duration // after the start
+		sure  bool
+		want  bool // the own zone's upstream is avoided
+	}{
+		"one slow answer":      {hints: []time.Duration{0}},
+		"answers of one pause": {hints: []time.Duration{0, 5 * time.Millisecond, 20 * time.Millisecond}},
+		"pauses":               {hints: []time.Duration{0, 3 * time.Second}},
+		"slow":                 {hints: []time.Duration{0, 300 * time.Millisecond}, want: true},
+		"silent":               {hints: []time.Duration{0}, sure: true, want: true},
+	} {
+		b := newBench(single(false), "s")
+		for _, after := range c.hints {
+			b.now = began.Add(after)
+			b.table.Hint(b.now, event.Hint{Upstream: "s/a", Sure: c.sure}, nil)
+		}
+		if got := b.call()[0].Upstream != "s/a"; got != c.want {
+			t.Errorf("%s: got avoided %v, want %v", name, got, c.want)
+		}
+	}
+}
+
+// Guards against hedges for parts that wait for this VM's own link: while parts
+// come one after the other, the missing ones are not overdue.
+func TestNoHedgeWhilePartsCome(t *testing.T) {
+	route := model.Route{
+		Name: "r", Host: "h", Prefix: "/", Attempts: 2, Timeout: time.Second, Objective: 100 * time.Millisecond, Records: 5, Coverage: 0.5,
+		Shards: []string{"s1", "s2", "s3", "s4"},
+	}
+	b := newBench(route, route.Shards...)
+	attempts := b.call()
+	b.now = b.now.Add(39 * time.Millisecond)
+	if got := sent(b.answer(attempts[0], 0)); len(got) != 0 {
+		t.Errorf("got %d hedges before the delay", len(got))
+	}
+	if got := sent(b.answer(attempts[1], 2*time.Millisecond)); len(got) != 0 {
+		t.Errorf("got %d hedges while parts come, want none", len(got))
+	}
+	b.now = b.now.Add(5 * time.Millisecond)
+	if got := sent(b.table.Timer(b.now, event.TimerID{Kind: event.TimerCall, N: 1}, nil)); len(got) != 2 {
+		t.Errorf("got %d hedges after the parts stopped coming, want 2", len(got))
+	}
+}
+
+// Guards against a repeated request that must run once, and against a promise
+// that it did not run when nothing is known.
+func TestOnceIsNotRepeatedAfterAReset(t *testing.T) {
+	b := newBench(single(true), "s")
+	f := b.call()[0]
+	out := b.table.Failed(b.now, event.Failed{Attempt: f.Attempt, Reason: model.FailedReset, Ran: model.RanUnknown}, nil)
+	if got := sent(out); len(got) != 0 {
+		t.Errorf("got %d attempts after a reset, want none", len(got))
+	}
+	for _, e := range out {
+		if r, ok := e.(effect.Refuse); ok && (r.Rejection.Ran != model.RanUnknown || r.Rejection.Reason != model.RefusedFailed) {
+			t.Errorf("got %+v, want failed, ran unknown", r.Rejection)
+		}
+	}
+	f = b.call()[0]
+	out = b.table.Failed(b.now, event.Failed{Attempt: f.Attempt, Reason: model.FailedRefused, Ran: model.RanNo}, nil)
+	if got := sent(out); len(got) != 1 || got[0].Upstream == f.Upstream {
+		t.Errorf("got %+v after a refused connection, want an attempt on another upstream", got)
+	}
+}
+
+// Guards against a request that crashes every upstream that runs it, and
+// against a quarantine of requests that others answer.
+func TestCrashingRequestIsQuarantined(t *testing.T) {
+	b := newBench(single(false), "s")
+	struck := event.Struck{Fingerprint: 1, Upstreams: []model.UpstreamID{"s/a", "s/b", "s/c"}}
+	b.table.Struck(b.now, struck, nil)
+	out := b.table.Call(b.now, event.Call{ID: 1, Host: "h", Path: "/x", Fingerprint: 1}, nil)
+	if len(sent(out)) != 0 {
+		t.Error("a request that crashed three upstreams is sent again")
+	}
+	if f := sent(b.table.Call(b.now, event.Call{ID: 2, Host: "h", Path: "/x", Fingerprint: 2}, nil)); len(f) != 1 {
+		t.Error("another request is not sent")
+	}
+}
+
+// Guards against shares of a route's targets that miss its weights.
+func TestTargetsGetTheirWeights(t *testing.T) {
+	route := single(false)
+	route.Targets = []model.Target{{Service: "s", Weight: 3}, {Service: "t", Weight: 1}}
+	b := newBench(route, "s", "t")
+	n := 0
+	for range 400 {
+		f := b.call()[0]
+		if f.Upstream[0] == 's' {
+			n++
+		}
+		b.answer(f, time.Millisecond)
+	}
+	if n < 296 || n > 304 {
+		t.Errorf("got %d of 400 requests on the target of weight 3 to 1, want 300", n)
+	}
+}
--- a/io/disk/store_test.go
+++ b/io/disk/store_test.go
@@ -317,6 +317,39 @@
 	}
 }
 
+// TestPatience guards against a replica that is lost for good when its disk
+// fails for a while, and against a success that an earlier failed sync hides.
+func TestPatience(t *testing.T) {
+	posted := make(chan event.Body, 8)
+	folder := t.TempDir()
+	s, err := Open(folder, func(b event.Body) { posted <- b })
+	if err != nil {
+		t.Fatal(err)
+	}
+	s.Patience = time.Minute
+	s.log.Close()
+	done := make(chan error)
+	go func() { done <- s.Run() }()
+	<-posted
+	vote := effect.Vote{N: 4, Term: 3, Vote: ballot.Vote}
+	s.Execute(vote)
+	if got, want := <-posted, (event.Synced{N: vote.N}); got != want {
+		t.Fatalf("got %+v, want %+v after the disk works again", got, want)
+	}
+	s.Stop(nil)
+	if err := <-done; err != nil {
+		t.Error(err)
+	}
+	again, err := Open(folder, func(b event.Body) { posted <- b })
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer again.close()
+	if got := again.loaded.Term; got != vote.Term {
+		t.Errorf("got term %d after a restart, want %d", got, vote.Term)
+	}
+}
+
 func write(t rapid.TB, path string, b []byte) {
 	t.Helper()
 	if err := os.WriteFile(path, b, 0o600); err != nil {
--- a/io/peer/codec_test.go
+++ b/io/peer/codec_test.go
@@ -74,13 +74,13 @@
 		frame.Probe{N: 1, Target: "vm1"}, frame.Probed{N: 1, Target: "vm1", Alive: true},
 		frame.Ask{N: 1, Start: at, Revision: 2, Demand: map[string]int{"c": 1}},
 		frame.Grant{N: 1, Shares: map[string]int{"c": 1}, Length: time.Second},
-	frame.Roster{
-		Stamp: 9, Age: time.Second, Fleet: 17, Daemons: 4, Whole: true, Upstreams: []model.Upstream{{
-			ID: "u1", Addr: netip.MustParseAddrPort("10.0.0.1:80"), Zone: "a", Index: "s", Slots: 2, Cold: time.Second,
-		}},
-	},
-	frame.Lack{},
-	frame.Hint{Upstream: "u", Sure: true},
+		frame.Roster{
+			Stamp: 9, Age: time.Second, Fleet: 17, Daemons: 4, Whole: true, Upstreams: []model.Upstream{{
+				ID: "u1", Addr: netip.MustParseAddrPort("10.0.0.1:80"), Zone: "a", Index: "s", Slots: 2, Cold: time.Second,
+			}},
+		},
+		frame.Lack{},
+		frame.Hint{Upstream: "u", Sure: true},
 		frame.Strike{Fingerprint: 3, Upstreams: []model.UpstreamID{"u"}, Quarantine: time.Second, Pass: true},
 	)
 }
