--- a/core/proxy/finish.go
+++ b/core/proxy/finish.go
@@ -8,8 +8,11 @@
 	"comfreypulley/core/model"
 )
 
-// shortWait is when a refused caller may come back if no upstream said so.
-const shortWait = 50 * time.Millisecond
+// When a refused caller may come back if no upstream said so.
+const (
+	shortWait = 50 * time.Millisecond
+	staleWait = 500 * time.Millisecond // a VM without a document gets one in about a second after its start
+)
 
 // Returned takes a complete response.
 func (t *Table) Returned(at time.Time, e event.Returned, out []effect.Effect) []effect.Effect {
@@ -30,7 +33,7 @@
 		h.other = true
 		return t.broken(at, a, model.FailedVersion, model.RanNo, 0, out)
 	case e.NotRun:
-		h.fails.add(at, 1, 0)
+		out = t.blame(at, h, model.FailedShed, out)
 		return t.broken(at, a, model.FailedShed, model.RanNo, e.After, out)
 	case e.Receipt == "":
 		out = t.blame(at, h, model.FailedInvalid, out)
@@ -156,6 +159,9 @@
 func (t *Table) refuseEarly(e event.Call, route *model.Route, reason model.Refusal, out []effect.Effect) []effect.Effect {
 	trace := effect.Trace{Tag: e.Tag, Outcome: "refused", Reason: reason}
 	r := model.Rejection{Request: e.ID, Reason: reason, Ran: model.RanNo, After: shortWait}
+	if reason == model.RefusedStale {
+		r.After = staleWait
+	}
 	if t.document != nil {
 		trace.Version = t.document.Version
 	}
--- a/core/proxy/hint.go
+++ b/core/proxy/hint.go
@@ -68,11 +68,9 @@
 	return append(out, effect.ToControl{Body: event.Hint{Upstream: h.upstream.ID, Sure: sure}})
 }
 
-// blame notes a failure of an upstream, and tells it when it is out of service.
+// blame notes a failure of an upstream and tells it: one that is out of service
+// at once, one that fails some requests when another VM finds the same.
 func (t *Table) blame(at time.Time, h *host, reason model.Failure, out []effect.Effect) []effect.Effect {
 	h.failed(at, reason)
-	if reason == model.FailedRefused || reason == model.FailedTimeout {
-		return t.tell(at, h, true, out)
-	}
-	return out
+	return t.tell(at, h, reason == model.FailedRefused || reason == model.FailedTimeout, out)
 }
--- a/core/quorum/log.go
+++ b/core/quorum/log.go
@@ -19,6 +19,8 @@
 	beatPeriod  = 100 * time.Millisecond
 	minElection = 400 * time.Millisecond
 	maxElection = 800 * time.Millisecond
+	minFirst    = 100 * time.Millisecond // until the first campaign after a start
+	maxFirst    = 300 * time.Millisecond
 	snapRetry   = time.Second // a snapshot takes longer to send and sync than a heartbeat period
 	maxPending  = 8192        // uncommitted entries; bounds the leader's memory without a majority
 	maxBatch    = 256         // entries of one frame.Append
@@ -139,7 +141,10 @@
 		l.first = append(l.first, entry.Replica{VM: vm})
 	}
 	l.findMembers(l.last())
-	return l.await(at, out)
+	// Pre-votes keep an early candidate from unseating a leader that is alive, so
+	// a fleet that restarts as a whole need not wait for a full timeout.
+	l.deadline = at.Add(minFirst + time.Duration(l.random.Int64N(int64(maxFirst-minFirst))))
+	return setTimer(event.TimerElection, l.deadline, out)
 }
 
 // Peer takes a message of another replica.
--- a/core/relay/tree.go
+++ b/core/relay/tree.go
@@ -14,14 +14,15 @@
 
 // Shape and pace of the tree.
 const (
-	fanout   = 8
-	period   = time.Second     // between digests
-	silence  = 3 * time.Second // without a message before a parent is replaced or a child forgotten
-	dryAge   = 6 * time.Second // age above which a parent counts as cut off; two periods of silence
-	askPause = 100 * time.Millisecond
-	perRound = 2  // VMs of the zone, and disk VMs outside, in one round of the search
-	maxBelow = 16 // VMs reported in one digest; bounds its size whatever the size of the fleet
-	maxPath  = 16 // longer paths can only be cycles: 8^16 VMs are under one of this depth
+	fanout      = 8
+	period      = time.Second            // between digests
+	emptyPeriod = 200 * time.Millisecond // between digests of a VM that has no configuration and so cannot serve
+	silence     = 3 * time.Second        // without a message before a parent is replaced or a child forgotten
+	dryAge      = 6 * time.Second        // age above which a parent counts as cut off; two periods of silence
+	askPause    = 100 * time.Millisecond
+	perRound    = 2  // VMs of the zone, and disk VMs outside, in one round of the search
+	maxBelow    = 16 // VMs reported in one digest; bounds its size whatever the size of the fleet
+	maxPath     = 16 // longer paths can only be cycles: 8^16 VMs are under one of this depth
 
 	// unknownAge stands for a VM that never heard of a majority.
 	unknownAge = 24 * time.Hour
@@ -153,7 +154,11 @@
 	if home != "" && home != t.parent {
 		out = t.tell(home, t.digest(true), out)
 	}
-	return append(out, effect.SetTimer{ID: timerID, At: at.Add(period)})
+	wait := period
+	if t.Store.Revision() == 0 {
+		wait = emptyPeriod
+	}
+	return append(out, effect.SetTimer{ID: timerID, At: at.Add(wait)})
 }
 
 // Down replaces a parent whose connection broke.
