Learn the rhythm of upstreams' pauses and avoid them

The traces show that an upstream pauses at a steady period of its own. The ends of pauses, as this VM and the others of the zone notice them, give the period; an upstream is then passed over while a request sent to it would be held up. Ruled out: sharing of pauses as they are noticed, most of which are over by then.

--- a/core/event/bridge.go
+++ b/core/event/bridge.go
@@ -56,7 +56,8 @@
 // of the zone.
 type Hint struct {
 	Upstream model.UpstreamID
-	Sure     bool // silent or gone; otherwise an answer was slow
+	Sure     bool          // silent or gone; otherwise an answer was slow, or a request failed
+	Held     time.Duration // how much longer than usual a slow answer took; 0 after a failure
 }
 
 func (Hint) body()     {}
--- a/core/frame/frame.go
+++ b/core/frame/frame.go
@@ -216,6 +216,7 @@
 type Hint struct {
 	Upstream model.UpstreamID
 	Sure     bool
+	Held     time.Duration // how much longer than usual a slow answer took
 }
 
 // Kind returns KindHint.
--- a/core/proxy/finish.go
+++ b/core/proxy/finish.go
@@ -46,7 +46,7 @@
 	took := at.Sub(a.sent)
 	expected := a.call.pace.expected(a.call.route)
 	if took > slowFactor*expected && took > expected+slowLeast {
-		out = t.tell(at, h, false, out)
+		out = t.slow(at, h, took-expected, out)
 	}
 	a.call.pace.add(a.call.route, took)
 	h.answered(at, float64(took)/float64(max(expected, time.Millisecond)))
--- a/core/proxy/hint.go
+++ b/core/proxy/hint.go
@@ -53,24 +53,33 @@
 func (t *Table) Hint(at time.Time, e event.Hint, out []effect.Effect) []effect.Effect {
 	if h, ok := t.hosts[e.Upstream]; ok {
 		h.rumour.hear(at, e.Sure)
+		if e.Held > 0 {
+			h.rhythm.note(at, e.Held)
+		}
 	}
 	return out
 }
 
-// tell tells the other VMs of the zone that an upstream is slow or, when it is
-// sure, silent or gone.
-func (t *Table) tell(at time.Time, h *host, sure bool, out []effect.Effect) []effect.Effect {
+// slow notes an answer that was held up, and tells it.
+func (t *Table) slow(at time.Time, h *host, held time.Duration, out []effect.Effect) []effect.Effect {
+	h.rhythm.note(at, held)
+	return t.tell(at, h, event.Hint{Held: held}, out)
+}
+
+// tell tells the other VMs of the zone what was found of an upstream.
+func (t *Table) tell(at time.Time, h *host, hint event.Hint, out []effect.Effect) []effect.Effect {
 	if at.Sub(h.rumour.told) < hintPause {
 		return out
 	}
 	h.rumour.told = at
-	h.rumour.hear(at, sure)
-	return append(out, effect.ToControl{Body: event.Hint{Upstream: h.upstream.ID, Sure: sure}})
+	h.rumour.hear(at, hint.Sure)
+	hint.Upstream = h.upstream.ID
+	return append(out, effect.ToControl{Body: hint})
 }
 
 // blame notes a failure of an upstream and tells it: one that is out of service
 // at once, one that fails some requests when another VM finds the same.
 func (t *Table) blame(at time.Time, h *host, reason model.Failure, out []effect.Effect) []effect.Effect {
 	h.failed(at, reason)
-	return t.tell(at, h, reason == model.FailedRefused || reason == model.FailedTimeout, out)
+	return t.tell(at, h, event.Hint{Sure: reason == model.FailedRefused || reason == model.FailedTimeout}, out)
 }
--- a/core/proxy/host.go
+++ b/core/proxy/host.go
@@ -38,6 +38,7 @@
 	leaving  time.Time // when it last closed a connection by its own wish
 	coldTo   time.Time
 	rumour   rumour
+	rhythm   rhythm
 }
 
 // average is a moving average that fades toward a rest value.
@@ -95,7 +96,7 @@
 	if at.Sub(h.leaving) < leavingFor {
 		total += float64(leavingCost)
 	}
-	return time.Duration(total) + h.stalled(at) + h.rumour.cost(at)
+	return time.Duration(total) + max(h.stalled(at), h.rhythm.wait(at, typical)) + h.rumour.cost(at)
 }
 
 // stalled returns what an overdue attempt says about the next one: an upstream
