Pass strikes of crashing requests on to the entry VMs; read shared headers in one place

Cause: entry VMs of a fleet that enrols are not registered, so a control VM that heard of a crashing request told no daemon but the registered ones; found in the read-through, with a test that failed before. The readers of Retry-After and load reports stood twice, in io/dialer and io/proxy.

--- a/core/plane/enrol_test.go
+++ b/core/plane/enrol_test.go
@@ -142,6 +142,26 @@
 	}
 }
 
+// Guards against a crashing request that only the daemon that found it refuses:
+// it comes again at any other.
+func TestStrikesReachFollowers(t *testing.T) {
+	f := newEnrolled(1)
+	found(f)
+	for _, id := range []model.VMID{"10.0.1.1", "10.0.1.2", "10.0.1.3"} {
+		f.c.Peer(f.now, event.Peer{From: id, Message: frame.Digest{}}, nil)
+	}
+	strike := frame.Strike{Fingerprint: 5, Upstreams: []model.UpstreamID{"u1", "u2", "u3"}, Quarantine: time.Minute}
+	var told []model.VMID
+	for _, tell := range all[effect.Tell](f.c.Peer(f.now, event.Peer{From: "10.0.1.1", Message: strike}, nil)) {
+		if _, ok := tell.Message.(frame.Strike); ok {
+			told = append(told, tell.To)
+		}
+	}
+	if want := []model.VMID{"10.0.1.2", "10.0.1.3"}; !slices.Equal(told, want) {
+		t.Errorf("got strikes told to %v, want %v", told, want)
+	}
+}
+
 // Guards against documents that are lost, go back or change under their
 // version, and against an old one that is refused when it is sent again.
 func TestDocumentOfHighestVersionIsInForce(t *testing.T) {
--- a/core/plane/strike.go
+++ b/core/plane/strike.go
@@ -45,10 +45,19 @@
 		return out
 	}
 	out = append(out, effect.ToTraffic{Loop: effect.AllLoops, Body: s})
-	if !m.Pass {
+	pass := m.Pass
+	m.Pass = false
+	if c.start.Enrols && c.start.VM.Disk {
+		// The daemons that follow this VM are not registered.
+		for _, id := range c.following(at) {
+			if id != from {
+				out = append(out, effect.Tell{To: id, Message: m})
+			}
+		}
+	}
+	if !pass {
 		return out
 	}
-	m.Pass = false
 	return c.tellZone(from, m, out)
 }
 
--- a/io/dialer/call.go
+++ b/io/dialer/call.go
@@ -11,13 +11,12 @@
 	"net/http"
 	"net/http/httptrace"
 	"strconv"
-	"strings"
 	"sync"
-	"time"
 
 	"comfreypulley/core/effect"
 	"comfreypulley/core/event"
 	"comfreypulley/core/model"
+	"comfreypulley/io/heads"
 )
 
 // call is one attempt in flight.
@@ -70,7 +69,7 @@
 	if err := json.Unmarshal(body, &a); err != nil || len(body) > maxAnswer || a.Shards < 1 {
 		return event.Failed{
 			Attempt: c.send.Attempt, Reason: model.FailedInvalid, Ran: ranOf(response, model.RanUnknown),
-			Load: loadOf(response), Fresh: c.isFresh(),
+			Load: heads.Load(response.Header.Get("Load")), Fresh: c.isFresh(),
 		}
 	}
 	items := make([]model.Item, len(a.Items))
@@ -79,7 +78,7 @@
 	}
 	return event.Answered{
 		Attempt: c.send.Attempt, Version: model.Version(a.Version), Shards: a.Shards, Shard: a.Shard,
-		Items: items, Load: loadOf(response), Fresh: c.isFresh(),
+		Items: items, Load: heads.Load(response.Header.Get("Load")), Fresh: c.isFresh(),
 	}
 }
 
@@ -153,7 +152,7 @@
 func (c *call) refused(r *http.Response) event.Failed {
 	f := event.Failed{
 		Attempt: c.send.Attempt, Reason: model.FailedInvalid, Ran: ranOf(r, model.RanUnknown),
-		After: afterOf(r), Load: loadOf(r), Fresh: c.isFresh(),
+		After: heads.After(r.Header), Load: heads.Load(r.Header.Get("Load")), Fresh: c.isFresh(),
 	}
 	switch r.StatusCode {
 	case http.StatusConflict:
@@ -185,29 +184,3 @@
 		return missing
 	}
 }
-
-// afterOf reads Retry-After, in seconds with an optional fraction.
-func afterOf(r *http.Response) time.Duration {
-	seconds, err := strconv.ParseFloat(r.Header.Get("Retry-After"), 64)
-	if err != nil || seconds < 0 || seconds > 3600 {
-		return 0
-	}
-	return time.Duration(seconds * float64(time.Second))
-}
-
-// loadOf reads the Load header: in flight, queued and slots, separated by commas.
-func loadOf(r *http.Response) *model.Load {
-	parts := strings.Split(r.Header.Get("Load"), ",")
-	if len(parts) != 3 {
-		return nil
-	}
-	var n [3]int
-	for i, part := range parts {
-		v, err := strconv.Atoi(strings.TrimSpace(part))
-		if err != nil || v < 0 {
-			return nil
-		}
-		n[i] = v
-	}
-	return &model.Load{Inflight: n[0], Queued: n[1], Slots: n[2]}
-}
--- /dev/null
+++ b/io/heads/heads_test.go
@@ -0,0 +1,27 @@
+package heads
+
+import (
+	"net/http"
+	"testing"
+	"time"
+
+	"comfreypulley/core/model"
+)
+
+// Guards against waits and loads that are made up from malformed headers.
+func TestHeaders(t *testing.T) {
+	for text, want := range map[string]time.Duration{
+		"": 0, "1": time.Second, "0.05": 50 * time.Millisecond, "-1": 0, "soon": 0, "NaN": 0, "1e9": 0,
+	} {
+		if got := After(http.Header{"Retry-After": {text}}); got != want {
+			t.Errorf("Retry-After %q: got %v, want %v", text, got, want)
+		}
+	}
+	for text, want := range map[string]*model.Load{
+		"": nil, "1,2": nil, "1,2,x": nil, "1,-2,3": nil, "3, 0,8": {Inflight: 3, Slots: 8},
+	} {
+		if got := Load(text); (got == nil) != (want == nil) || got != nil && *got != *want {
+			t.Errorf("load %q: got %+v, want %+v", text, got, want)
+		}
+	}
+}
--- a/io/proxy/call.go
+++ b/io/proxy/call.go
@@ -14,6 +14,7 @@
 	"comfreypulley/core/effect"
 	"comfreypulley/core/event"
 	"comfreypulley/core/model"
+	"comfreypulley/io/heads"
 )
 
 // call is one attempt in flight.
@@ -185,7 +186,7 @@
 	returned = event.Returned{
 		Attempt: a.forward.Attempt, Receipt: response.Header.Get(d.Receipt), Leaving: response.Close,
 		NotRun: response.Header.Get(d.NotRun) != "", Other: response.StatusCode == http.StatusMisdirectedRequest,
-		After: after(response.Header), Load: d.load(response.Header), Fresh: a.fresh,
+		After: heads.After(response.Header), Load: heads.Load(response.Header.Get(d.Load)), Fresh: a.fresh,
 		Reply: model.Reply{Status: response.StatusCode, Body: body},
 	}
 	if !a.forward.Part {
--- a/io/proxy/dialect.go
+++ b/io/proxy/dialect.go
@@ -5,8 +5,6 @@
 	"strconv"
 	"strings"
 	"time"
-
-	"comfreypulley/core/model"
 )
 
 // Dialect names the headers of requests and answers.
@@ -30,33 +28,6 @@
 	return time.Duration(ms) * time.Millisecond
 }
 
-// load reads a load report, nil when there is none that makes sense.
-func (d *Dialect) load(h http.Header) *model.Load {
-	parts := strings.Split(h.Get(d.Load), ",")
-	if len(parts) != 3 {
-		return nil
-	}
-	var n [3]int
-	for i, part := range parts {
-		v, err := strconv.Atoi(strings.TrimSpace(part))
-		if err != nil || v < 0 {
-			return nil
-		}
-		n[i] = v
-	}
-	return &model.Load{Inflight: n[0], Queued: n[1], Slots: n[2]}
-}
-
-// after reads Retry-After in seconds, 0 when it is missing or makes no sense.
-func after(h http.Header) time.Duration {
-	const most = time.Hour
-	seconds, err := strconv.ParseFloat(h.Get("Retry-After"), 64)
-	if err != nil || !(seconds > 0) || seconds > most.Seconds() {
-		return 0
-	}
-	return time.Duration(seconds * float64(time.Second))
-}
-
 // passing returns the headers without those of a single connection.
 func passing(h http.Header) http.Header {
 	kept := h.Clone()
