--- a/core/event/control.go
+++ b/core/event/control.go
@@ -56,6 +56,7 @@
 // Listed is the end of an effect.Read. The upstreams are sorted by id.
 type Listed struct {
 	Upstreams []model.Upstream
+	Ignored   int    // entries that make no sense
 	Problem   string // why the list was not read; empty otherwise
 }
 
--- a/core/plane/roster.go
+++ b/core/plane/roster.go
@@ -3,6 +3,7 @@
 import (
 	"hash/fnv"
 	"slices"
+	"strconv"
 	"time"
 
 	"comfreypulley/core/effect"
@@ -33,6 +34,7 @@
 	asked     time.Time // when a read by this VM began; zero when none is under way
 	tried     time.Time // when the last read by this VM began
 	failing   bool
+	ignored   int                      // entries left out of the last read
 	listeners map[model.VMID]time.Time // daemons that follow this VM, by their last digest
 	counts    map[model.VMID]counted
 	fleet     int // daemons as last published
@@ -90,6 +92,12 @@
 		out = append(out, effect.Note{At: at, Subject: "roster", Action: "read again", Cause: "the list answers"})
 	}
 	r.failing = false
+	if l.Ignored != r.ignored {
+		out = append(out, effect.Note{
+			At: at, Subject: "roster", Action: "entries ignored", Cause: strconv.Itoa(l.Ignored) + " name no usable upstream",
+		})
+	}
+	r.ignored = l.Ignored
 	if began.IsZero() {
 		began = at
 	}
--- a/io/serve/control.go
+++ b/io/serve/control.go
@@ -30,8 +30,8 @@
 func (c *control) read(e effect.Read) {
 	ctx, cancel := context.WithTimeout(context.Background(), e.Timeout)
 	defer cancel()
-	upstreams, err := c.lister.List(ctx)
-	listed := event.Listed{Upstreams: upstreams}
+	upstreams, ignored, err := c.lister.List(ctx)
+	listed := event.Listed{Upstreams: upstreams, Ignored: ignored}
 	if err != nil {
 		listed = event.Listed{Problem: err.Error()}
 	}
--- a/io/serve/resident.go
+++ b/io/serve/resident.go
@@ -131,6 +131,9 @@
 		}
 	}()
 	r.logger.WithField("disk", r.site.VM.Disk).Info("started")
+	for _, problem := range r.site.Ignored {
+		r.logger.WithField("cause", problem).Warn("setting ignored")
+	}
 	defer r.logger.Info("stopped")
 	var group run.Group
 	start := r.begin()
--- a/io/serve/site.go
+++ b/io/serve/site.go
@@ -27,6 +27,7 @@
 	Grace    time.Duration // from the request to stop until the process is killed
 	Ratio    float64       // extra attempts as a share of the requests for a service
 	Extra    int           // extra attempts for a service beyond that
+	Ignored  []string      // settings that make no sense and are left out
 	Dialect  *proxy.Dialect
 	Lister   Lister
 	Operator func(Asker) http.Handler // the operators' interface
@@ -35,5 +36,7 @@
 
 // Lister reads the platform's list of upstreams.
 type Lister interface {
-	List(ctx context.Context) ([]model.Upstream, error)
+	// List returns the upstreams, and how many entries were left out because
+	// they make no sense.
+	List(ctx context.Context) (upstreams []model.Upstream, ignored int, err error)
 }
