--- a/core/proxy/hint.go
+++ b/core/proxy/hint.go
@@ -21,15 +21,15 @@
 	hintCost   = 25 * time.Millisecond
 )
 
-// rumour is what other VMs said of an upstream.
-type rumour struct {
+// reports is what other VMs said of an upstream.
+type reports struct {
 	told  time.Time // last hint of this VM
 	first time.Time // hint that a second one would confirm
-	bad   time.Time // when the upstream was last taken for slow or silent by hearsay
+	bad   time.Time // when the upstream was last reported as slow or silent
 }
 
-// cost is the expected loss of time by hearsay.
-func (r *rumour) cost(at time.Time) time.Duration {
+// cost is the expected loss of time by the reports.
+func (r *reports) cost(at time.Time) time.Duration {
 	if r.bad.IsZero() {
 		return 0
 	}
@@ -37,7 +37,7 @@
 }
 
 // hear takes a hint. A single slow answer proves nothing: it may end a pause.
-func (r *rumour) hear(at time.Time, sure bool) {
+func (r *reports) hear(at time.Time, sure bool) {
 	apart := at.Sub(r.first)
 	switch {
 	case sure:
@@ -52,7 +52,7 @@
 // Hint takes what another VM of the zone told.
 func (t *Table) Hint(at time.Time, e event.Hint, out []effect.Effect) []effect.Effect {
 	if h, ok := t.hosts[e.Upstream]; ok {
-		h.rumour.hear(at, e.Sure)
+		h.reports.hear(at, e.Sure)
 		if e.Held > 0 {
 			h.rhythm.note(at, e.Held)
 		}
@@ -68,11 +68,11 @@
 
 // tell tells the other VMs of the zone what was found of an upstream.
 func (t *Table) tell(at time.Time, h *host, hint event.Hint, out []effect.Effect) []effect.Effect {
-	if at.Sub(h.rumour.told) < hintPause {
+	if at.Sub(h.reports.told) < hintPause {
 		return out
 	}
-	h.rumour.told = at
-	h.rumour.hear(at, hint.Sure)
+	h.reports.told = at
+	h.reports.hear(at, hint.Sure)
 	hint.Upstream = h.upstream.ID
 	return append(out, effect.ToControl{Body: hint})
 }
--- a/core/proxy/host.go
+++ b/core/proxy/host.go
@@ -37,7 +37,7 @@
 	other    bool      // another upstream answers at the address
 	leaving  time.Time // when it last closed a connection by its own wish
 	coldTo   time.Time
-	rumour   rumour
+	reports  reports
 	rhythm   rhythm
 }
 
@@ -65,7 +65,7 @@
 	h.fails.add(at, 0, 0)
 	h.refusals, h.down = 0, time.Time{}
 	if ratio < slowFactor {
-		h.rumour.bad = time.Time{}
+		h.reports.bad = time.Time{}
 	}
 }
 
@@ -96,7 +96,7 @@
 	if at.Sub(h.leaving) < leavingFor {
 		total += float64(leavingCost)
 	}
-	return time.Duration(total) + max(h.stalled(at), h.rhythm.wait(at, typical)) + h.rumour.cost(at)
+	return time.Duration(total) + max(h.stalled(at), h.rhythm.wait(at, typical)) + h.reports.cost(at)
 }
 
 // stalled returns what an overdue attempt says about the next one: an upstream
