Add a fault soak that runs the platform's processes under random faults

core/soak is the reducer: it draws the faults of a seed, follows which VMs are calm, and judges answers, runs, documents and ends of processes. io/soak carries out its effects: processes, loopback proxies (io/fault), upstreams (io/stub, which now also serves routed requests), callers and operators. platform.Rig writes what the adapter reads, so that names stay in one folder. A process may accept peers behind a forwarder (setting listen.peer).

Ruled out: in-process VMs, since signals and lost descriptors are part of what is asked; a judge at the end of the run, since findings are wanted with their time.

Before: no soak.

--- /dev/null
+++ b/core/soak/plan.go
@@ -0,0 +1,366 @@
+package soak
+
+import (
+	"cmp"
+	"math/rand/v2"
+	"slices"
+	"time"
+)
+
+// step is a fault: what begins it, what ends it and whom it troubles.
+type step struct {
+	at, length time.Duration
+	name       string
+	begin, end []Effect
+	subjects   []subject
+	how        Spawn         // the next start of a process that it ends
+	after      time.Duration // from the end of a process to its next start
+	troubles   []*trouble    // while it is in force
+}
+
+// Times of faults.
+const (
+	shortest    = 100 * time.Millisecond
+	longest     = 3500 * time.Millisecond
+	maxRestart  = 2 * time.Second
+	maxGap      = 1300 * time.Millisecond // between two faults of a stormy time
+	maxFollow   = 600 * time.Millisecond  // from a fault to the next one on the same VM
+	calmGap     = 2500 * time.Millisecond // between two faults of a calm time
+	crashLength = 2500 * time.Millisecond // until an upstream that crashed counts as sound
+	wipeAt      = 6 * time.Second         // in a cycle in which a disk is lost
+	slowBy      = 20
+)
+
+// planner draws the faults of a soak. Equal seeds give equal plans.
+type planner struct {
+	cfg    *Config
+	random *rand.Rand
+	steps  []step
+	drains []int
+}
+
+// drawPlan draws all faults before the soak begins.
+func (s *State) drawPlan() {
+	p := &planner{cfg: &s.cfg, random: rand.New(rand.NewPCG(s.cfg.Seed, 2))}
+	end := settling + s.cfg.Period
+	next := p.wipes()
+	for from := settling; from < end; from += cycle {
+		// Around a lost disk, the others that hold the log stay as they are.
+		wipe := next
+		next = p.wipes()
+		for at := from; at < min(from+stormy, end); at += p.upTo(maxGap) {
+			p.storm(at, !wipe)
+		}
+		for at := from + stormy; at < min(from+cycle, end); at += p.upTo(calmGap) {
+			p.breeze(at, !wipe && !next)
+		}
+		if at := from + wipeAt; wipe && at < end {
+			p.kill(at, p.random.IntN(s.cfg.Controls), Spawn{Wipe: true})
+		}
+	}
+	slices.SortStableFunc(p.steps, func(a, b step) int { return cmp.Compare(a.at, b.at) })
+	for i := range p.steps {
+		p.steps[i].length = min(p.steps[i].length, max(0, end-p.steps[i].at))
+	}
+	s.plan = p.steps
+}
+
+func (p *planner) upTo(limit time.Duration) time.Duration {
+	return shortest + time.Duration(p.random.Int64N(int64(limit)))
+}
+
+// wipes draws whether a disk is lost in a cycle.
+func (p *planner) wipes() bool { return p.random.IntN(4) == 0 }
+
+func (p *planner) add(st step) { p.steps = append(p.steps, st) }
+
+// vm draws a VM; only one that takes callers when the log is to be spared.
+func (p *planner) vm(core bool) int {
+	if core {
+		return p.random.IntN(p.cfg.Controls + p.cfg.Entries)
+	}
+	return p.cfg.Controls + p.random.IntN(p.cfg.Entries)
+}
+
+func (p *planner) whom(n int) []subject {
+	who := []subject{{partVM, n}}
+	if n < p.cfg.Controls {
+		who = append(who, subject{part: partCore})
+	}
+	return who
+}
+
+// storm adds a fault of a stormy time, often followed by others on the same VM.
+func (p *planner) storm(at time.Duration, core bool) {
+	n := p.vm(core)
+	switch p.random.IntN(10) {
+	case 0:
+		p.herd(at, core)
+	case 1:
+		if core {
+			p.zoneCut(at)
+		}
+	case 2:
+		p.host(at)
+	case 3:
+		p.host(at)
+		p.host(at + p.upTo(maxFollow))
+	default:
+		p.process(at, n)
+		for p.random.IntN(5) < 2 {
+			at += p.upTo(maxFollow)
+			p.process(at, n)
+		}
+	}
+}
+
+// breeze adds a fault of a calm time: planned work, and trouble that does not
+// touch the log.
+func (p *planner) breeze(at time.Duration, core bool) {
+	switch p.random.IntN(6) {
+	case 0, 1:
+		n := p.vm(core)
+		p.add(step{at: at, name: "stop", begin: []Effect{Signal{n, Stop}}, after: p.upTo(maxRestart)})
+		for p.random.IntN(3) == 0 {
+			// A second signal while the process stops.
+			at += p.upTo(2 * maxFollow)
+			p.add(step{at: at, name: "signal", begin: []Effect{Signal{n, []Sign{Stop, Reload}[p.random.IntN(2)]}}, after: p.upTo(maxRestart)})
+		}
+	case 2:
+		n := p.vm(core)
+		p.add(step{at: at, name: "reload", begin: []Effect{Signal{n, Reload}}})
+	case 3:
+		p.drain(at)
+	case 4:
+		p.process(at, p.vm(false))
+	default:
+		p.host(at)
+	}
+}
+
+// process adds a fault of one VM or its links.
+func (p *planner) process(at time.Duration, n int) {
+	length := p.upTo(longest)
+	link := func(name string, place Place, h Harm) {
+		p.add(step{
+			at: at, length: length, name: name, subjects: p.whom(n),
+			begin: []Effect{Set{place, n, h}}, end: []Effect{Set{Place: place, Index: n}, Reset{place, n}},
+		})
+	}
+	places := []Place{Peers}
+	if n >= p.cfg.Controls {
+		places = append(places, Callers)
+	}
+	place := places[p.random.IntN(len(places))]
+	switch p.random.IntN(12) {
+	case 0, 1:
+		p.kill(at, n, Spawn{})
+	case 2:
+		p.kill(at, n, Spawn{Tear: n < p.cfg.Controls})
+	case 3:
+		p.add(step{at: at, name: "stop", begin: []Effect{Signal{n, Stop}}, after: p.upTo(maxRestart)})
+	case 4, 5:
+		p.add(step{
+			at: at, length: length, name: "pause", subjects: p.whom(n),
+			begin: []Effect{Signal{n, Pause}}, end: []Effect{Signal{n, Resume}},
+		})
+	case 6:
+		link("cut", place, Harm{Cut: true})
+	case 7:
+		link("one way", place, p.oneWay())
+	case 8:
+		link("late", place, Harm{Delay: p.upTo(200 * time.Millisecond)})
+	case 9:
+		link("refused", place, Harm{Refuse: true})
+	case 10:
+		link("pieces", place, Harm{In: Flow{Pieces: 1 + p.random.IntN(8)}, Out: Flow{Pieces: 1 + p.random.IntN(8)}})
+	default:
+		p.add(step{at: at, length: shortest, name: "reset", subjects: p.whom(n), begin: []Effect{Reset{place, n}}})
+	}
+}
+
+func (p *planner) oneWay() Harm {
+	f := Flow{Hold: p.random.IntN(2) == 0}
+	f.Lose = !f.Hold
+	if p.random.IntN(2) == 0 {
+		return Harm{In: f}
+	}
+	return Harm{Out: f}
+}
+
+// kill adds the death of a process and how it starts again.
+func (p *planner) kill(at time.Duration, n int, how Spawn) {
+	name := "kill"
+	switch {
+	case how.Wipe:
+		name = "lost disk"
+	case how.Tear:
+		name = "torn write"
+	}
+	p.add(step{at: at, name: name, begin: []Effect{Signal{n, Kill}}, how: how, after: p.upTo(maxRestart)})
+}
+
+// herd adds the death or pause of many processes at the same moment.
+func (p *planner) herd(at time.Duration, core bool) {
+	first := 0
+	if !core {
+		first = p.cfg.Controls
+	}
+	zone := p.random.IntN(p.cfg.Zones + 1) // the last one means all
+	sign := []Sign{Kill, Kill, Pause}[p.random.IntN(3)]
+	st := step{at: at, name: "herd " + sign.String(), after: p.upTo(maxRestart)}
+	for n := first; n < p.cfg.Controls+p.cfg.Entries; n++ {
+		if zone < p.cfg.Zones && n%p.cfg.Zones != zone {
+			continue
+		}
+		st.begin = append(st.begin, Signal{n, sign})
+		if sign == Pause {
+			st.end = append(st.end, Signal{n, Resume})
+			st.subjects = append(st.subjects, p.whom(n)...)
+			st.length = p.upTo(longest)
+		}
+	}
+	p.add(st)
+}
+
+// zoneCut adds a time in which VMs of one zone and those of the others do not
+// reach each other.
+func (p *planner) zoneCut(at time.Duration) {
+	zone := p.random.IntN(p.cfg.Zones)
+	st := step{at: at, length: p.upTo(longest), name: "zone cut", subjects: []subject{{part: partCore}}}
+	for n := range p.cfg.Controls + p.cfg.Entries {
+		var h Harm
+		for other := range p.cfg.Zones {
+			if (other == zone) != (n%p.cfg.Zones == zone) {
+				h.Zones = append(h.Zones, other)
+			}
+		}
+		st.begin = append(st.begin, Set{Peers, n, h})
+		st.end = append(st.end, Set{Place: Peers, Index: n})
+		st.subjects = append(st.subjects, subject{partVM, n})
+	}
+	p.add(st)
+}
+
+// host adds a fault of an upstream, its links or the list of upstreams.
+func (p *planner) host(at time.Duration) {
+	n := p.random.IntN(len(p.cfg.Hosts))
+	if p.random.IntN(2) == 0 {
+		n = p.random.IntN(len(p.cfg.Hosts) - movers) // those get most of the requests
+	}
+	st := step{at: at, length: p.upTo(longest), subjects: []subject{{partHost, n}}}
+	harm := func(name string, h Harm) {
+		st.name, st.begin, st.end = name, []Effect{Set{Hosts, n, h}}, []Effect{Set{Place: Hosts, Index: n}, Reset{Hosts, n}}
+	}
+	switch p.random.IntN(9) {
+	case 0, 1:
+		st.name, st.length, st.begin = "upstream crash", crashLength, []Effect{Upstream{Host: n, Crash: true}}
+	case 2:
+		st.name, st.begin, st.end = "upstream slow", []Effect{Upstream{Host: n, Slow: slowBy}}, []Effect{Upstream{Host: n, Slow: 1}}
+	case 3:
+		harm("upstream cut", Harm{Cut: true})
+	case 4:
+		harm("upstream one way", p.oneWay())
+	case 5:
+		harm("upstream late", Harm{Delay: p.upTo(200 * time.Millisecond)})
+	case 6:
+		harm("upstream pieces", Harm{Out: Flow{Pieces: 1 + p.random.IntN(8)}})
+	case 7:
+		st.name, st.subjects = "list silent", []subject{{part: partCore}}
+		st.begin, st.end = []Effect{Roster{Mute: true}}, []Effect{Roster{}}
+	default:
+		st.name, st.length, st.begin = "upstream reset", shortest, []Effect{Reset{Hosts, n}}
+	}
+	p.add(st)
+}
+
+// drain adds the leaving of an upstream that another one replaces.
+func (p *planner) drain(at time.Duration) {
+	service := make(map[string]bool)
+	for _, n := range p.drains {
+		service[p.cfg.Hosts[n].Service] = true
+	}
+	n := p.random.IntN(len(p.cfg.Hosts) - movers)
+	if service[p.cfg.Hosts[n].Service] {
+		return
+	}
+	p.drains = append(p.drains, n)
+	p.add(step{at: at, name: "drain", begin: []Effect{Roster{Drained: []int{n}}}})
+}
+
+// begin puts a fault in force.
+func (s *State) begin(st step) {
+	s.report.Faults[st.name]++
+	s.note("%s: %+v", st.name, st.begin)
+	for _, who := range st.subjects {
+		st.troubles = append(st.troubles, s.troubles.begin(who, s.now, false))
+	}
+	for _, e := range st.begin {
+		s.apply(e, &st)
+	}
+	s.undo = append(s.undo, st)
+}
+
+// finish ends a fault.
+func (s *State) finish(st step) {
+	if len(st.end) > 0 {
+		s.note("end of %s: %+v", st.name, st.end)
+	}
+	for _, e := range st.end {
+		s.apply(e, &st)
+	}
+	for _, tr := range st.troubles {
+		tr.to = s.now
+	}
+}
+
+// apply emits the effect of a fault as far as the state of its process allows.
+func (s *State) apply(e Effect, st *step) {
+	switch e := e.(type) {
+	case Signal:
+		s.signal(e, st)
+	case Roster:
+		s.drains = append(s.drains, e.Drained...)
+		if e.Mute {
+			s.muted++
+		} else if len(e.Drained) == 0 {
+			s.muted--
+		}
+		s.emit(Roster{Drained: slices.Clone(s.drains), Mute: s.muted > 0})
+	default:
+		s.emit(e)
+	}
+}
+
+func (s *State) signal(e Signal, st *step) {
+	v := &s.vms[e.VM]
+	switch e.Sign {
+	case Pause:
+		v.paused++
+		v.hasPause = true
+	case Resume:
+		v.paused--
+		if v.paused > 0 {
+			return
+		}
+	case Kill, Stop:
+		if !v.up {
+			return
+		}
+		if !v.ordered || e.Sign == Kill {
+			s.absent(e.VM, e.Sign == Stop)
+			v.respawn, v.after = st.how, st.after
+		}
+		v.ordered = true
+		switch {
+		case e.Sign == Kill:
+			v.stopped = time.Time{}
+		case v.stopped.IsZero():
+			v.stopped, v.hasPause = s.now, v.paused > 0
+		}
+	case Reload:
+	}
+	if v.up {
+		s.emit(e)
+	}
+}
--- a/io/cmds/main.go
+++ b/io/cmds/main.go
@@ -27,6 +27,7 @@
 	Demo     demoCommand     `cmd:"" help:"Run zones of VMs, stand-in upstreams and a load in one process."`
 	Platform platformCommand `cmd:"" help:"Run a process on the users' platform."`
 	Fanout   fanoutCommand   `cmd:"" help:"Drive the reducer in virtual time over many shards and print latencies."`
+	Soak     soakCommand     `cmd:"" help:"Run a fleet as processes under random faults and check its promises."`
 }
 
 // scope is what every subcommand gets.
--- /dev/null
+++ b/io/cmds/soak.go
@@ -0,0 +1,70 @@
+package cmds
+
+import (
+	"encoding/json"
+	"errors"
+	"fmt"
+	"os"
+	"path/filepath"
+	"time"
+
+	"comfreypulley/core/soak"
+	iosoak "comfreypulley/io/soak"
+	"comfreypulley/platform"
+)
+
+// soakCommand runs processes of the platform under random faults.
+type soakCommand struct {
+	Seed   uint64        `default:"1" help:"Seed of the faults and of the traffic."`
+	For    time.Duration `default:"20s" help:"Time with faults. Start, recovery and the last reads take 21 s more."`
+	Folder string        `placeholder:"DIR" help:"Folder for settings, data and logs; a temporary one by default. It is kept when a promise is broken."`
+	Keep   bool          `help:"Keep the folder in any case."`
+	JSON   bool          `help:"Print the report as one JSON object."`
+}
+
+// errBroken reports that a soak has findings.
+var errBroken = errors.New("promises were broken")
+
+// Run implements the subcommand.
+func (c *soakCommand) Run(s *scope) (err error) {
+	folder := c.Folder
+	if folder == "" {
+		if folder, err = os.MkdirTemp("", "comfreypulley-soak-"); err != nil {
+			return err
+		}
+	}
+	if folder, err = filepath.Abs(folder); err != nil {
+		return err
+	}
+	program, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	run := &iosoak.Soak{Seed: c.Seed, Period: c.For, Program: program, Folder: folder, Rig: platform.Rig{}}
+	report, err := run.Run(s.ctx)
+	if err != nil {
+		return fmt.Errorf("%w; logs are in %s", err, folder)
+	}
+	if err := c.print(&report); err != nil {
+		return err
+	}
+	if len(report.Findings) > 0 {
+		return fmt.Errorf("seed %d: %w; logs are in %s", c.Seed, errBroken, folder)
+	}
+	if c.Keep {
+		return nil
+	}
+	return os.RemoveAll(folder)
+}
+
+func (c *soakCommand) print(r *soak.Report) error {
+	if c.JSON {
+		return json.NewEncoder(os.Stdout).Encode(r)
+	}
+	fmt.Printf("seed %d: %d requests, %d served, %d runs, %d changes, %d reads, %.3f served after the recovery\nfaults %v\njudged %v\n",
+		r.Seed, r.Requests, r.Served, r.Runs, r.Changes, r.Reads, r.Recovered, r.Faults, r.Judged)
+	for _, f := range r.Findings {
+		fmt.Println("finding:", f)
+	}
+	return nil
+}
--- a/io/disk/folder.go
+++ b/io/disk/folder.go
@@ -16,12 +16,12 @@
 	"comfreypulley/io/codec"
 )
 
-// Names of the files.
+// Names of the files in a data folder.
 const (
 	diskFile  = "disk"
 	imageFile = "image"
 	lockFile  = "lock"
-	logFile   = "log"
+	LogFile   = "log" // appended to until an image replaces it
 	newEnding = ".new"
 )
 
--- a/io/disk/store.go
+++ b/io/disk/store.go
@@ -188,7 +188,7 @@
 
 // renew replaces the log file by one that begins with the present state.
 func (s *Store) renew() error {
-	f, err := replaceFile(s.folder, logFile, s.encodeBase)
+	f, err := replaceFile(s.folder, LogFile, s.encodeBase)
 	if err != nil {
 		return err
 	}
@@ -201,7 +201,7 @@
 
 // load reads the folder and ends what a crash interrupted.
 func (s *Store) load() error {
-	for _, name := range []string{diskFile, imageFile, logFile} {
+	for _, name := range []string{diskFile, imageFile, LogFile} {
 		if err := os.Remove(filepath.Join(s.folder, name+newEnding)); err != nil && !errors.Is(err, fs.ErrNotExist) {
 			return err
 		}
@@ -218,7 +218,7 @@
 	if err != nil {
 		return err
 	}
-	path := filepath.Join(s.folder, logFile)
+	path := filepath.Join(s.folder, LogFile)
 	b, err := os.ReadFile(path)
 	logged := err == nil
 	switch {
@@ -255,7 +255,7 @@
 func (s *Store) found(log []byte, imaged bool) error {
 	path := filepath.Join(s.folder, diskFile)
 	if len(log) > 0 {
-		size, err := s.replay(logFile, log)
+		size, err := s.replay(LogFile, log)
 		if err != nil {
 			return err
 		}
--- a/io/disk/store_test.go
+++ b/io/disk/store_test.go
@@ -112,7 +112,7 @@
 func TestTornTail(t *testing.T) {
 	folder := t.TempDir()
 	reopen(t, folder)
-	path := filepath.Join(folder, logFile)
+	path := filepath.Join(folder, LogFile)
 	base, _ := os.Stat(path)
 	reopen(t, folder, effect.Append{Entries: entries(1, 2, 1)})
 	first, _ := os.Stat(path)
@@ -142,7 +142,7 @@
 func TestUnwrittenSector(t *testing.T) {
 	folder := t.TempDir()
 	reopen(t, folder, effect.Append{Entries: entries(1, 2, 1)})
-	path := filepath.Join(folder, logFile)
+	path := filepath.Join(folder, LogFile)
 	before, _ := os.Stat(path)
 	reopen(t, folder, effect.Append{Entries: entries(3, 60, 1)})
 	whole, _ := os.ReadFile(path)
@@ -162,7 +162,7 @@
 	folder := t.TempDir()
 	reopen(t, folder, effect.Append{Entries: entries(1, 4, 1)}, effect.Save{Image: entry.Image{Index: 2, Term: 1}},
 		effect.Append{Entries: entries(5, 6, 2)}, ballot, effect.Append{Entries: entries(7, 7, 3)})
-	for _, name := range []string{diskFile, imageFile, logFile} {
+	for _, name := range []string{diskFile, imageFile, LogFile} {
 		path := filepath.Join(folder, name)
 		whole, _ := os.ReadFile(path)
 		for i := range whole {
@@ -212,7 +212,7 @@
 	} {
 		folder := t.TempDir()
 		before := reopen(t, folder, effect.Append{Entries: entries(1, 5, 1)}, ballot)
-		imagePath, logPath := filepath.Join(folder, imageFile), filepath.Join(folder, logFile)
+		imagePath, logPath := filepath.Join(folder, imageFile), filepath.Join(folder, LogFile)
 		oldLog, _ := os.ReadFile(logPath)
 		after := reopen(t, folder, effect.Save{Image: image})
 		newImage, _ := os.ReadFile(imagePath)
--- a/io/serve/resident.go
+++ b/io/serve/resident.go
@@ -80,7 +80,11 @@
 	r.peers = &peer.Transport{Self: site.VM, Post: r.control.Post, Logger: logger}
 	r.executor.peers = r.peers
 	r.counters.Share("peer", r.peers.Counters())
-	if r.peering, err = listen(site.VM.Peer); err != nil {
+	peering := site.VM.Peer
+	if site.Peering.IsValid() {
+		peering = site.Peering
+	}
+	if r.peering, err = listen(peering); err != nil {
 		return nil, err
 	}
 	if site.Callers.IsValid() {
--- a/io/serve/site.go
+++ b/io/serve/site.go
@@ -14,10 +14,11 @@
 // platform.
 type Site struct {
 	VM       model.VM
-	Seeds    []model.VM // VMs with disks that may be asked first
-	Founding bool       // the fleet starts for the first time; the seeds found the log
-	Losses   int        // disks that may be lost at once
-	Data     string     // data folder; empty on a VM without a disk
+	Seeds    []model.VM     // VMs with disks that may be asked first
+	Founding bool           // the fleet starts for the first time; the seeds found the log
+	Losses   int            // disks that may be lost at once
+	Data     string         // data folder; empty on a VM without a disk
+	Peering  netip.AddrPort // where other VMs' connections are accepted, when it is not the peer address they dial
 	Callers  netip.AddrPort
 	Ready    netip.AddrPort
 	Control  netip.AddrPort // of operators
--- /dev/null
+++ b/io/soak/carry.go
@@ -0,0 +1,82 @@
+package soak
+
+import (
+	"fmt"
+	"net/netip"
+	"time"
+
+	"comfreypulley/core/soak"
+	"comfreypulley/io/fault"
+	"comfreypulley/io/stub"
+)
+
+// carry carries out effects.
+func (s *Soak) carry(effects []soak.Effect) error {
+	for _, e := range effects {
+		if err := s.do(e); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (s *Soak) do(e soak.Effect) error {
+	switch e := e.(type) {
+	case soak.Spawn:
+		return s.machines[e.VM].spawn(e)
+	case soak.Signal:
+		return s.machines[e.VM].signal(e)
+	case soak.Set:
+		return s.proxy(e.Place, e.Index).Set(s.rules(e.Harm))
+	case soak.Reset:
+		s.proxy(e.Place, e.Index).Reset()
+	case soak.Upstream:
+		return s.hosts[e.Host].change(e)
+	case soak.Roster:
+		s.roster.Store(&e)
+	case soak.Order:
+		return s.send(e)
+	case soak.Note:
+		_, err := fmt.Fprintf(s.faults, "%s %s\n", time.Now().Format("15:04:05.000"), e.Text)
+		return err
+	}
+	return nil
+}
+
+func (s *Soak) proxy(place soak.Place, index int) *fault.Proxy {
+	switch place {
+	case soak.Peers:
+		return s.machines[index].peers
+	case soak.Callers:
+		return s.machines[index].callers
+	default:
+		return s.hosts[index].proxy
+	}
+}
+
+// rules translates harm into the rules of a proxy.
+func (s *Soak) rules(h soak.Harm) fault.Rules {
+	flow := func(f soak.Flow) fault.Flow {
+		return fault.Flow{Delay: h.Delay, Stall: f.Hold, Lose: f.Lose, Pieces: f.Pieces, Gap: pieceGap}
+	}
+	r := fault.Rules{Cut: h.Cut, Refuse: h.Refuse, Up: flow(h.In), Down: flow(h.Out)}
+	for _, zone := range h.Zones {
+		addr := s.machines[zone].site.VM.Peer.Addr() // the first VMs are in the zones of their numbers
+		r.Sources = append(r.Sources, fault.Source{From: netip.PrefixFrom(addr, zoneBits).Masked(), Cut: true})
+	}
+	return r
+}
+
+const (
+	zoneBits = 24 // of the addresses of a zone
+	pieceGap = time.Millisecond
+)
+
+// change changes an upstream.
+func (h *host) change(e soak.Upstream) error {
+	if e.Crash {
+		h.stub.Crash()
+		return nil
+	}
+	return h.stub.Change(func(next *stub.Settings) { next.Slow = e.Slow })
+}
--- /dev/null
+++ b/io/soak/soak.go
@@ -0,0 +1,359 @@
+package soak
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"hash/fnv"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/zeebo/errs"
+
+	"comfreypulley/core/model"
+	"comfreypulley/core/soak"
+	"comfreypulley/io/fault"
+	"comfreypulley/io/stub"
+)
+
+// class annotates errors of this package.
+var class = errs.Class("soak")
+
+// Size and limits of the fleet.
+const (
+	Zones    = 3
+	controls = 5 // bear one lost disk beside one that is down
+	entries  = 6
+	callers  = 3 // of each entry VM
+	losses   = 1
+	grace    = 3 * time.Second
+	ratio    = 0.2
+	extra    = 40
+)
+
+// Upstreams.
+const (
+	hostSlots   = 4
+	hostQueue   = 8
+	hostConns   = 64
+	hostService = 8 * time.Millisecond
+	hostSpread  = 0.3
+	hostRare    = 0.02 // share of requests that take hostRareBy times as long
+	hostRareBy  = 150
+	hostRestart = 700 * time.Millisecond
+)
+
+const (
+	tickEvery = 20 * time.Millisecond
+	queued    = 4096 // events
+)
+
+// anyPort is a loopback address with a free port.
+var anyPort = netip.MustParseAddrPort("127.0.0.1:0")
+
+// Soak is one run. The exported fields are set before use.
+type Soak struct {
+	Seed    uint64
+	Period  time.Duration // with faults
+	Program string        // file of the program
+	Folder  string        // for settings, data and logs
+	Rig     Rig
+
+	ctx      context.Context // of traffic; ends before the processes do
+	over     chan struct{}   // closed when no event is taken any more
+	events   chan stamped
+	state    *soak.State
+	faults   *bufio.Writer // log of what was done and found
+	machines []*machine
+	hosts    []*host
+	lister   netip.AddrPort
+	newest   atomic.Int64 // change whose routes callers may use, plus one
+	roster   atomic.Pointer[soak.Roster]
+	traffic  sync.WaitGroup
+
+	mu     sync.Mutex
+	orders map[uint64]int // orders by the bytes of their manifest
+	proxes []*fault.Proxy
+}
+
+// host is an upstream and the proxy before it.
+type host struct {
+	soak    *Soak
+	number  int
+	service string
+	stub    *stub.Stub
+	host    *stub.Host
+	proxy   *fault.Proxy
+}
+
+// stamped is an event and when it was seen.
+type stamped struct {
+	at   time.Time
+	body soak.Body
+}
+
+// Run runs the soak and returns its report.
+func (s *Soak) Run(ctx context.Context) (report soak.Report, err error) {
+	defer class.WrapP(&err)
+	if err := os.MkdirAll(s.Folder, freshMode); err != nil {
+		return report, err
+	}
+	file, err := os.Create(filepath.Join(s.Folder, "faults"))
+	if err != nil {
+		return report, err
+	}
+	s.faults = bufio.NewWriter(file)
+	defer func() { err = errors.Join(err, s.faults.Flush(), file.Close()) }()
+	s.events, s.orders, s.over = make(chan stamped, queued), make(map[uint64]int), make(chan struct{})
+	s.roster.Store(&soak.Roster{})
+	traffic, cancel := context.WithCancel(ctx)
+	defer cancel()
+	s.ctx = traffic
+	defer s.close()
+	defer close(s.over)
+	if err := s.assemble(); err != nil {
+		return report, err
+	}
+	now := time.Now()
+	s.state = soak.New(soak.Config{
+		Seed: s.Seed, Period: s.Period, Began: now, Controls: controls, Entries: entries, Zones: Zones,
+		Grace: grace, Ratio: ratio, Extra: extra, Hosts: soak.Services(),
+	})
+	if err := s.carry(s.state.Start(now)); err != nil {
+		return report, err
+	}
+	s.startTraffic()
+	if err := s.control(ctx); err != nil {
+		return report, err
+	}
+	cancel()
+	if err := s.drain(); err != nil {
+		return report, err
+	}
+	s.state.Done()
+	err = s.carry(s.state.Step(time.Now(), soak.Tick{}))
+	return s.state.Report(), err
+}
+
+// control steps the reducer over all events until the soak is over.
+func (s *Soak) control(ctx context.Context) error {
+	ticker := time.NewTicker(tickEvery)
+	defer ticker.Stop()
+	for !s.state.Over() {
+		var e stamped
+		select {
+		case <-ctx.Done():
+			return ctx.Err()
+		case at := <-ticker.C:
+			e = stamped{at, soak.Tick{}}
+		case e = <-s.events:
+		}
+		if err := s.carry(s.state.Step(e.at, e.body)); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// drain takes the last events until the callers have ended.
+func (s *Soak) drain() error {
+	ended := make(chan struct{})
+	go s.await(ended)
+	for {
+		select {
+		case e := <-s.events:
+			if err := s.carry(s.state.Step(e.at, e.body)); err != nil {
+				return err
+			}
+		case <-ended:
+			return nil
+		}
+	}
+}
+
+func (s *Soak) await(ended chan<- struct{}) {
+	s.traffic.Wait()
+	close(ended)
+}
+
+// post hands an event to the reducer. It blocks when the reducer is behind, so
+// that nothing is lost; the times are those of the call.
+func (s *Soak) post(body soak.Body) {
+	select {
+	case s.events <- stamped{time.Now(), body}:
+	case <-s.over:
+	}
+}
+
+// assemble opens upstreams, the list and the proxies.
+func (s *Soak) assemble() (err error) {
+	for n, h := range soak.Services() {
+		if err := s.addHost(n, h.Service); err != nil {
+			return err
+		}
+	}
+	l, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(anyPort))
+	if err != nil {
+		return err
+	}
+	s.lister = l.Addr().(*net.TCPAddr).AddrPort()
+	server := &http.Server{Handler: s.Rig.List(s.list), ReadHeaderTimeout: time.Second}
+	go (&listServer{server: server, listener: l, soak: s}).run()
+	context.AfterFunc(s.ctx, func() { _ = server.Close() })
+	var seeds []model.VM
+	for n := range controls + entries {
+		m, err := s.newMachine(n, byte(n%Zones), n < controls)
+		if err != nil {
+			return err
+		}
+		s.machines = append(s.machines, m)
+		if n < Zones {
+			seeds = append(seeds, m.site.VM)
+		}
+	}
+	for _, m := range s.machines {
+		m.site.Seeds = seeds
+	}
+	return nil
+}
+
+// listServer serves the list of upstreams.
+type listServer struct {
+	server   *http.Server
+	listener net.Listener
+	soak     *Soak
+}
+
+func (l *listServer) run() {
+	if err := l.server.Serve(l.listener); !errors.Is(err, http.ErrServerClosed) {
+		l.soak.post(soak.Failed{Cause: err.Error()})
+	}
+}
+
+func (s *Soak) addHost(n int, service string) (err error) {
+	h := &host{soak: s, number: n, service: service}
+	h.stub, err = stub.New(stub.Config{
+		ID: fmt.Sprintf("u%d", n), Seed: s.Seed + uint64(n),
+		Settings: stub.Settings{
+			Slots: hostSlots, Queue: hostQueue, Conns: hostConns, Service: hostService, Spread: hostSpread,
+			Rare: hostRare, RareBy: hostRareBy, Restart: hostRestart,
+		},
+		Routed: &stub.Routed{Dialect: s.Rig.Dialect(), Upstream: fmt.Sprintf("u%d", n), Watcher: h},
+	})
+	if err != nil {
+		return err
+	}
+	if h.host, err = stub.Listen(h.stub, stub.Door{Addr: anyPort}); err != nil {
+		return err
+	}
+	go h.run()
+	h.proxy, err = s.open(anyPort, h.host.Addr(0))
+	s.hosts = append(s.hosts, h)
+	return err
+}
+
+func (h *host) run() {
+	if err := h.host.Run(); err != nil {
+		h.soak.post(soak.Failed{Cause: err.Error()})
+	}
+}
+
+// Arrived implements stub.Watcher.
+func (h *host) Arrived(a stub.Arrival) {
+	h.soak.post(soak.Arrived{Run: soak.Run{
+		ID: a.Receipt, Host: h.number, Service: h.service, Tag: a.Tag, Digest: a.Digest, Wait: a.Wait, Accepted: a.Accepted, Records: a.Records,
+	}})
+}
+
+// Ended implements stub.Watcher.
+func (h *host) Ended(receipt, tag string, finished bool) {
+	h.soak.post(soak.Ended{ID: receipt, Tag: tag, Finished: finished})
+}
+
+// open starts a proxy.
+func (s *Soak) open(addr, target netip.AddrPort) (*fault.Proxy, error) {
+	p, err := fault.Listen(addr, target, s.Seed)
+	if err != nil {
+		return nil, err
+	}
+	s.mu.Lock()
+	s.proxes = append(s.proxes, p)
+	s.mu.Unlock()
+	go (&gate{proxy: p, soak: s}).run()
+	return p, nil
+}
+
+// gate runs a proxy.
+type gate struct {
+	proxy *fault.Proxy
+	soak  *Soak
+}
+
+func (g *gate) run() {
+	if err := g.proxy.Run(); err != nil {
+		g.soak.post(soak.Failed{Cause: err.Error()})
+	}
+}
+
+// close ends the processes, upstreams and proxies.
+func (s *Soak) close() {
+	for _, m := range s.machines {
+		if err := m.end(); err != nil {
+			fmt.Fprintln(s.faults, "end:", err)
+		}
+	}
+	for _, h := range s.hosts {
+		h.host.Close()
+	}
+	for _, p := range s.proxes {
+		p.Close()
+	}
+}
+
+// list returns what the list of upstreams shows, nil when it is silent.
+func (s *Soak) list() []model.Upstream {
+	roster := s.roster.Load()
+	if roster.Mute {
+		return nil
+	}
+	var list []model.Upstream
+	for _, h := range s.hosts {
+		u := model.Upstream{
+			ID: model.UpstreamID(fmt.Sprintf("u%d", h.number)), Addr: h.proxy.Addr(), Zone: model.Zone(fmt.Sprintf("z%d", h.number%Zones)),
+			Index: h.service, Slots: hostSlots,
+		}
+		for _, n := range roster.Drained {
+			if n == h.number {
+				u.State = model.StateDraining
+			}
+		}
+		list = append(list, u)
+	}
+	if len(roster.Drained) > 0 {
+		s.post(soak.Listed{Drained: roster.Drained})
+	}
+	return list
+}
+
+// order returns the number of the order with these bytes.
+func (s *Soak) order(manifest []byte) int {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if n, ok := s.orders[hash(manifest)]; ok {
+		return n
+	}
+	return -1
+}
+
+func hash(b []byte) uint64 {
+	h := fnv.New64a()
+	_, _ = h.Write(b) // never fails
+	return h.Sum64()
+}
--- /dev/null
+++ b/io/soak/soak_test.go
@@ -0,0 +1,56 @@
+package soak
+
+import (
+	"fmt"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"testing"
+	"time"
+
+	"comfreypulley/platform"
+)
+
+// period of faults in the tests, less than a whole cycle of the plan.
+const period = 8 * time.Second
+
+// seeds are run by the tests: a first one, and each that ever failed with its
+// cause.
+var seeds = []struct {
+	seed  uint64
+	cause string
+}{
+	{1, "first seed"},
+}
+
+// Guards against promises that real processes break when faults come in series
+// and overlap.
+func TestSeeds(t *testing.T) {
+	dir := t.TempDir()
+	program := filepath.Join(dir, "comfreypulley")
+	if out, err := exec.Command("go", "build", "-o", program, "comfreypulley").CombinedOutput(); err != nil {
+		t.Fatalf("build: %v\n%s", err, out)
+	}
+	for _, s := range seeds {
+		folder, err := os.MkdirTemp("", fmt.Sprintf("comfreypulley-soak-%d-", s.seed))
+		if err != nil {
+			t.Fatal(err)
+		}
+		run := &Soak{Seed: s.seed, Period: period, Program: program, Folder: folder, Rig: platform.Rig{}}
+		report, err := run.Run(t.Context())
+		if err != nil {
+			t.Fatalf("seed %d (%s): %v; logs are in %s", s.seed, s.cause, err, folder)
+		}
+		for _, f := range report.Findings {
+			t.Errorf("seed %d (%s): %v; logs are in %s", s.seed, s.cause, f, folder)
+		}
+		if report.Served == 0 || report.Changes == 0 || report.Reads == 0 {
+			t.Errorf("seed %d: got %+v, want answers, changes and reads", s.seed, report)
+		}
+		if !t.Failed() {
+			if err := os.RemoveAll(folder); err != nil {
+				t.Error(err)
+			}
+		}
+	}
+}
--- a/io/stub/config.go
+++ b/io/stub/config.go
@@ -19,6 +19,7 @@
 	Seed     uint64
 	Log      string // file that the run log is appended to; empty writes none
 	Settings Settings
+	Routed   *Routed // nil for a stand-in of shard requests
 }
 
 // Settings are what can be changed while a stand-in runs. A value in use is
--- a/io/stub/runlog.go
+++ b/io/stub/runlog.go
@@ -78,6 +78,13 @@
 	return n
 }
 
+// id returns the id of a run.
+func (l *runlog) id(n int) string {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.log.Runs[n].ID
+}
+
 // end records how a run ended.
 func (l *runlog) end(n int, end string) {
 	l.mu.Lock()
--- a/io/stub/stub.go
+++ b/io/stub/stub.go
@@ -13,6 +13,7 @@
 type Stub struct {
 	settings atomic.Pointer[Settings]
 	runlog   *runlog
+	routed   *Routed // nil for a stand-in of shard requests
 	slots    slots
 	history  history
 
@@ -32,7 +33,7 @@
 	if err := set.check(); err != nil {
 		return nil, err
 	}
-	s = &Stub{random: rand.New(rand.NewPCG(cfg.Seed, 1)), started: time.Now()}
+	s = &Stub{routed: cfg.Routed, random: rand.New(rand.NewPCG(cfg.Seed, 1)), started: time.Now()}
 	s.settings.Store(&set)
 	s.runlog, err = openRunlog(cfg.ID, cfg.Log)
 	return s, err
@@ -120,11 +121,19 @@
 		}
 	default:
 		if dialled(r.Context()) && sleep(r.Context(), distanceOf(r.Context())) {
-			s.serveShard(w, r)
+			s.serve(w, r)
 		}
 	}
 }
 
+func (s *Stub) serve(w http.ResponseWriter, r *http.Request) {
+	if s.routed != nil {
+		s.serveRouted(w, r)
+		return
+	}
+	s.serveShard(w, r)
+}
+
 // Close closes the log file.
 func (s *Stub) Close() error {
 	if s.runlog.file == nil {
--- a/io/stub/stub_test.go
+++ b/io/stub/stub_test.go
@@ -11,9 +11,13 @@
 	"net/netip"
 	"os"
 	"path/filepath"
+	"reflect"
 	"strings"
+	"sync"
 	"testing"
 	"time"
+
+	"comfreypulley/io/proxy"
 )
 
 const patience = 20 * time.Second // for events that always come
@@ -324,3 +328,72 @@
 		t.Error("a broken line in the middle was accepted")
 	}
 }
+
+// arrivals keeps what a stand-in tells its watcher.
+type arrivals struct {
+	mu   sync.Mutex
+	seen []Arrival
+	ends []bool
+}
+
+// Arrived implements Watcher.
+func (a *arrivals) Arrived(seen Arrival) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.seen = append(a.seen, seen)
+}
+
+// Ended implements Watcher.
+func (a *arrivals) Ended(_, _ string, finished bool) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.ends = append(a.ends, finished)
+}
+
+// Guards against a stand-in of routed requests whose watcher misses a request or
+// learns something else than the caller.
+func TestRouted(t *testing.T) {
+	watcher := &arrivals{}
+	d := &proxy.Dialect{Tag: "T", Wait: "W", Receipt: "R", Expect: "E", NotRun: "N", Load: "L"}
+	_, h := start(t, Config{ID: "u", Settings: Settings{Slots: 1}, Routed: &Routed{Dialect: d, Upstream: "u", Watcher: watcher}})
+	get := func(expect string) (status int, header http.Header, body string) {
+		r, err := http.NewRequestWithContext(t.Context(), http.MethodGet, "http://"+h.Addr(0).String()+"/a?b", http.NoBody)
+		if err != nil {
+			t.Fatal(err)
+		}
+		r.Header.Set("T", "tag")
+		r.Header.Set("W", "70")
+		r.Header.Set("E", expect)
+		response, err := http.DefaultClient.Do(r)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer response.Body.Close()
+		raw, err := io.ReadAll(response.Body)
+		if err != nil {
+			t.Fatal(err)
+		}
+		return response.StatusCode, response.Header, string(raw)
+	}
+	_, answered, body := get("u")
+	got, refused, _ := get("v")
+	if want := http.StatusMisdirectedRequest; got != want || refused.Get("N") == "" {
+		t.Errorf("another upstream's request: got status %d and headers %v, want %d and a statement that it was not run", got, refused, want)
+	}
+	watcher.mu.Lock()
+	defer watcher.mu.Unlock()
+	if len(watcher.seen) != 2 || len(watcher.ends) != 1 || !watcher.ends[0] {
+		t.Fatalf("got %+v and ends %v, want two requests and one that has finished", watcher.seen, watcher.ends)
+	}
+	ran := watcher.seen[0]
+	want := Arrival{
+		Receipt: answered.Get("R"), Tag: "tag", Digest: Digest(http.MethodGet, "/a?b", nil), Wait: 70 * time.Millisecond,
+		Accepted: true, Records: []byte(body),
+	}
+	if ran.Receipt == "" || !reflect.DeepEqual(ran, want) {
+		t.Errorf("got %+v, want %+v", ran, want)
+	}
+	if watcher.seen[1].Accepted {
+		t.Error("the refused request counts as accepted")
+	}
+}
