--- a/core/effect/call.go
+++ b/core/effect/call.go
@@ -14,9 +14,10 @@
 	Request  model.RequestID
 	Upstream model.UpstreamID
 	Addr     netip.AddrPort
-	Timeout  time.Duration // what is left of the caller's time
-	Part     bool          // only the receipt and the body of the answer are needed
-	Fresh    bool          // use no connection that was idle for long: the request must not run twice
+	Timeout  time.Duration  // what is left of the caller's time
+	Part     bool           // only the receipt and the body of the answer are needed
+	Fresh    bool           // use no connection that was idle for long: the request must not run twice
+	Portion  *model.Portion // the upstream is another VM that gathers these shards; the end is event.Gathered or event.Failed
 }
 
 // Deliver answers a caller with the reply of one upstream.
@@ -31,6 +32,13 @@
 	Merged  model.Merged
 }
 
+// Gather answers another VM with its portion.
+type Gather struct {
+	Request model.RequestID
+	Pieces  []model.Piece
+	Records []byte
+}
+
 // Forget closes the idle connections to an upstream that is gone.
 type Forget struct{ Upstream model.UpstreamID }
 
@@ -50,5 +58,6 @@
 func (Forward) effect() {}
 func (Deliver) effect() {}
 func (Merge) effect()   {}
+func (Gather) effect()  {}
 func (Forget) effect()  {}
 func (Trace) effect()   {}
--- a/core/event/bridge.go
+++ b/core/event/bridge.go
@@ -52,6 +52,10 @@
 	Fleet     int              // daemons that share the upstreams; 0 when not known
 }
 
+// Daemons publishes the entry VMs of the fleet to the traffic states. Its
+// contents are immutable.
+type Daemons struct{ Daemons []model.Daemon } // ascending by id
+
 // Hint tells what a traffic state found of an upstream, to those of the other VMs
 // of the zone.
 type Hint struct {
@@ -60,6 +64,7 @@
 	Held     time.Duration // how much longer than usual a slow answer took; 0 after a failure
 }
 
+func (Daemons) body()  {}
 func (Hint) body()     {}
 func (Roster) body()   {}
 func (View) body()     {}
--- a/core/event/call.go
+++ b/core/event/call.go
@@ -15,6 +15,14 @@
 	Path        string
 	Wait        time.Duration // how long the caller waits; 0 when not stated
 	Fingerprint model.Fingerprint
+	Portion     *model.Portion // of another VM's request; nil for a caller's
+}
+
+// Gathered is a VM's answer to an attempt at a portion.
+type Gathered struct {
+	Attempt model.AttemptID
+	Pieces  []model.Piece
+	Records []byte // highest of the parts, highest first
 }
 
 // Returned is a complete response to an attempt along a route.
@@ -32,3 +40,4 @@
 
 func (Call) body()     {}
 func (Returned) body() {}
+func (Gathered) body() {}
--- a/core/frame/frame.go
+++ b/core/frame/frame.go
@@ -12,6 +12,7 @@
 package frame
 
 import (
+	"net/netip"
 	"time"
 
 	"comfreypulley/core/entry"
@@ -44,6 +45,7 @@
 	KindRoster
 	KindLack
 	KindHint
+	KindDaemons
 )
 
 // Message is a message between two VMs.
@@ -124,6 +126,7 @@
 	Sum      uint64         // checksum of the configuration in force
 	Below    []Heard        // what the child heard of the VMs below it, changes only
 	Roster   uint64         // stamp of the list of upstreams that the child has, 0 for none
+	Gathers  netip.AddrPort // where the child takes portions; zero when it takes none
 }
 
 // Heard is what a parent knows of a VM below it.
@@ -212,6 +215,13 @@
 // Lack asks for the whole list of upstreams.
 type Lack struct{}
 
+// Daemons tells a VM with a disk which entry VMs follow the sender, and an entry
+// VM which there are.
+type Daemons struct{ Daemons []model.Daemon }
+
+// Kind returns KindDaemons.
+func (Daemons) Kind() Kind { return KindDaemons }
+
 // Hint tells the VMs of a zone that an upstream is slow or, when Sure, silent.
 type Hint struct {
 	Upstream model.UpstreamID
--- a/core/node/state.go
+++ b/core/node/state.go
@@ -28,10 +28,10 @@
 		return s.timer(ev.At, body.ID, out)
 	case event.Request, event.Call, event.Gone:
 		return s.caller(ev.At, body, out)
-	case event.Answered, event.Returned, event.Failed, event.Reported:
+	case event.Answered, event.Returned, event.Gathered, event.Failed, event.Reported:
 		return s.upstream(ev.At, body, out)
 	case event.View, event.Summary, event.Propose, event.Proposed, event.Struck, event.Roster,
-		event.Hint:
+		event.Hint, event.Daemons:
 		return s.bridge(ev.At, body, out)
 	case event.Peer, event.PeerDown:
 		return s.peer(ev.At, body, out)
--- a/core/node/upstream.go
+++ b/core/node/upstream.go
@@ -14,6 +14,8 @@
 		return s.traffic.Answered(at, body, out)
 	case event.Returned:
 		return s.routed.Returned(at, body, out)
+	case event.Gathered:
+		return s.routed.Gathered(at, body, out)
 	case event.Failed:
 		if s.role == event.RoleRouted {
 			return s.routed.Failed(at, body, out)
--- a/core/plane/control.go
+++ b/core/plane/control.go
@@ -45,6 +45,7 @@
 	strikes    strikes
 	enrol      enrol
 	roster     roster
+	daemons    daemons
 	draining   bool
 	stale      bool // left the log before everything on its disk was applied; waits for the tree
 }
--- /dev/null
+++ b/core/plane/daemons.go
@@ -0,0 +1,110 @@
+package plane
+
+import (
+	"cmp"
+	"maps"
+	"slices"
+	"time"
+
+	"comfreypulley/core/effect"
+	"comfreypulley/core/event"
+	"comfreypulley/core/frame"
+	"comfreypulley/core/model"
+)
+
+// Pace of telling which entry VMs there are. The whole list is told each time,
+// so that a lost message is made up for by the next one.
+const (
+	daemonsPeriod = 2 * time.Second // between two tellings without a change
+	daemonsApart  = 500 * time.Millisecond
+	daemonsSettle = 4 * time.Second // after a start, when this VM does not know yet who follows it
+	daemonsFade   = 6 * time.Second // after which another VM's list is dropped
+)
+
+// daemons are the entry VMs that take portions of other VMs' requests. The zero
+// value knows none.
+type daemons struct {
+	own    map[model.VMID]model.Daemon // those that follow this VM, and earlier ones
+	others map[model.VMID]followed
+	told   []model.Daemon // last told, ascending by id
+	toldAt time.Time
+}
+
+// followed is what another VM said of the entry VMs that follow it.
+type followed struct {
+	daemons []model.Daemon
+	at      time.Time
+}
+
+// follow notes an entry VM that follows this one.
+func (d *daemons) follow(daemon model.Daemon) {
+	if !daemon.Gathers.IsValid() {
+		return
+	}
+	if d.own == nil {
+		d.own = make(map[model.VMID]model.Daemon)
+	}
+	d.own[daemon.ID] = daemon
+}
+
+// tellDaemons tells the other VMs with disks who follows this one, and those
+// who follow it which entry VMs there are.
+func (c *Control) tellDaemons(at time.Time, out []effect.Effect) []effect.Effect {
+	d := &c.daemons
+	if at.Sub(c.start.Began) < daemonsSettle || at.Sub(d.toldAt) < daemonsApart {
+		return out
+	}
+	following := c.following(at)
+	maps.DeleteFunc(d.own, func(id model.VMID, _ model.Daemon) bool { return !slices.Contains(following, id) })
+	all := d.all(at)
+	if at.Sub(d.toldAt) < daemonsPeriod && slices.Equal(all, d.told) {
+		return out
+	}
+	d.told, d.toldAt = all, at
+	own := slices.SortedFunc(maps.Values(d.own), byID)
+	from := len(out)
+	for _, id := range c.disks() {
+		if id != c.start.VM.ID {
+			out = append(out, effect.Tell{To: id, Message: frame.Daemons{Daemons: own}})
+		}
+	}
+	for _, id := range following {
+		out = append(out, effect.Tell{To: id, Message: frame.Daemons{Daemons: all}})
+	}
+	return c.seal(from, out)
+}
+
+// all returns the entry VMs that follow this VM or another one, ascending by id.
+func (d *daemons) all(at time.Time) []model.Daemon {
+	all := make(map[model.VMID]model.Daemon)
+	for id, other := range d.others {
+		if at.Sub(other.at) >= daemonsFade {
+			delete(d.others, id)
+			continue
+		}
+		for _, daemon := range other.daemons {
+			all[daemon.ID] = daemon
+		}
+	}
+	maps.Copy(all, d.own)
+	return slices.SortedFunc(maps.Values(all), byID)
+}
+
+func byID(a, b model.Daemon) int { return cmp.Compare(a.ID, b.ID) }
+
+// peerDaemons takes the entry VMs that another VM knows.
+func (c *Control) peerDaemons(at time.Time, from model.VMID, m frame.Daemons, out []effect.Effect) []effect.Effect {
+	d := &c.daemons
+	if c.start.VM.Disk {
+		if d.others == nil {
+			d.others = make(map[model.VMID]followed)
+		}
+		d.others[from] = followed{daemons: m.Daemons, at: at}
+		return out
+	}
+	if slices.Equal(m.Daemons, d.told) {
+		return out
+	}
+	d.told = m.Daemons
+	return append(out, effect.ToTraffic{Loop: effect.AllLoops, Body: event.Daemons{Daemons: m.Daemons}})
+}
--- a/core/plane/history.go
+++ b/core/plane/history.go
@@ -36,8 +36,11 @@
 		case effect.Note:
 			c.history.add(e)
 		case effect.Tell:
-			if d, ok := e.Message.(frame.Digest); ok && c.roster.stamp != 0 {
+			if d, ok := e.Message.(frame.Digest); ok && c.start.Enrols {
 				d.Roster = c.roster.stamp
+				if c.start.Gathers.IsValid() {
+					d.Gathers, d.Zone = c.start.Gathers, c.start.VM.Zone
+				}
 				e.Message = d
 				out[from+i] = e
 			}
--- a/core/plane/peer.go
+++ b/core/plane/peer.go
@@ -33,6 +33,8 @@
 		out = c.listen(at, p.From, m, out)
 	case frame.Hint:
 		out = c.peerHint(at, p.From, m, out)
+	case frame.Daemons:
+		out = c.peerDaemons(at, p.From, m, out)
 	case frame.Roster, frame.Lack:
 		out = c.peerRoster(at, p.From, m, out)
 	case frame.Delta, frame.Full:
--- a/core/plane/roster.go
+++ b/core/plane/roster.go
@@ -56,6 +56,7 @@
 // timerRoster reads the list when it is this VM's turn.
 func (c *Control) timerRoster(at time.Time, out []effect.Effect) []effect.Effect {
 	out = setTimer(event.TimerRoster, at.Add(rosterPeriod), out)
+	out = c.tellDaemons(at, out)
 	r := &c.roster
 	if !r.asked.IsZero() && at.Sub(r.asked) < readTimeout {
 		return out
@@ -185,6 +186,7 @@
 	}
 	if _, disk := c.store.VM(from); !disk {
 		c.roster.listeners[from] = at
+		c.daemons.follow(model.Daemon{ID: from, Zone: d.Zone, Gathers: d.Gathers})
 	}
 	if c.roster.stamp == 0 {
 		return out
--- a/core/proxy/call.go
+++ b/core/proxy/call.go
@@ -46,16 +46,17 @@
 
 // attempt is one request on one upstream.
 type attempt struct {
-	id        model.AttemptID
-	call      *call
-	leg       *leg
-	host      *host
-	sent      time.Time
-	expected  time.Duration // typical latency of the route on this upstream when it was sent
-	took      time.Duration
-	outcome   string
-	hedge     bool
-	abandoned bool // cancelled after its call ended without it
+	id         model.AttemptID
+	call       *call
+	leg        *leg
+	host       *host
+	sent       time.Time
+	expected   time.Duration // typical latency of the route on this upstream when it was sent
+	took       time.Duration
+	outcome    string
+	hedge      bool
+	delegation *delegation // the attempt is part of it; nil for one on an upstream
+	abandoned  bool        // cancelled after its call ended without it
 }
 
 // scatter reports whether the answer is merged from shards.
@@ -134,6 +135,13 @@
 	return longest
 }
 
+// uncertain notes that the request may have run on the leg.
+func (l *leg) uncertain() {
+	if l.ran == model.RanNo {
+		l.ran = model.RanUnknown
+	}
+}
+
 // tried reports whether the leg was sent to an upstream.
 func (l *leg) tried(h *host) bool {
 	for _, a := range l.tries {
--- a/core/proxy/finish.go
+++ b/core/proxy/finish.go
@@ -62,6 +62,9 @@
 
 // Failed takes an attempt without a complete response.
 func (t *Table) Failed(at time.Time, e event.Failed, out []effect.Effect) []effect.Effect {
+	if g, ok := t.spread.delegations[e.Attempt]; ok {
+		return t.undelegated(at, g, e, out)
+	}
 	a, ok := t.attempts[e.Attempt]
 	if !ok {
 		return out
@@ -106,7 +109,8 @@
 	}
 	for _, l := range c.legs {
 		for _, a := range l.tries {
-			if a.outcome == "" && !c.route.Once {
+			shared := a.delegation != nil && a.delegation.tries[0] != a // one cancel ends the whole portion
+			if a.outcome == "" && !c.route.Once && !shared {
 				out = append(out, effect.Cancel{Attempt: a.id})
 			}
 		}
--- a/core/proxy/host.go
+++ b/core/proxy/host.go
@@ -19,7 +19,7 @@
 	coldFactor   = 1.6                    // work of an upstream that has just started, in parts of the usual
 	failCost     = 60 * time.Millisecond  // expected loss of time by a failure
 	leavingCost  = 20 * time.Millisecond
-	outsideCost  = 4 * time.Millisecond // bytes between zones are charged
+	outsideCost  = 8 * time.Millisecond // bytes between zones are charged
 	stalledCost  = 20 * time.Millisecond
 	stalledAfter = 1.5 // times the expected latency, after which an attempt counts as stalled
 )
--- a/core/proxy/pick.go
+++ b/core/proxy/pick.go
@@ -9,6 +9,7 @@
 const (
 	defaultConns = 2    // connections to an upstream while the size of the fleet is not known
 	mostConns    = 8    // connections to an upstream that a VM needs at the most
+	ownerConns   = 3    // the same where portions are spread, since few VMs then connect to an upstream
 	connsUsed    = 0.85 // part of the connections that the fleet may use
 	costNoise    = 0.08 // random part of a cost, so that VMs do not all choose alike
 )
@@ -57,5 +58,9 @@
 	if most <= 0 || t.fleet <= 0 {
 		return defaultConns
 	}
-	return max(1, min(mostConns, int(connsUsed*float64(most)/float64(t.fleet))))
+	share := int(connsUsed * float64(most) / float64(t.fleet))
+	if len(t.spread.daemons) > 0 {
+		share = max(share, ownerConns)
+	}
+	return max(1, min(mostConns, share))
 }
--- a/core/proxy/step.go
+++ b/core/proxy/step.go
@@ -47,11 +47,19 @@
 	}
 	c.deadline = at.Add(wait - min(lastMargin, wait/8))
 	c.cutoff = at.Add(objective(route) - t.margin())
+	if e.Portion != nil {
+		if !t.narrow(c) {
+			return t.refuseEarly(e, route, model.RefusedStale, out)
+		}
+		t.calls[e.ID] = c
+		return t.step(at, c, out)
+	}
 	for _, service := range t.target(route) {
 		c.legs = append(c.legs, &leg{service: service, ran: model.RanNo})
 		t.allowance(service).Earn()
 	}
 	t.calls[e.ID] = c
+	out = t.delegate(at, c, out)
 	return t.step(at, c, out)
 }
 
@@ -79,11 +87,13 @@
 	return []string{next.next(r, t.random.Float64)}
 }
 
-func (t *Table) pace(r *model.Route) *pace {
-	p, ok := t.paces[r.Name]
+func (t *Table) pace(r *model.Route) *pace { return t.paceOf(r.Name) }
+
+func (t *Table) paceOf(name string) *pace {
+	p, ok := t.paces[name]
 	if !ok {
 		p = &pace{}
-		t.paces[r.Name] = p
+		t.paces[name] = p
 	}
 	return p
 }
@@ -93,6 +103,9 @@
 	if c.ended {
 		return out
 	}
+	if c.event.Portion != nil {
+		return t.stepPortion(at, c, out)
+	}
 	open := 0
 	for _, l := range c.legs {
 		if l.part != nil {
@@ -181,6 +194,9 @@
 // link or processor, which a hedge would load further.
 func (t *Table) hedgeDue(c *call, l *leg) time.Time {
 	last := l.tries[len(l.tries)-1]
+	if last.delegation != nil && last.outcome == "" {
+		return t.delegationDue(last.delegation)
+	}
 	due := last.sent.Add(c.pace.hedge(c.route, t.allowance(l.service).Share()))
 	if flow := c.flow.Add(flowGap); c.scatter() && flow.After(due) {
 		return flow
@@ -196,6 +212,9 @@
 		expected: time.Duration(float64(c.pace.expected(c.route)) * min(2, h.ratio.read(at, 1))),
 	}
 	kind := "first"
+	if len(l.tries) > 0 {
+		out = t.overdue(at, l.tries[len(l.tries)-1], out)
+	}
 	switch {
 	case a.hedge:
 		kind = "hedge"
@@ -236,6 +255,11 @@
 			due = next
 		}
 	}
+	return t.wakeAt(at, c, due, out)
+}
+
+// wakeAt sets the timer of a call.
+func (t *Table) wakeAt(at time.Time, c *call, due time.Time, out []effect.Effect) []effect.Effect {
 	if due.Before(at) {
 		due = at
 	}
--- a/core/proxy/table.go
+++ b/core/proxy/table.go
@@ -43,6 +43,7 @@
 	attempts map[model.AttemptID]*attempt
 	next     model.AttemptID
 	suspects suspects
+	spread   spreading
 	draining bool
 }
 
@@ -57,6 +58,8 @@
 	t.extras = make(map[string]*retry.Allowance)
 	t.calls = make(map[model.RequestID]*call)
 	t.attempts = make(map[model.AttemptID]*attempt)
+	t.spread.failing = make(map[model.Zone]*failing)
+	t.spread.delegations = make(map[model.AttemptID]*delegation)
 	return append(out, effect.SetTimer{ID: event.TimerID{Kind: event.TimerSweep}, At: at.Add(sweepPeriod)})
 }
 
@@ -67,7 +70,7 @@
 	if d == nil || t.document != nil && d.Version <= t.document.Version {
 		return out
 	}
-	t.document, t.routes = d, newRoutes(d)
+	t.document, t.routes, t.spread.portions = d, newRoutes(d), nil
 	t.limits = make(map[string]model.Service, len(d.Services))
 	for _, s := range d.Services {
 		t.limits[s.Name] = s
@@ -88,7 +91,7 @@
 	if t.listed && r.Stamp == t.stamp {
 		return out
 	}
-	t.listed, t.stamp = true, r.Stamp
+	t.listed, t.stamp, t.spread.portions = true, r.Stamp, nil
 	before := t.hosts
 	t.hosts = make(map[model.UpstreamID]*host, len(r.Upstreams))
 	t.services = make(map[string][]*host)
@@ -187,5 +190,5 @@
 			out = append(out, effect.Cancel{Attempt: a.id})
 		}
 	}
-	return out
+	return t.sweepDelegations(at, out)
 }
--- a/io/peer/codec.go
+++ b/io/peer/codec.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"errors"
 	"fmt"
+	"net/netip"
 	"time"
 
 	"github.com/vmihailenco/msgpack/v5"
@@ -71,6 +72,7 @@
 	frame.KindRoster:   decode[frame.Roster],
 	frame.KindLack:     decode[frame.Lack],
 	frame.KindHint:     decode[frame.Hint],
+	frame.KindDaemons:  decode[frame.Daemons],
 	kindHello:          decode[hello],
 }
 
@@ -171,7 +173,7 @@
 	case frame.Propose:
 		return wirePropose{N: m.N, Command: command{m.Command}}
 	case frame.Digest:
-		w := wireDigest{VM: m.VM, Zone: m.Zone, Revision: m.Revision, Sum: m.Sum, Below: m.Below, Roster: m.Roster}
+		w := wireDigest{VM: m.VM, Zone: m.Zone, Revision: m.Revision, Sum: m.Sum, Below: m.Below, Roster: m.Roster, Gathers: m.Gathers}
 		if !m.Start.IsZero() {
 			w.Start = m.Start.UnixNano()
 		}
@@ -227,10 +229,11 @@
 	Sum      uint64
 	Below    []frame.Heard
 	Roster   uint64
+	Gathers  netip.AddrPort
 }
 
 func (w wireDigest) message() frame.Message {
-	m := frame.Digest{VM: w.VM, Zone: w.Zone, Revision: w.Revision, Sum: w.Sum, Below: w.Below, Roster: w.Roster}
+	m := frame.Digest{VM: w.VM, Zone: w.Zone, Revision: w.Revision, Sum: w.Sum, Below: w.Below, Roster: w.Roster, Gathers: w.Gathers}
 	if w.Start != 0 {
 		m.Start = time.Unix(0, w.Start)
 	}
--- a/io/peer/codec_test.go
+++ b/io/peer/codec_test.go
@@ -81,6 +81,7 @@
 		},
 		frame.Lack{},
 		frame.Hint{Upstream: "u", Sure: true},
+		frame.Daemons{Daemons: []model.Daemon{{ID: "vm1", Zone: "a", Gathers: netip.MustParseAddrPort("10.0.0.1:7741")}}},
 		frame.Strike{Fingerprint: 3, Upstreams: []model.UpstreamID{"u"}, Quarantine: time.Second, Pass: true},
 	)
 }
--- a/io/proxy/call.go
+++ b/io/proxy/call.go
@@ -90,7 +90,7 @@
 // write sends the request. The reader of the connection notices a failure.
 func (a *call) write(c *conn) {
 	a.exchange.once.Do(func() { a.exchange.render(a.client.Dialect) })
-	if _, err := c.Write(a.exchange.request(a.client.Dialect, a.end, a.forward.Upstream)); err != nil {
+	if _, err := c.Write(a.exchange.request(a.client.Dialect, a.end, a.forward.Upstream, a.forward.Portion)); err != nil {
 		c.Close() // the reader of the connection ends the call
 	}
 }
@@ -163,27 +163,34 @@
 
 // read reads the answer, which is complete when there is no error. Keep is how
 // long the connection may stay idle, 0 when it must not be used again.
-func (a *call) read(c *conn) (returned event.Returned, keep time.Duration, err error) {
+func (a *call) read(c *conn) (end event.Body, keep time.Duration, err error) {
 	response, err := a.response(c)
 	if err != nil {
-		return returned, 0, err
+		return nil, 0, err
 	}
 	defer response.Body.Close()
 	body, err := readBody(response)
 	if err != nil {
-		return returned, 0, fmt.Errorf("body: %w", err)
+		return nil, 0, fmt.Errorf("body: %w", err)
+	}
+	if !response.Close && c.reader.Buffered() == 0 {
+		keep = keepFor(response.Header)
+	}
+	if a.forward.Portion != nil {
+		end, err = a.gathered(response, body)
+		return end, keep, err
 	}
 	d := a.client.Dialect
 	tag := response.Header.Get(d.Tag)
 	switch {
 	case len(body) > maxAnswer:
-		return returned, 0, &AnswerError{Problem: "is too long"}
+		return nil, 0, &AnswerError{Problem: "is too long"}
 	case tag != "" && tag != a.exchange.Tag:
-		return returned, 0, &AnswerError{Problem: "belongs to another request"}
+		return nil, 0, &AnswerError{Problem: "belongs to another request"}
 	case response.Header.Get("Content-Encoding") != "":
-		return returned, 0, &AnswerError{Problem: "is encoded"}
+		return nil, 0, &AnswerError{Problem: "is encoded"}
 	}
-	returned = event.Returned{
+	returned := event.Returned{
 		Attempt: a.forward.Attempt, Receipt: response.Header.Get(d.Receipt), Leaving: response.Close,
 		NotRun: response.Header.Get(d.NotRun) != "", Other: response.StatusCode == http.StatusMisdirectedRequest,
 		After: heads.After(response.Header), Load: heads.Load(response.Header.Get(d.Load)), Fresh: a.fresh,
@@ -192,12 +199,22 @@
 	if !a.forward.Part {
 		returned.Reply.Headers = replyHeaders(response.Header)
 	}
-	if !response.Close && c.reader.Buffered() == 0 {
-		keep = keepFor(response.Header)
-	}
 	return returned, keep, nil
 }
 
+// gathered reads another VM's answer to a portion. A refusal states that nothing
+// of it was run.
+func (a *call) gathered(response *http.Response, body []byte) (end event.Body, err error) {
+	if response.StatusCode != http.StatusOK {
+		return event.Failed{Attempt: a.forward.Attempt, Reason: model.FailedShed, Ran: model.RanNo, Fresh: a.fresh}, nil
+	}
+	pieces, err := readPieces(response.Header)
+	if err != nil {
+		return nil, &AnswerError{Problem: err.Error()}
+	}
+	return event.Gathered{Attempt: a.forward.Attempt, Pieces: pieces, Records: body}, nil
+}
+
 // readBody reads a body up to maxAnswer and one byte more.
 func readBody(response *http.Response) (body []byte, err error) {
 	if n := response.ContentLength; n >= 0 && n <= maxAnswer {
--- a/io/proxy/exchange.go
+++ b/io/proxy/exchange.go
@@ -55,8 +55,9 @@
 }
 
 // request returns the bytes of one attempt: the shared part, what is left of
-// the time, and the upstream that it is meant for.
-func (x *Exchange) request(d *Dialect, end time.Time, upstream model.UpstreamID) []byte {
+// the time, and the upstream that it is meant for or the portion that another VM
+// is to gather.
+func (x *Exchange) request(d *Dialect, end time.Time, upstream model.UpstreamID, portion *model.Portion) []byte {
 	const own = 128 // bytes of the headers set here
 	b := make([]byte, 0, len(x.head)+own+len(x.Body))
 	b = append(b, x.head...)
@@ -64,9 +65,13 @@
 	b = append(b, ": "...)
 	b = strconv.AppendInt(b, max(1, time.Until(end).Milliseconds()), 10)
 	b = append(b, "\r\n"...)
-	b = append(b, d.Expect...)
-	b = append(b, ": "...)
-	b = append(b, upstream...)
+	if portion != nil {
+		b = append(b, portionHeader+": "+writePortion(portion)...)
+	} else {
+		b = append(b, d.Expect...)
+		b = append(b, ": "...)
+		b = append(b, upstream...)
+	}
 	b = append(b, "\r\n\r\n"...)
 	return append(b, x.Body...)
 }
--- a/io/proxy/server.go
+++ b/io/proxy/server.go
@@ -86,7 +86,7 @@
 	return s.pending[id]
 }
 
-// Finish hands an effect.Deliver, effect.Merge or effect.Refuse to the request
+// Finish hands an effect.Deliver, effect.Merge, effect.Gather or effect.Refuse to the request
 // that waits for it.
 func (s *Server) Finish(id model.RequestID, e effect.Effect) {
 	s.mu.Lock()
@@ -103,6 +103,11 @@
 	if s.leaving.Load() {
 		w.Header().Set("Connection", "close")
 	}
+	s.serve(w, r, nil)
+}
+
+// serve answers a caller, or another VM for a portion of its caller's request.
+func (s *Server) serve(w http.ResponseWriter, r *http.Request, portion *model.Portion) {
 	if !s.enter() {
 		s.refuse(w, model.Rejection{Reason: model.RefusedDraining, Ran: model.RanNo, After: drainPause})
 		return
@@ -130,6 +135,7 @@
 	path, _, _ := strings.Cut(x.URI, "?")
 	s.Post(event.Call{
 		ID: id, Tag: x.Tag, Host: r.Host, Path: path, Wait: s.Dialect.wait(r.Header), Fingerprint: x.fingerprint(),
+		Portion: portion,
 	})
 	select {
 	case e := <-x.answer:
@@ -175,6 +181,12 @@
 		}
 		w.Header().Set(s.Dialect.Missing, strconv.Itoa(e.Merged.Missing))
 		s.body(w, http.StatusOK, e.Merged.Records)
+	case effect.Gather:
+		for _, piece := range e.Pieces {
+			w.Header().Add(pieceHeader, writePiece(piece))
+		}
+		w.Header()["Date"] = nil // no VM reads it
+		s.body(w, http.StatusOK, e.Records)
 	case effect.Refuse:
 		s.refuse(w, e.Rejection)
 	}
--- a/io/serve/resident.go
+++ b/io/serve/resident.go
@@ -94,6 +94,9 @@
 			return nil, err
 		}
 		r.callers = newWeb(r.routed.server, l, lastAnswers)
+		if err = r.openGatherer(); err != nil {
+			return nil, err
+		}
 		if err = r.open(site.Ready, site.Probe(r.routed.server.Ready)); err != nil {
 			return nil, err
 		}
@@ -113,11 +116,24 @@
 	}
 	t.loop = loop.New(t)
 	t.server = &proxy.Server{Dialect: r.site.Dialect, Post: t.loop.Post}
-	t.client = &proxy.Client{Dialect: r.site.Dialect, Post: t.loop.Post, Exchange: t.server.Exchange}
+	t.client = &proxy.Client{Source: r.site.VM.Peer.Addr(), Dialect: r.site.Dialect, Post: t.loop.Post, Exchange: t.server.Exchange}
 	r.routed = t
 	r.executor.loops = []*loop.Loop{t.loop}
 }
 
+// openGatherer takes portions of other VMs' requests. Behind a forwarder, the
+// port follows that of the peers.
+func (r *Resident) openGatherer() error {
+	addr := r.site.Gathers
+	if !addr.IsValid() {
+		return nil
+	}
+	if r.site.Peering.IsValid() {
+		addr = netip.AddrPortFrom(r.site.Peering.Addr(), r.site.Peering.Port()+1)
+	}
+	return r.open(addr, &proxy.Gatherer{Server: r.routed.server})
+}
+
 func (r *Resident) open(addr netip.AddrPort, handler http.Handler) error {
 	l, err := listen(addr)
 	if err != nil {
@@ -172,6 +188,7 @@
 	start := event.Start{
 		VM: r.site.VM, Seed: uint64(now.UnixNano()), Began: now, Loops: 1, Enrols: true, Losses: r.site.Losses,
 		Ratio: r.site.Ratio, Extra: r.site.Extra, Speed: r.site.Speed, Peers: r.site.Seeds,
+		Gathers: r.site.Gathers, Spread: r.site.Spread,
 	}
 	if r.site.Founding {
 		start.Genesis = &model.Topology{VMs: make(map[model.VMID]model.VM)}
--- a/io/serve/routed.go
+++ b/io/serve/routed.go
@@ -33,6 +33,8 @@
 		r.server.Finish(e.Request, e)
 	case effect.Merge:
 		r.server.Finish(e.Request, e)
+	case effect.Gather:
+		r.server.Finish(e.Request, e)
 	case effect.Refuse:
 		r.server.Finish(e.Rejection.Request, e)
 	case effect.Ready:
--- a/io/serve/site.go
+++ b/io/serve/site.go
@@ -19,6 +19,8 @@
 	Losses   int            // disks that may be lost at once
 	Data     string         // data folder; empty on a VM without a disk
 	Peering  netip.AddrPort // where other VMs' connections are accepted, when it is not the peer address they dial
+	Gathers  netip.AddrPort // where other VMs send portions of requests; zero takes none
+	Spread   int            // shards of a request from which portions go to other VMs; 0 means never
 	Callers  netip.AddrPort
 	Ready    netip.AddrPort
 	Control  netip.AddrPort // of operators
--- a/io/soak/carry.go
+++ b/io/soak/carry.go
@@ -27,9 +27,15 @@
 	case soak.Signal:
 		return s.machines[e.VM].signal(e)
 	case soak.Set:
-		return s.proxy(e.Place, e.Index).Set(s.rules(e.Harm))
+		for _, p := range s.at(e.Place, e.Index) {
+			if err := p.Set(s.rules(e.Harm)); err != nil {
+				return err
+			}
+		}
 	case soak.Reset:
-		s.proxy(e.Place, e.Index).Reset()
+		for _, p := range s.at(e.Place, e.Index) {
+			p.Reset()
+		}
 	case soak.Upstream:
 		return s.hosts[e.Host].change(e)
 	case soak.Roster:
@@ -43,14 +49,19 @@
 	return nil
 }
 
-func (s *Soak) proxy(place soak.Place, index int) *fault.Proxy {
+// at returns the proxies at a place.
+func (s *Soak) at(place soak.Place, index int) []*fault.Proxy {
 	switch place {
 	case soak.Peers:
-		return s.machines[index].peers
+		m := s.machines[index]
+		if m.gathers == nil {
+			return []*fault.Proxy{m.peers}
+		}
+		return []*fault.Proxy{m.peers, m.gathers}
 	case soak.Callers:
-		return s.machines[index].callers
+		return []*fault.Proxy{s.machines[index].callers}
 	default:
-		return s.hosts[index].proxy
+		return []*fault.Proxy{s.hosts[index].proxy}
 	}
 }
 
--- a/io/soak/machine.go
+++ b/io/soak/machine.go
@@ -22,7 +22,8 @@
 	callerPort  = 8226
 	readyPort   = 8227
 	peerPort    = 7740 // of the proxy that other VMs dial
-	listenPort  = 7741 // of the process behind it
+	gatherPort  = 7741 // of the proxy to which other VMs send portions
+	listenPort  = 7742 // of the process behind them, and the next one
 	metricsPort = 7749
 )
 
@@ -48,6 +49,7 @@
 	file    string // settings
 	log     string
 	peers   *fault.Proxy
+	gathers *fault.Proxy // nil before a VM that takes no callers
 	callers *fault.Proxy // nil before a VM that takes no callers
 	cmd     *exec.Cmd    // nil before the first start
 	exited  chan struct{}
@@ -74,6 +76,10 @@
 		return m, nil
 	}
 	m.site.Callers, m.site.Ready = at(callerPort), at(readyPort)
+	m.site.Gathers, m.site.Spread = at(gatherPort), spread
+	if m.gathers, err = s.open(m.site.Gathers, at(listenPort+1)); err != nil {
+		return nil, err
+	}
 	m.callers, err = s.open(anyPort, m.site.Callers)
 	return m, err
 }
--- a/io/soak/soak.go
+++ b/io/soak/soak.go
@@ -36,6 +36,7 @@
 	grace    = 3 * time.Second
 	ratio    = 0.2
 	extra    = 40
+	spread   = 3 // shards from which portions go to other entry VMs
 )
 
 // Upstreams.
