--- a/core/plane/daemons.go
+++ b/core/plane/daemons.go
@@ -17,8 +17,8 @@
 const (
 	daemonsPeriod = 2 * time.Second // between two tellings without a change
 	daemonsApart  = 500 * time.Millisecond
-	daemonsSettle = 4 * time.Second // after a start, when this VM does not know yet who follows it
-	daemonsFade   = 6 * time.Second // after which another VM's list is dropped
+	daemonsSettle = 800 * time.Millisecond // after a start, when this VM does not know yet who follows it
+	daemonsFade   = 6 * time.Second        // after which another VM's list is dropped
 )
 
 // daemons are the entry VMs that take portions of other VMs' requests. The zero
--- /dev/null
+++ b/core/plane/daemons_test.go
@@ -0,0 +1,70 @@
+package plane_test
+
+import (
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"comfreypulley/core/effect"
+	"comfreypulley/core/event"
+	"comfreypulley/core/frame"
+	"comfreypulley/core/model"
+	"comfreypulley/core/plane"
+)
+
+// Guards against entry VMs that do not learn of each other, of those in other
+// zones, or go on using one that has left.
+func TestDaemonsLearnOfEachOther(t *testing.T) {
+	f := newEnrolled(1)
+	found(f)
+	addr := netip.MustParseAddrPort("10.0.1.1:7741")
+	near := model.Daemon{ID: "10.0.1.1", Zone: "a", Gathers: addr}
+	far := model.Daemon{ID: "10.0.2.1", Zone: "b", Gathers: addr}
+	follow := func() {
+		f.c.Peer(f.now, event.Peer{From: near.ID, Message: frame.Digest{Zone: near.Zone, Gathers: addr}}, nil)
+	}
+	told := func(d time.Duration) map[model.VMID][]model.Daemon {
+		told := make(map[model.VMID][]model.Daemon)
+		for _, tell := range all[effect.Tell](f.tick(d, event.TimerRoster)) {
+			if m, ok := tell.Message.(frame.Daemons); ok {
+				told[tell.To] = m.Daemons
+			}
+		}
+		return told
+	}
+	follow()
+	f.c.Peer(f.now, event.Peer{From: "10.0.0.2", Message: frame.Daemons{Daemons: []model.Daemon{far}}}, nil)
+	got := told(time.Second)
+	if want := []model.Daemon{near, far}; !slices.Equal(got[near.ID], want) {
+		t.Errorf("the entry VM is told %v, want %v", got[near.ID], want)
+	}
+	if want := []model.Daemon{near}; !slices.Equal(got["10.0.0.2"], want) {
+		t.Errorf("another VM with a disk is told %v, want the followers %v alone", got["10.0.0.2"], want)
+	}
+	follow()
+	if got := told(time.Second); len(got) > 0 {
+		t.Errorf("got %v again without a change", got)
+	}
+	f.now = f.now.Add(5 * time.Second)
+	if got, want := told(time.Second)["10.0.0.2"], []model.Daemon(nil); !slices.Equal(got, want) {
+		t.Errorf("after its silence the follower is told as %v, want none", got)
+	}
+}
+
+// Guards against an entry VM whose traffic is not told of the others.
+func TestDaemonsReachTraffic(t *testing.T) {
+	var c plane.Control
+	c.Start(began, event.Start{Role: event.RoleControl, VM: model.VM{ID: "10.0.1.1", Zone: "a"}, Began: began, Loops: 1, Enrols: true}, nil)
+	m := frame.Daemons{Daemons: []model.Daemon{{ID: "10.0.1.2", Zone: "a"}}}
+	out := all[effect.ToTraffic](c.Peer(began, event.Peer{From: "10.0.0.1", Message: m}, nil))
+	if len(out) != 1 {
+		t.Fatalf("got %d messages to the traffic, want 1", len(out))
+	}
+	if got, ok := out[0].Body.(event.Daemons); !ok || !slices.Equal(got.Daemons, m.Daemons) {
+		t.Errorf("got %+v, want %+v", out[0].Body, m.Daemons)
+	}
+	if again := all[effect.ToTraffic](c.Peer(began, event.Peer{From: "10.0.0.1", Message: m}, nil)); len(again) != 0 {
+		t.Errorf("got %+v for the same list", again)
+	}
+}
--- a/core/proxy/gather.go
+++ b/core/proxy/gather.go
@@ -35,7 +35,7 @@
 	due := c.deadline
 	for _, l := range c.legs {
 		if len(l.tries) == 0 && !l.lost {
-			if h := t.pick(at, l, c.pace.expected(c.route)); h != nil {
+			if h := t.pick(at, c, l); h != nil {
 				out = t.send(at, c, l, h, out)
 			}
 			l.lost = true // whatever comes, the other VM goes on with this shard
@@ -43,7 +43,10 @@
 		if l.part != nil || l.pending == 0 {
 			continue
 		}
-		hedge := t.hedgeDue(c, l)
+		hedge := l.tries[0].sent.Add(c.pace.portion(c.route))
+		if flow := c.flow.Add(flowGap); flow.After(hedge) {
+			hedge = flow
+		}
 		open = open || hedge.After(at)
 		if hedge.After(at) && hedge.Before(due) {
 			due = hedge
--- a/core/proxy/host.go
+++ b/core/proxy/host.go
@@ -19,7 +19,8 @@
 	coldFactor   = 1.6                    // work of an upstream that has just started, in parts of the usual
 	failCost     = 60 * time.Millisecond  // expected loss of time by a failure
 	leavingCost  = 20 * time.Millisecond
-	outsideCost  = 8 * time.Millisecond // bytes between zones are charged
+	outsideCost  = 4 * time.Millisecond  // bytes between zones are charged
+	awayCost     = 25 * time.Millisecond // the same for a portion, whose second attempts another VM makes
 	stalledCost  = 20 * time.Millisecond
 	stalledAfter = 1.5 // times the expected latency, after which an attempt counts as stalled
 )
@@ -79,8 +80,9 @@
 }
 
 // cost estimates the time until an answer of the upstream to a request that
-// typically takes as long as given.
-func (h *host) cost(at time.Time, typical time.Duration, zone model.Zone) time.Duration {
+// typically takes as long as given, from a VM of a zone outside of which an
+// upstream costs more.
+func (h *host) cost(at time.Time, typical time.Duration, zone model.Zone, outside time.Duration) time.Duration {
 	slots := float64(max(1, h.upstream.Slots))
 	fresh := math.Exp(-float64(at.Sub(h.loadAt)) / float64(loadFade))
 	busy := fresh*float64(h.load.Inflight+h.load.Queued) + float64(len(h.live))
@@ -91,7 +93,7 @@
 	total := expected * (1 + 0.4*min(busy, slots)/slots + max(0, busy+1-slots)/slots)
 	total += h.fails.read(at, 0) * float64(failCost)
 	if h.upstream.Zone != zone {
-		total += float64(outsideCost)
+		total += float64(outside)
 	}
 	if at.Sub(h.leaving) < leavingFor {
 		total += float64(leavingCost)
--- a/core/proxy/pick.go
+++ b/core/proxy/pick.go
@@ -16,7 +16,11 @@
 
 // pick chooses the upstream of a service with the least expected time. It
 // returns nil when none can take an attempt now.
-func (t *Table) pick(at time.Time, l *leg, typical time.Duration) *host {
+func (t *Table) pick(at time.Time, c *call, l *leg) *host {
+	typical, outside := c.pace.expected(c.route), outsideCost
+	if c.event.Portion != nil {
+		outside = awayCost
+	}
 	var best, resting *host
 	var least time.Duration
 	for _, h := range t.services[l.service] {
@@ -29,7 +33,7 @@
 			}
 			continue
 		}
-		cost := h.cost(at, typical, t.start.VM.Zone)
+		cost := h.cost(at, typical, t.start.VM.Zone, outside)
 		cost += time.Duration(costNoise * t.random.Float64() * float64(cost))
 		if best == nil || cost < least {
 			best, least = h, cost
--- a/core/proxy/spread.go
+++ b/core/proxy/spread.go
@@ -16,14 +16,15 @@
 // processor take the parts of a few shards while those of all would take longer
 // than the upstreams work, and merged records are fewer bytes between zones.
 const (
-	portionLegs   = 9               // shards of a portion at most
-	delegateTime  = 2 * leastTime   // a portion with less time left is not given away
-	portionFactor = 1.5             // of the hedge delay of portions, after which their shards are tried directly
-	avoidFailed   = 2 * time.Second // a VM that failed or is silent gets no portion for this long
+	portionLegs   = 9                    // shards of a portion at most
+	delegateTime  = 2 * leastTime        // a portion with less time left is not given away
+	portionFactor = 1.5                  // of the hedge delay of portions, after which their shards are tried directly
+	portionWays   = 8 * time.Millisecond // beyond the longest time of a portion, after which they are in any case
+	avoidFailed   = 2 * time.Second      // a VM that failed or is silent gets no portion for this long
 	avoidRefusing = 500 * time.Millisecond
 	avoidLate     = 500 * time.Millisecond // the same after an overdue portion, which proves little
-	avoidZone     = 3 * time.Second // a zone of which two VMs fail shortly after each other may be cut off
-	zoneTogether  = time.Second     // between the failures of such VMs
+	avoidZone     = 3 * time.Second        // a zone of which two VMs fail shortly after each other may be cut off
+	zoneTogether  = time.Second            // between the failures of such VMs
 )
 
 // daemon is an entry VM that gathers portions.
@@ -290,7 +291,7 @@
 func (t *Table) delegationDue(g *delegation) time.Time {
 	r := g.call.route
 	delay := time.Duration(portionFactor * float64(t.portionPace(r).hedge(r, 0)))
-	return g.sent.Add(min(delay, time.Duration(float64(objective(r))/latestHedge)))
+	return g.sent.Add(min(delay, longestPortion(r)+portionWays))
 }
 
 // portionsOf returns the portions of a route, as long as there are VMs to gather
--- /dev/null
+++ b/core/proxy/spread_test.go
@@ -0,0 +1,217 @@
+package proxy_test
+
+import (
+	"fmt"
+	"net/netip"
+	"slices"
+	"testing"
+	"time"
+
+	"comfreypulley/core/effect"
+	"comfreypulley/core/event"
+	"comfreypulley/core/model"
+	"comfreypulley/core/proxy"
+)
+
+const wideShards = 20
+
+// wide is a table of vm0 in zone a, whose route has many shards. Each has an
+// upstream in zones a and b but for the last two, which have one in b alone.
+func wide(t *testing.T, daemons ...model.Daemon) *proxy.Table {
+	t.Helper()
+	route := model.Route{
+		Name: "all", Host: "a.example", Prefix: "/all/", Attempts: 2, Timeout: time.Second, Objective: 100 * time.Millisecond,
+		Records: 4, Coverage: 0.6,
+	}
+	d := &model.Document{Version: 1}
+	var upstreams []model.Upstream
+	for n := range wideShards {
+		name := fmt.Sprintf("s%d", n)
+		route.Shards = append(route.Shards, name)
+		d.Services = append(d.Services, model.Service{Name: name, Conns: 60})
+		for _, zone := range []model.Zone{"a", "b"} {
+			if zone == "b" || n < wideShards-2 {
+				id := model.UpstreamID(name + "/" + string(zone))
+				upstreams = append(upstreams, model.Upstream{ID: id, Index: name, Slots: 3, Zone: zone, Addr: netip.MustParseAddrPort("10.0.0.1:80")})
+			}
+		}
+	}
+	d.Routes = []model.Route{route}
+	table := &proxy.Table{}
+	table.Start(began, event.Start{VM: model.VM{ID: "vm0", Zone: "a"}, Spread: wideShards, Ratio: 0.2, Extra: 1000}, nil)
+	table.View(began, event.View{Topology: &model.Topology{Document: d}}, nil)
+	table.Roster(began, event.Roster{Upstreams: upstreams, Stamp: 1, Read: began, Fleet: 1}, nil)
+	table.Daemons(began, event.Daemons{Daemons: daemons}, nil)
+	return table
+}
+
+func daemonIn(zone model.Zone, n int) model.Daemon {
+	return model.Daemon{ID: model.VMID(fmt.Sprintf("vm-%s-%d", zone, n)), Zone: zone, Gathers: netip.MustParseAddrPort("10.1.0.1:1")}
+}
+
+func ask(table *proxy.Table, at time.Time, id model.RequestID, p *model.Portion) []effect.Effect {
+	return table.Call(at, event.Call{
+		ID: id, Host: "a.example", Path: "/all/x", Wait: 800 * time.Millisecond, Fingerprint: model.Fingerprint(id), Portion: p,
+	}, nil)
+}
+
+// forwards splits what is sent into portions and single attempts.
+func forwards(out []effect.Effect) (portions, direct []effect.Forward) {
+	for _, e := range out {
+		if f, ok := e.(effect.Forward); ok && f.Portion != nil {
+			portions = append(portions, f)
+		} else if ok {
+			direct = append(direct, f)
+		}
+	}
+	return portions, direct
+}
+
+// wake fires the timer of a call at its time, which is returned.
+func wake(table *proxy.Table, at time.Time, out []effect.Effect) (time.Time, []effect.Effect) {
+	for _, e := range slices.Backward(out) {
+		if timer, ok := e.(effect.SetTimer); ok && timer.ID.Kind == event.TimerCall {
+			at = timer.At
+			return at, table.Timer(at, timer.ID, nil)
+		}
+	}
+	return at, nil
+}
+
+func answer(f effect.Forward) event.Gathered {
+	g := event.Gathered{Attempt: f.Attempt, Records: []byte("0123456789abcdef")}
+	for _, leg := range f.Portion.Legs {
+		g.Pieces = append(g.Pieces, model.Piece{Leg: leg, Tried: "u", Receipt: fmt.Sprintf("r%d", leg)})
+	}
+	return g
+}
+
+// Guards against shards that nobody gathers, that are gathered twice, or whose
+// parts cross zones one by one.
+func TestPortionsCoverAllShards(t *testing.T) {
+	table := wide(t, daemonIn("a", 1), daemonIn("a", 2), daemonIn("a", 3), daemonIn("b", 1))
+	portions, direct := forwards(ask(table, began, 1, nil))
+	var legs []int
+	var out []effect.Effect
+	for _, f := range portions {
+		legs = append(legs, f.Portion.Legs...)
+		far := slices.Contains(f.Portion.Legs, wideShards-1)
+		if got, want := f.Upstream == "vm vm-b-1", far; got != want || far && len(f.Portion.Legs) != 2 {
+			t.Errorf("got portion %v at %s, want the two shards without an upstream in the zone, and only them, at vm-b-1", f.Portion.Legs, f.Upstream)
+		}
+		out = table.Gathered(began.Add(20*time.Millisecond), answer(f), out)
+	}
+	slices.Sort(legs)
+	if len(direct) != 0 || len(legs) != wideShards || len(slices.Compact(legs)) != wideShards {
+		t.Errorf("got %d direct attempts and shards %v, want each shard in one portion", len(direct), legs)
+	}
+	i := slices.IndexFunc(out, func(e effect.Effect) bool { _, ok := e.(effect.Merge); return ok })
+	if i < 0 || len(out[i].(effect.Merge).Merged.Receipts) != wideShards {
+		t.Errorf("got %v, want a merged answer of all shards", out)
+	}
+}
+
+// Guards against a call that waits for a VM which is silent, and against portions
+// that go on to it.
+func TestSilentHelper(t *testing.T) {
+	silent := daemonIn("a", 1)
+	table := wide(t, silent, daemonIn("b", 1))
+	out := ask(table, began, 1, nil)
+	portions, _ := forwards(out)
+	at, lost := began, 0
+	for _, f := range portions {
+		if f.Upstream == "vm "+model.UpstreamID(silent.ID) {
+			lost += len(f.Portion.Legs)
+			continue
+		}
+		at = began.Add(10 * time.Millisecond)
+		out = append(out, table.Gathered(at, answer(f), nil)...)
+	}
+	var direct []effect.Forward
+	for range 20 {
+		at, out = wake(table, at, out)
+		_, more := forwards(out)
+		direct = append(direct, more...)
+	}
+	if len(direct) != lost || lost == 0 || at.Sub(began) > time.Second {
+		t.Errorf("got %d direct attempts, want one for each of the %d shards of the silent VM", len(direct), lost)
+	}
+	again, _ := forwards(ask(table, began.Add(60*time.Millisecond), 2, nil))
+	for _, f := range again {
+		if f.Upstream == "vm "+model.UpstreamID(silent.ID) {
+			t.Error("the silent VM gets another portion at once")
+		}
+	}
+}
+
+// Guards against a zone that is cut off and makes every call wait for one of its
+// VMs after the other.
+func TestZoneOfFailingHelpersIsAvoided(t *testing.T) {
+	table := wide(t, daemonIn("a", 1), daemonIn("b", 1), daemonIn("b", 2), daemonIn("b", 3), daemonIn("b", 4))
+	far := func(at time.Time, id model.RequestID) (f effect.Forward, ok bool) {
+		portions, _ := forwards(ask(table, at, id, nil))
+		i := slices.IndexFunc(portions, func(f effect.Forward) bool { return slices.Contains(f.Portion.Legs, wideShards-1) })
+		if i < 0 {
+			return f, false
+		}
+		return portions[i], true
+	}
+	at := began
+	for id := range model.RequestID(2) {
+		f, ok := far(at, id+1)
+		if !ok {
+			t.Fatal("the shards without an upstream in the zone are not given to another zone")
+		}
+		table.Failed(at, event.Failed{Attempt: f.Attempt, Reason: model.FailedTimeout, Ran: model.RanUnknown}, nil)
+		at = at.Add(100 * time.Millisecond)
+	}
+	if f, ok := far(at, 3); ok {
+		t.Errorf("got a portion at %s after two VMs of its zone failed", f.Upstream)
+	}
+	if _, ok := far(at.Add(4*time.Second), 4); !ok {
+		t.Error("the zone is still avoided after 4s")
+	}
+}
+
+// Guards against a helper that holds the shards it has until those of a paused
+// upstream come, or makes the second attempt itself.
+func TestHelperAnswersWithoutOverdueShards(t *testing.T) {
+	table := wide(t)
+	out := ask(table, began, 1, &model.Portion{Version: 1, Legs: []int{3, 5}})
+	_, direct := forwards(out)
+	if len(direct) != 2 {
+		t.Fatalf("got %d attempts, want 2", len(direct))
+	}
+	at := began.Add(5 * time.Millisecond)
+	out = append(out, table.Returned(at, event.Returned{
+		Attempt: direct[0].Attempt, Receipt: "r3", Reply: model.Reply{Status: 200, Body: []byte("0123456789abcdef")},
+	}, nil)...)
+	_, out = wake(table, at, out)
+	i := slices.IndexFunc(out, func(e effect.Effect) bool { _, ok := e.(effect.Gather); return ok })
+	if i < 0 {
+		t.Fatalf("got %v, want an answer once the other shard is overdue", out)
+	}
+	got := out[i].(effect.Gather).Pieces
+	want := []model.Piece{{Leg: 3, Tried: direct[0].Upstream, Receipt: "r3"}, {Leg: 5, Tried: direct[1].Upstream}}
+	if !slices.Equal(got, want) {
+		t.Errorf("got pieces %+v, want %+v", got, want)
+	}
+	if _, more := forwards(out); len(more) > 0 {
+		t.Errorf("the helper makes %d further attempts", len(more))
+	}
+}
+
+// Guards against shards of another document than the one that the caller's VM
+// goes by.
+func TestPortionOfAnotherDocumentIsRefused(t *testing.T) {
+	out := ask(wide(t), began, 1, &model.Portion{Version: 2, Legs: []int{3}})
+	if _, direct := forwards(out); len(direct) > 0 {
+		t.Errorf("got %d attempts for a document that is not in force", len(direct))
+	}
+	if !slices.ContainsFunc(out, func(e effect.Effect) bool {
+		r, ok := e.(effect.Refuse)
+		return ok && r.Rejection.Ran == model.RanNo
+	}) {
+		t.Errorf("got %v, want a refusal that states that nothing ran", out)
+	}
+}
--- a/core/proxy/step.go
+++ b/core/proxy/step.go
@@ -139,7 +139,7 @@
 		l.lost = true
 		return out
 	}
-	h := t.pick(at, l, c.pace.expected(c.route))
+	h := t.pick(at, c, l)
 	if h == nil {
 		l.next = at.Add(repick)
 		if !t.untried(l) && len(l.tries) > 0 {
--- a/core/proxy/table_test.go
+++ b/core/proxy/table_test.go
@@ -14,13 +14,14 @@
 // lists of upstreams can cause: two ends of a request or none, a request that
 // runs twice though it must not, a refusal as "not run" of one that ran, parts
 // of two documents in an answer, untrue coverage, more extra attempts than the
-// bound, more time than the caller has, and work for draining upstreams.
+// bound, more time than the caller has, and work for draining upstreams. Portions
+// of calls go to other VMs and come from them.
 func TestRoutedPromises(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		w := newWorld(t)
 		steps := rapid.IntRange(10, 150).Draw(t, "steps")
 		for range steps {
-			switch rapid.IntRange(0, 9).Draw(t, "action") {
+			switch rapid.IntRange(0, 11).Draw(t, "action") {
 			case 0:
 				w.call("/all/")
 			case 1:
@@ -29,6 +30,10 @@
 				w.call("/once/")
 			case 3:
 				w.pass(time.Duration(rapid.IntRange(0, 60).Draw(t, "ms")) * time.Millisecond)
+			case 10:
+				w.callPortion("/all/", &model.Portion{Version: w.version, Legs: []int{1, 2, 4}})
+			case 11:
+				w.daemons()
 			case 4:
 				w.change(rapid.IntRange(0, 3).Draw(t, "change"))
 			default:
--- a/core/proxy/world_test.go
+++ b/core/proxy/world_test.go
@@ -48,6 +48,7 @@
 	forward effect.Forward
 	service string
 	ran     bool
+	portion bool // at another VM
 }
 
 type caller struct {
@@ -58,7 +59,8 @@
 	runs     map[string]int // by service
 	finals   int
 	gone     bool
-	statedNo bool // the refusal said that it did not run
+	statedNo bool           // the refusal said that it did not run
+	portion  *model.Portion // of another VM's request
 }
 
 func service(version uint64, n int) string { return fmt.Sprintf("set%d-%d", version%2, n) }
@@ -96,12 +98,24 @@
 		}
 	}
 	w.addHosts("single")
-	w.do(w.table.Start(w.now, event.Start{VM: model.VM{Zone: "a"}, Ratio: ratio, Extra: extra, Seed: rapid.Uint64().Draw(t, "seed")}, nil))
+	w.do(w.table.Start(w.now, event.Start{VM: model.VM{ID: "vm0", Zone: "a"}, Spread: shards, Ratio: ratio, Extra: extra, Seed: rapid.Uint64().Draw(t, "seed")}, nil))
 	w.view()
 	w.roster()
+	w.daemons()
 	return w
 }
 
+// daemons tells the table some other entry VMs, and this one.
+func (w *world) daemons() {
+	list := []model.Daemon{{ID: "vm0", Zone: "a", Gathers: netip.MustParseAddrPort("10.1.0.1:1")}}
+	for n := range rapid.IntRange(0, 4).Draw(w.t, "daemons") {
+		list = append(list, model.Daemon{
+			ID: model.VMID(fmt.Sprintf("vm%d", n+1)), Zone: model.Zone(rune('a' + n%3)), Gathers: netip.MustParseAddrPort("10.1.0.2:1"),
+		})
+	}
+	w.do(w.table.Daemons(w.now, event.Daemons{Daemons: list}, nil))
+}
+
 func (w *world) addHosts(service string) {
 	for n := range replicas {
 		id := model.UpstreamID(fmt.Sprintf("%s/%d", service, n))
@@ -129,11 +143,13 @@
 	w.do(w.table.Roster(w.now, event.Roster{Upstreams: list, Stamp: w.stamp, Read: w.now, Fleet: 1}, nil))
 }
 
-func (w *world) call(path string) {
+func (w *world) call(path string) { w.callPortion(path, nil) }
+
+func (w *world) callPortion(path string, p *model.Portion) {
 	w.next++
-	w.callers[w.next] = &caller{path: path, arrived: w.now, version: w.version, runs: make(map[string]int)}
+	w.callers[w.next] = &caller{path: path, arrived: w.now, version: w.version, runs: make(map[string]int), portion: p}
 	w.do(w.table.Call(w.now, event.Call{
-		ID: w.next, Host: "a.example:80", Path: path + "x", Fingerprint: model.Fingerprint(w.next), Wait: 500 * time.Millisecond,
+		ID: w.next, Host: "a.example:80", Path: path + "x", Fingerprint: model.Fingerprint(w.next), Wait: 500 * time.Millisecond, Portion: p,
 	}, nil))
 }
 
@@ -152,6 +168,8 @@
 		case effect.Merge:
 			w.final(e.Request)
 			w.merged(e)
+		case effect.Gather:
+			w.gathered(e, w.final(e.Request))
 		case effect.Refuse:
 			c := w.final(e.Rejection.Request)
 			c.statedNo = e.Rejection.Ran == model.RanNo
@@ -164,6 +182,10 @@
 
 func (w *world) forward(e effect.Forward) {
 	c := w.callers[e.Request]
+	if e.Portion != nil {
+		w.delegated(e, c)
+		return
+	}
 	h := w.hosts[e.Upstream]
 	f := &flight{forward: e, service: h.upstream.Index}
 	switch {
@@ -187,6 +209,75 @@
 	w.flights[e.Attempt] = f
 }
 
+// delegated checks a portion that is given away.
+func (w *world) delegated(e effect.Forward, c *caller) {
+	switch {
+	case c.finals > 0 || c.gone || c.portion != nil || c.path != "/all/":
+		w.t.Fatalf("a portion of request %d to %s is given away", e.Request, c.path)
+	case e.Portion.Version != c.version:
+		w.t.Fatalf("a portion of request %d is of version %d, want %d", e.Request, e.Portion.Version, c.version)
+	case c.arrived.Add(500 * time.Millisecond).Before(w.now.Add(e.Timeout)):
+		w.t.Fatalf("a portion of request %d may take %v", e.Request, e.Timeout)
+	}
+	w.flights[e.Attempt] = &flight{forward: e, portion: true}
+}
+
+// gathered checks what this VM answers to another one.
+func (w *world) gathered(e effect.Gather, c *caller) {
+	var legs []int
+	for _, p := range e.Pieces {
+		legs = append(legs, p.Leg)
+		if want := fmt.Sprintf("%d@%s", e.Request, service(c.version, p.Leg)); p.Receipt != "" && p.Receipt != want {
+			w.t.Fatalf("shard %d has receipt %s, want %s", p.Leg, p.Receipt, want)
+		}
+		if p.Tried == "" && c.runs[service(c.version, p.Leg)] > 0 {
+			w.t.Fatalf("shard %d ran and is stated as not tried", p.Leg)
+		}
+	}
+	if c.portion == nil || !slices.Equal(legs, c.portion.Legs) {
+		w.t.Fatalf("request %d got shards %v, want portion %+v", e.Request, legs, c.portion)
+	}
+	for _, f := range c.flights {
+		if n := len(slices.DeleteFunc(slices.Clone(c.flights), func(o *flight) bool { return o.service != f.service })); n > 1 {
+			w.t.Fatalf("request %d has %d attempts on %s for another VM", e.Request, n, f.service)
+		}
+	}
+}
+
+// endPortion ends a portion at another VM: some shards are answered, some tried.
+func (w *world) endPortion(id model.AttemptID, f *flight, outcome int) {
+	c := w.callers[f.forward.Request]
+	try := func(leg int) {
+		sub := &flight{forward: f.forward, service: service(c.version, leg)}
+		c.flights = append(c.flights, sub)
+		w.arrived(sub)
+		c.runs[sub.service]++
+	}
+	if outcome == 3 {
+		w.do(w.table.Failed(w.now, event.Failed{Attempt: id, Reason: model.FailedShed, Ran: model.RanNo}, nil))
+		return
+	}
+	gathered := event.Gathered{Attempt: id}
+	for _, leg := range f.forward.Portion.Legs {
+		p := model.Piece{Leg: leg}
+		switch kind := rapid.IntRange(0, 5).Draw(w.t, "piece"); {
+		case kind > 1:
+			p.Receipt = fmt.Sprintf("%d@%s", f.forward.Request, service(c.version, leg))
+			gathered.Records = append(gathered.Records, fmt.Sprintf("%016d", id)...)
+			fallthrough
+		case kind == 1:
+			p.Tried = model.UpstreamID(service(c.version, leg) + "/1")
+			try(leg)
+		}
+		gathered.Pieces = append(gathered.Pieces, p)
+	}
+	if outcome > 3 {
+		w.do(w.table.Failed(w.now, event.Failed{Attempt: id, Reason: model.FailedReset, Ran: model.RanUnknown}, nil))
+		return
+	}
+	w.do(w.table.Gathered(w.now, gathered, nil))
+}
+
 // arrived counts an attempt that reached its upstream.
 func (w *world) arrived(f *flight) {
 	c := w.callers[f.forward.Request]
@@ -268,6 +359,10 @@
 	id := ids[rapid.IntRange(0, len(ids)-1).Draw(w.t, "flight")]
 	f := w.flights[id]
 	delete(w.flights, id)
+	if f.portion {
+		w.endPortion(id, f, outcome)
+		return
+	}
 	c := w.callers[f.forward.Request]
 	ran := func() {
 		w.arrived(f)
--- a/core/soak/config.go
+++ b/core/soak/config.go
@@ -38,6 +38,7 @@
 
 // Times of a soak.
 const (
+	starting    = time.Second     // of a process, until it accepts connections
 	settling    = 5 * time.Second // from the first start to the first fault
 	lastReads   = stableWindow    // after the recovery, when the state is read back
 	cycle       = 15 * time.Second
--- a/core/soak/soak_test.go
+++ b/core/soak/soak_test.go
@@ -235,6 +235,14 @@
 			b.run("r1", "t", plain)
 			b.step(Answered{Tag: "t", Broken: "EOF"})
 		}},
+		{"connection to a VM that starts", "", func(b *bed) {
+			b.signal(Signal{testEntry, Stop}, &step{})
+			b.now = b.at
+			b.spawn(testEntry, Spawn{})
+			b.send("t", Fetch)
+			b.after(time.Second / 4)
+			b.step(Answered{Tag: "t", Broken: "reset"})
+		}},
 		{"request that crosses a close", "", func(b *bed) {
 			b.send("t", Fetch)
 			b.after(time.Millisecond)
--- a/core/soak/state.go
+++ b/core/soak/state.go
@@ -187,6 +187,8 @@
 	}
 	how.VM = n
 	*v = vm{up: true, began: s.now, seen: -1, paused: v.paused}
+	// A proxy accepts connections before the process behind it does.
+	s.troubles.begin(subject{partVM, n}, s.now, false).to = s.now.Add(starting)
 	s.emit(how)
 	s.note("vm %d starts", n)
 }
--- a/io/proxy/client_test.go
+++ b/io/proxy/client_test.go
@@ -91,6 +91,8 @@
 	ends   chan event.Body
 	next   model.AttemptID
 	tag    string
+
+	portion string // header of the caller that names a portion
 }
 
 func newSender(t *testing.T) *sender {
@@ -101,10 +103,14 @@
 }
 
 func (s *sender) exchange(model.RequestID) *proxy.Exchange {
-	return &proxy.Exchange{
+	x := &proxy.Exchange{
 		Method: http.MethodGet, Host: "a.example", URI: "/x/1?q=a%20b", Tag: s.tag,
 		Headers: http.Header{"Tag": {s.tag}, "Connection": {"X-Hop"}, "X-Hop": {"1"}, "Wait": {"9999"}},
 	}
+	if s.portion != "" {
+		x.Headers.Set("Comfreypulley-Portion", s.portion)
+	}
+	return x
 }
 
 func (s *sender) send(u *upstream, timeout time.Duration) event.Body {
--- a/io/proxy/exchange.go
+++ b/io/proxy/exchange.go
@@ -44,7 +44,7 @@
 	var b bytes.Buffer
 	b.WriteString(x.Method + " " + x.URI + " HTTP/1.1\r\nHost: " + x.Host + "\r\n")
 	headers := passing(x.Headers)
-	for _, name := range []string{"Host", "Content-Length", d.Wait, d.Expect} {
+	for _, name := range []string{"Host", "Content-Length", d.Wait, d.Expect, portionHeader} {
 		headers.Del(name)
 	}
 	if len(x.Body) > 0 || x.Method != http.MethodGet && x.Method != http.MethodHead {
--- a/io/soak/machine.go
+++ b/io/soak/machine.go
@@ -58,7 +58,7 @@
 // newMachine opens the proxies of a VM. Its zone is the third byte of its
 // address; the second one differs between soaks that run at the same time.
 func (s *Soak) newMachine(n int, zone byte, control bool) (m *machine, err error) {
-	ip := netip.AddrFrom4([4]byte{127, byte(1 + os.Getpid()%250), zone + byte(os.Getpid()/250%80)*Zones, byte(n + 1)})
+	ip := netip.AddrFrom4([4]byte{127, byte(1 + s.number%250), zone + byte(s.number/250%80)*Zones, byte(n + 1)})
 	at := func(port uint16) netip.AddrPort { return netip.AddrPortFrom(ip, port) }
 	name := fmt.Sprintf("vm%d", n)
 	m = &machine{
--- a/io/soak/soak.go
+++ b/io/soak/soak.go
@@ -56,6 +56,12 @@
 	queued    = 4096 // events
 )
 
+// soaks counts those of this process.
+var soaks atomic.Int64
+
+// apart keeps the numbers of soaks of one process away from the next process ids.
+const apart = 7919
+
 // anyPort is a loopback address with a free port.
 var anyPort = netip.MustParseAddrPort("127.0.0.1:0")
 
@@ -67,6 +73,7 @@
 	Folder  string        // for settings, data and logs
 	Rig     Rig
 
+	number   int             // tells the addresses of soaks apart that run at the same time
 	ctx      context.Context // of traffic; ends before the processes do
 	over     chan struct{}   // closed when no event is taken any more
 	events   chan stamped
@@ -114,6 +121,7 @@
 	defer func() { err = errors.Join(err, s.faults.Flush(), file.Close()) }()
 	s.events, s.orders, s.over = make(chan stamped, queued), make(map[uint64]int), make(chan struct{})
 	s.roster.Store(&soak.Roster{})
+	s.number = os.Getpid() + apart*int(soaks.Add(1))
 	traffic, cancel := context.WithCancel(ctx)
 	defer cancel()
 	s.ctx = traffic
--- a/io/soak/soak_test.go
+++ b/io/soak/soak_test.go
@@ -11,46 +11,48 @@
 	"comfreypulley/platform"
 )
 
-// period of faults in the tests, less than a whole cycle of the plan.
-const period = 8 * time.Second
-
 // seeds are run by the tests: a first one, and each that ever failed with its
 // cause.
 var seeds = []struct {
-	seed  uint64
-	cause string
+	seed   uint64
+	period time.Duration // of faults
+	cause  string
 }{
-	{1, "first seed"},
+	{1, 8 * time.Second, "first seed"},
+	{9, 20 * time.Second, "judged a connection to a process that was still starting as lost"},
+	{13, 20 * time.Second, "the same at another VM"},
 }
 
 // Guards against promises that real processes break when faults come in series
 // and overlap.
 func TestSeeds(t *testing.T) {
-	dir := t.TempDir()
-	program := filepath.Join(dir, "comfreypulley")
+	program := filepath.Join(t.TempDir(), "comfreypulley")
 	if out, err := exec.Command("go", "build", "-o", program, "comfreypulley").CombinedOutput(); err != nil {
 		t.Fatalf("build: %v\n%s", err, out)
 	}
 	for _, s := range seeds {
-		folder, err := os.MkdirTemp("", fmt.Sprintf("comfreypulley-soak-%d-", s.seed))
-		if err != nil {
-			t.Fatal(err)
-		}
-		run := &Soak{Seed: s.seed, Period: period, Program: program, Folder: folder, Rig: platform.Rig{}}
-		report, err := run.Run(t.Context())
-		if err != nil {
-			t.Fatalf("seed %d (%s): %v; logs are in %s", s.seed, s.cause, err, folder)
-		}
-		for _, f := range report.Findings {
-			t.Errorf("seed %d (%s): %v; logs are in %s", s.seed, s.cause, f, folder)
-		}
-		if report.Served == 0 || report.Changes == 0 || report.Reads == 0 {
-			t.Errorf("seed %d: got %+v, want answers, changes and reads", s.seed, report)
-		}
-		if !t.Failed() {
-			if err := os.RemoveAll(folder); err != nil {
-				t.Error(err)
+		t.Run(fmt.Sprintf("%d", s.seed), func(t *testing.T) {
+			t.Parallel()
+			folder, err := os.MkdirTemp("", fmt.Sprintf("comfreypulley-soak-%d-", s.seed))
+			if err != nil {
+				t.Fatal(err)
+			}
+			run := &Soak{Seed: s.seed, Period: s.period, Program: program, Folder: folder, Rig: platform.Rig{}}
+			report, err := run.Run(t.Context())
+			if err != nil {
+				t.Fatalf("seed %d (%s): %v; logs are in %s", s.seed, s.cause, err, folder)
+			}
+			for _, f := range report.Findings {
+				t.Errorf("seed %d (%s): %v; logs are in %s", s.seed, s.cause, f, folder)
+			}
+			if report.Served == 0 || report.Changes == 0 || report.Reads == 0 {
+				t.Errorf("seed %d: got %+v, want answers, changes and reads", s.seed, report)
+			}
+			if !t.Failed() {
+				if err := os.RemoveAll(folder); err != nil {
+					t.Error(err)
+				}
 			}
-		}
+		})
 	}
 }
