Make the soak's calm times long enough to be judged, and let addresses change owners

Cycles are now 20 s with 4 s of any faults; in the rest entry VMs stop about once a second, upstreams of the busiest service fail more often, and callers leave more often.

Upstreams of two services may now come back each at the other's address, which the list shows 2 s later.

--- a/core/soak/calm.go
+++ b/core/soak/calm.go
@@ -54,6 +54,20 @@
 	return s.troubles.calm(subject{partVM, vm}, since, s.now, true) && s.troubles.calm(subject{part: partCore}, since, s.now, true)
 }
 
+// direct reports whether the way of a run was undisturbed: its upstream and, when
+// other VMs may have taken part, all that take callers.
+func (s *State) direct(q *request, r *run, since time.Time) bool {
+	if q.Class != Sweep {
+		return s.sound(q.Entry, []*run{r}, since)
+	}
+	for n := s.cfg.Controls; n < len(s.vms); n++ {
+		if !s.sound(n, []*run{r}, since) {
+			return false
+		}
+	}
+	return true
+}
+
 // sound reports the same of a VM beside planned stops, and of upstreams.
 func (s *State) sound(vm int, runs []*run, since time.Time) bool {
 	if !s.troubles.calm(subject{partVM, vm}, since, s.now, false) {
--- a/core/soak/change.go
+++ b/core/soak/change.go
@@ -18,6 +18,7 @@
 	coverage   = 0.5            // least share of the shards
 	timeout    = 900 * time.Millisecond
 	hostConns  = 64
+	plainHosts = 5
 )
 
 // Services returns the services of the documents and the upstreams of each.
@@ -33,7 +34,7 @@
 			add(shard, 2)
 		}
 	}
-	add(plain, 3)
+	add(plain, plainHosts)
 	for n := range movers {
 		add(mover(n), 1)
 	}
--- a/core/soak/config.go
+++ b/core/soak/config.go
@@ -41,8 +41,8 @@
 	starting    = time.Second     // of a process, until it accepts connections
 	settling    = 5 * time.Second // from the first start to the first fault
 	lastReads   = stableWindow    // after the recovery, when the state is read back
-	cycle       = 15 * time.Second
-	stormy      = 7 * time.Second // of a cycle, when any fault may come
+	cycle       = 20 * time.Second
+	stormy      = 4 * time.Second // of a cycle, when any fault may come; calm VMs are judged in the rest
 	changeEvery = 1200 * time.Millisecond
 )
 
--- a/core/soak/effect.go
+++ b/core/soak/effect.go
@@ -92,6 +92,13 @@
 		Slow  float64 // factor on its service times
 	}
 
+	// Swap makes two upstreams answer as each other, or, when it is listed, shows
+	// that in the list.
+	Swap struct {
+		A, B   int
+		Listed bool
+	}
+
 	// Roster replaces what the list of upstreams shows.
 	Roster struct {
 		Drained []int
@@ -115,6 +122,7 @@
 func (Set) isEffect()      {}
 func (Reset) isEffect()    {}
 func (Upstream) isEffect() {}
+func (Swap) isEffect()     {}
 func (Roster) isEffect()   {}
 func (Order) isEffect()    {}
 func (Note) isEffect()     {}
--- a/core/soak/plan.go
+++ b/core/soak/plan.go
@@ -21,13 +21,14 @@
 // Times of faults.
 const (
 	shortest    = 100 * time.Millisecond
-	longest     = 3500 * time.Millisecond
-	maxRestart  = 2 * time.Second
-	maxGap      = 1300 * time.Millisecond // between two faults of a stormy time
+	longest     = 2500 * time.Millisecond
+	maxRestart  = time.Second
+	maxGap      = 700 * time.Millisecond  // between two faults of a stormy time
 	maxFollow   = 600 * time.Millisecond  // from a fault to the next one on the same VM
-	calmGap     = 2500 * time.Millisecond // between two faults of a calm time
+	calmGap     = 1200 * time.Millisecond // between two faults of a calm time
+	reuseAfter  = 2 * time.Second         // from an upstream's end until the list shows who has its address
 	crashLength = 2500 * time.Millisecond // until an upstream that crashed counts as sound
-	wipeAt      = 6 * time.Second         // in a cycle in which a disk is lost
+	wipeAt      = 10 * time.Second        // in a cycle in which a disk is lost
 	slowBy      = 20
 )
 
@@ -37,11 +38,12 @@
 	random *rand.Rand
 	steps  []step
 	drains []int
+	moved  map[int]bool // upstreams that leave or change their address
 }
 
 // drawPlan draws all faults before the soak begins.
 func (s *State) drawPlan() {
-	p := &planner{cfg: &s.cfg, random: rand.New(rand.NewPCG(s.cfg.Seed, 2))}
+	p := &planner{cfg: &s.cfg, random: rand.New(rand.NewPCG(s.cfg.Seed, 2)), moved: make(map[int]bool)}
 	end := settling + s.cfg.Period
 	next := p.wipes()
 	for from := settling; from < end; from += cycle {
@@ -117,22 +119,24 @@
 // breeze adds a fault of a calm time: planned work, and trouble that does not
 // touch the log.
 func (p *planner) breeze(at time.Duration, core bool) {
-	switch p.random.IntN(6) {
-	case 0, 1:
-		n := p.vm(core)
+	switch p.random.IntN(12) {
+	case 0, 1, 2, 3, 4:
+		n := p.vm(core && p.random.IntN(8) == 0)
 		p.add(step{at: at, name: "stop", begin: []Effect{Signal{n, Stop}}, after: p.upTo(maxRestart)})
 		for p.random.IntN(3) == 0 {
 			// A second signal while the process stops.
 			at += p.upTo(2 * maxFollow)
 			p.add(step{at: at, name: "signal", begin: []Effect{Signal{n, []Sign{Stop, Reload}[p.random.IntN(2)]}}, after: p.upTo(maxRestart)})
 		}
-	case 2:
+	case 5:
 		n := p.vm(core)
 		p.add(step{at: at, name: "reload", begin: []Effect{Signal{n, Reload}}})
-	case 3:
+	case 6:
 		p.drain(at)
-	case 4:
+	case 7:
 		p.process(at, p.vm(false))
+	case 8:
+		p.swap(at)
 	default:
 		p.host(at)
 	}
@@ -244,10 +248,7 @@
 
 // host adds a fault of an upstream, its links or the list of upstreams.
 func (p *planner) host(at time.Duration) {
-	n := p.random.IntN(len(p.cfg.Hosts))
-	if p.random.IntN(2) == 0 {
-		n = p.random.IntN(len(p.cfg.Hosts) - movers) // those get most of the requests
-	}
+	n := p.upstream()
 	st := step{at: at, length: p.upTo(longest), subjects: []subject{{partHost, n}}}
 	harm := func(name string, h Harm) {
 		st.name, st.begin, st.end = name, []Effect{Set{Hosts, n, h}}, []Effect{Set{Place: Hosts, Index: n}, Reset{Hosts, n}}
@@ -274,6 +275,35 @@
 	p.add(st)
 }
 
+// upstream draws an upstream. Most requests go to those of the plain service, and
+// hardly any to those that follow the changes.
+func (p *planner) upstream() int {
+	last := len(p.cfg.Hosts) - movers
+	switch p.random.IntN(5) {
+	case 0:
+		return p.random.IntN(len(p.cfg.Hosts))
+	case 1, 2:
+		return p.random.IntN(last)
+	default:
+		return last - 1 - p.random.IntN(plainHosts)
+	}
+}
+
+// swap adds two upstreams of different services that end and come back each at
+// the address of the other. The list shows it only later.
+func (p *planner) swap(at time.Duration) {
+	a, b := p.upstream(), p.upstream()
+	if p.cfg.Hosts[a].Service == p.cfg.Hosts[b].Service || p.moved[a] || p.moved[b] {
+		return
+	}
+	p.moved[a], p.moved[b] = true, true
+	p.add(step{
+		at: at, length: reuseAfter, name: "address reuse", subjects: []subject{{partHost, a}, {partHost, b}},
+		begin: []Effect{Swap{A: a, B: b}, Upstream{Host: a, Crash: true}, Upstream{Host: b, Crash: true}},
+		end:   []Effect{Swap{A: a, B: b, Listed: true}},
+	})
+}
+
 // drain adds the leaving of an upstream that another one replaces.
 func (p *planner) drain(at time.Duration) {
 	service := make(map[string]bool)
@@ -281,9 +311,10 @@
 		service[p.cfg.Hosts[n].Service] = true
 	}
 	n := p.random.IntN(len(p.cfg.Hosts) - movers)
-	if service[p.cfg.Hosts[n].Service] {
+	if service[p.cfg.Hosts[n].Service] || p.moved[n] {
 		return
 	}
+	p.moved[n] = true
 	p.drains = append(p.drains, n)
 	p.add(step{at: at, name: "drain", begin: []Effect{Roster{Drained: []int{n}}}})
 }
--- a/core/soak/request.go
+++ b/core/soak/request.go
@@ -54,7 +54,7 @@
 		return
 	case q.Digest != r.Digest:
 		s.find("UNASKED", "upstream %d got request %s changed", r.Host, r.Tag)
-	case !s.may(q, r.Service):
+	case r.Accepted && !s.may(q, r.Service):
 		s.find("ROUTE", "request %s reached service %s", r.Tag, r.Service)
 	}
 	if r.Wait <= 0 || r.Wait > q.Wait+goneSlack {
@@ -84,7 +84,7 @@
 	}
 	s.follows(q, &r)
 	s.drained(q, &r)
-	if !q.left.IsZero() && s.now.Sub(q.left) > goneSlack && s.inTouch(q.Entry, q.left) {
+	if !q.left.IsZero() && s.now.Sub(q.left) > goneSlack && s.inTouch(q.Entry, q.left) && s.direct(q, known, q.left) {
 		s.lateArrivals++
 	}
 }
@@ -124,7 +124,7 @@
 		return
 	}
 	r.ended, r.finished = s.now, e.Finished
-	if q.left.IsZero() || q.Class == Write || !s.inTouch(q.Entry, q.left) || !s.sound(q.Entry, []*run{r}, q.left) {
+	if q.left.IsZero() || q.Class == Write || !s.inTouch(q.Entry, q.left) || !s.direct(q, r, q.left) {
 		return
 	}
 	switch late := s.now.Sub(q.left) > goneSlack; {
--- a/core/soak/soak_test.go
+++ b/core/soak/soak_test.go
@@ -141,6 +141,14 @@
 			b.send("t", Fetch)
 			b.step(Arrived{Run{ID: "r1", Tag: "t", Service: plain, Digest: 8, Wait: time.Millisecond, Accepted: true}})
 		}},
+		{"run by a service without the route", "ROUTE", func(b *bed) {
+			b.send("t", Fetch)
+			b.run("r1", "t", "a0")
+		}},
+		{"another service declines the request", "", func(b *bed) {
+			b.send("t", Fetch)
+			b.step(Arrived{Run{Tag: "t", Service: "a0", Digest: 7, Wait: time.Millisecond}})
+		}},
 		{"two runs of a write", "TWICE", func(b *bed) {
 			b.send("t", Write)
 			b.run("r1", "t", plain)
@@ -262,6 +270,19 @@
 			b.report.Recovered = 1
 			b.Done()
 		}},
+		{"requests held up on the way to an upstream", "", func(b *bed) {
+			b.troubles.begin(subject{partHost, 0}, b.at, false)
+			for _, tag := range strings.Split("abcd", "") {
+				b.send(tag, Fetch)
+				b.step(Left{Tag: tag})
+			}
+			b.after(time.Second)
+			for _, tag := range strings.Split("abcd", "") {
+				b.run("r"+tag, tag, plain)
+			}
+			b.lastRead, b.lastReadAt = 0, b.at
+			b.Done()
+		}},
 		{"run on an upstream that has left", "DRAIN", func(b *bed) {
 			b.step(Listed{Drained: []int{0}})
 			b.after(drainWithin + time.Second)
--- a/io/soak/caller.go
+++ b/io/soak/caller.go
@@ -21,7 +21,7 @@
 
 // How callers behave.
 const (
-	leastPause  = 60 * time.Millisecond // between two requests of a caller
+	leastPause  = 40 * time.Millisecond // between two requests of a caller
 	pauseSpread = 80 * time.Millisecond
 	longPause   = 2 * time.Second // now and then, so that connections lie idle
 	dialTimeout = time.Second
@@ -116,7 +116,7 @@
 	uri := soak.Path(r.Class, r.Change, r.Tag)
 	r.Digest, r.At = stub.Digest(method, uri, body), time.Now()
 	stay := r.Wait
-	if c.random.IntN(10) == 0 {
+	if c.random.IntN(6) == 0 {
 		stay = time.Duration(c.random.Int64N(int64(impatient)))
 	}
 	c.soak.post(soak.Sent{Request: r})
--- a/io/soak/carry.go
+++ b/io/soak/carry.go
@@ -38,6 +38,8 @@
 		}
 	case soak.Upstream:
 		return s.hosts[e.Host].change(e)
+	case soak.Swap:
+		s.swap(e)
 	case soak.Roster:
 		s.roster.Store(&e)
 	case soak.Order:
@@ -83,6 +85,26 @@
 	pieceGap = time.Millisecond
 )
 
+// swap makes two upstreams answer as each other, under new ids as after a new
+// start, or shows it in the list.
+func (s *Soak) swap(e soak.Swap) {
+	a, b := s.hosts[e.A], s.hosts[e.B]
+	if e.Listed {
+		a.listed.Store(a.now.Load())
+		b.listed.Store(b.now.Load())
+		return
+	}
+	was, other := *a.now.Load(), *b.now.Load()
+	a.become(other)
+	b.become(was)
+}
+
+func (h *host) become(k identity) {
+	k.id += "x"
+	h.now.Store(&k)
+	h.stub.Rename(k.id)
+}
+
 // change changes an upstream.
 func (h *host) change(e soak.Upstream) error {
 	if e.Crash {
--- a/io/soak/soak.go
+++ b/io/soak/soak.go
@@ -31,7 +31,7 @@
 	Zones    = 3
 	controls = 5 // bear one lost disk beside one that is down
 	entries  = 6
-	callers  = 3 // of each entry VM
+	callers  = 5 // of each entry VM
 	losses   = 1
 	grace    = 3 * time.Second
 	ratio    = 0.2
@@ -46,8 +46,8 @@
 	hostConns   = 64
 	hostService = 8 * time.Millisecond
 	hostSpread  = 0.3
-	hostRare    = 0.02 // share of requests that take hostRareBy times as long
-	hostRareBy  = 150
+	hostRare    = 0.05 // share of requests that take hostRareBy times as long
+	hostRareBy  = 110
 	hostRestart = 700 * time.Millisecond
 )
 
@@ -93,14 +93,18 @@
 
 // host is an upstream and the proxy before it.
 type host struct {
-	soak    *Soak
-	number  int
-	service string
-	stub    *stub.Stub
-	host    *stub.Host
-	proxy   *fault.Proxy
+	soak   *Soak
+	number int
+	stub   *stub.Stub
+	host   *stub.Host
+	proxy  *fault.Proxy
+	now    atomic.Pointer[identity] // as which it answers
+	listed atomic.Pointer[identity] // as which the list has it
 }
 
+// identity is as which an upstream answers.
+type identity struct{ id, service string }
+
 // stamped is an event and when it was seen.
 type stamped struct {
 	at   time.Time
@@ -247,14 +251,17 @@
 }
 
 func (s *Soak) addHost(n int, service string) (err error) {
-	h := &host{soak: s, number: n, service: service}
+	h := &host{soak: s, number: n}
+	known := &identity{id: fmt.Sprintf("u%d", n), service: service}
+	h.now.Store(known)
+	h.listed.Store(known)
 	h.stub, err = stub.New(stub.Config{
 		ID: fmt.Sprintf("u%d", n), Seed: s.Seed + uint64(n),
 		Settings: stub.Settings{
 			Slots: hostSlots, Queue: hostQueue, Conns: hostConns, Service: hostService, Spread: hostSpread,
 			Rare: hostRare, RareBy: hostRareBy, Restart: hostRestart,
 		},
-		Routed: &stub.Routed{Dialect: s.Rig.Dialect(), Upstream: fmt.Sprintf("u%d", n), Watcher: h},
+		Routed: &stub.Routed{Dialect: s.Rig.Dialect(), Watcher: h},
 	})
 	if err != nil {
 		return err
@@ -277,7 +284,7 @@
 // Arrived implements stub.Watcher.
 func (h *host) Arrived(a stub.Arrival) {
 	h.soak.post(soak.Arrived{Run: soak.Run{
-		ID: a.Receipt, Host: h.number, Service: h.service, Tag: a.Tag, Digest: a.Digest, Wait: a.Wait, Accepted: a.Accepted, Records: a.Records,
+		ID: a.Receipt, Host: h.number, Service: h.now.Load().service, Tag: a.Tag, Digest: a.Digest, Wait: a.Wait, Accepted: a.Accepted, Records: a.Records,
 	}})
 }
 
@@ -334,9 +341,10 @@
 	}
 	var list []model.Upstream
 	for _, h := range s.hosts {
+		known := h.listed.Load()
 		u := model.Upstream{
-			ID: model.UpstreamID(fmt.Sprintf("u%d", h.number)), Addr: h.proxy.Addr(), Zone: model.Zone(fmt.Sprintf("z%d", h.number%Zones)),
-			Index: h.service, Slots: hostSlots,
+			ID: model.UpstreamID(known.id), Addr: h.proxy.Addr(), Zone: model.Zone(fmt.Sprintf("z%d", h.number%Zones)),
+			Index: known.service, Slots: hostSlots,
 		}
 		for _, n := range roster.Drained {
 			if n == h.number {
--- a/io/stub/routed.go
+++ b/io/stub/routed.go
@@ -19,11 +19,10 @@
 )
 
 // Routed makes a stand-in answer routed requests on any path, under the headers
-// of a dialect.
+// of a dialect. A request that names another upstream is not run.
 type Routed struct {
-	Dialect  *proxy.Dialect
-	Upstream string  // id under which the list has it
-	Watcher  Watcher // told of every request
+	Dialect *proxy.Dialect
+	Watcher Watcher // told of every request
 }
 
 // Watcher is told what reaches a stand-in and what becomes of it, before the
@@ -43,6 +42,9 @@
 	Records  []byte        // of its answer
 }
 
+// Rename changes the id that routed requests must name.
+func (s *Stub) Rename(id string) { s.name.Store(&id) }
+
 // Digest tells requests apart.
 func Digest(method, uri string, body []byte) uint64 {
 	return xxh3.HashString(method + " " + uri + "\n" + string(body))
@@ -72,7 +74,7 @@
 		w.Header().Set(d.NotRun, "1")
 		w.WriteHeader(status)
 	}
-	if expected := r.Header.Get(d.Expect); expected != "" && expected != s.routed.Upstream {
+	if expected := r.Header.Get(d.Expect); expected != "" && expected != *s.name.Load() {
 		refuse(http.StatusMisdirectedRequest)
 		return
 	}
--- a/io/stub/stub.go
+++ b/io/stub/stub.go
@@ -13,7 +13,8 @@
 type Stub struct {
 	settings atomic.Pointer[Settings]
 	runlog   *runlog
-	routed   *Routed // nil for a stand-in of shard requests
+	routed   *Routed                // nil for a stand-in of shard requests
+	name     atomic.Pointer[string] // that routed requests must name
 	slots    slots
 	history  history
 
@@ -35,6 +36,7 @@
 	}
 	s = &Stub{routed: cfg.Routed, random: rand.New(rand.NewPCG(cfg.Seed, 1)), started: time.Now()}
 	s.settings.Store(&set)
+	s.Rename(cfg.ID)
 	s.runlog, err = openRunlog(cfg.ID, cfg.Log)
 	return s, err
 }
