Judge nothing around stalls of the soak, and describe portions and the soak

Cause: seeds 23 and 24 reported runs that went on after their callers had left. The log of faults has no line from 26.3 to 30.4 s, and the eleven VMs together wrote 8 lines in 2.5 s instead of about 50 a second: the whole machine had stopped for the soak while other work ran. The control loop now reports when it did not run for 250 ms, which counts as a fault of everything around it, and the report has the number. Seed 23 also stopped a process 2 ms after its start, before it takes signals; such an end is allowed for a second.

The seeds are cases of TestSeeds; TestJudge has a case for each cause.

--- a/core/soak/event.go
+++ b/core/soak/event.go
@@ -47,6 +47,10 @@
 	// Tick lets time pass.
 	Tick struct{}
 
+	// Stalled is a time in which the soak itself did not run, so that nothing
+	// that it saw late can be judged.
+	Stalled struct{ From time.Time }
+
 	// Exited is the end of a process.
 	Exited struct {
 		VM    int
@@ -102,6 +106,7 @@
 )
 
 func (Tick) isEvent()     {}
+func (Stalled) isEvent()  {}
 func (Exited) isEvent()   {}
 func (Sent) isEvent()     {}
 func (Left) isEvent()     {}
--- a/core/soak/report.go
+++ b/core/soak/report.go
@@ -30,6 +30,7 @@
 	Runs      int            `json:"runs"`
 	Changes   int            `json:"changes"` // acknowledged
 	Reads     int            `json:"reads"`
+	Stalls    int            `json:"stalls"`    // of the soak itself, around which nothing is judged
 	Judged    map[string]int `json:"judged"`    // cases of rules that hold for calm VMs only
 	Recovered float64        `json:"recovered"` // share served after the last fault and the recovery
 }
--- a/core/soak/soak_test.go
+++ b/core/soak/soak_test.go
@@ -290,6 +290,31 @@
 			b.run("r1", "t", "a0")
 		}},
 		{"process that ends by itself", "ENDED", func(b *bed) { b.step(Exited{VM: 1, Cause: "exit status 2"}) }},
+		{"process that is stopped before it takes signals", "", func(b *bed) {
+			b.now = b.at
+			b.spawn(1, Spawn{})
+			b.signal(Signal{1, Stop}, &step{})
+			b.step(Exited{VM: 1, Cause: "signal: terminated"})
+		}},
+		{"process that ends by a signal which it should take", "STOP", func(b *bed) {
+			b.signal(Signal{1, Stop}, &step{})
+			b.step(Exited{VM: 1, Cause: "signal: terminated"})
+		}},
+		{"late work around a stall of the soak", "", func(b *bed) {
+			for _, tag := range strings.Split("abcd", "") {
+				b.send(tag, Fetch)
+				b.run("r"+tag, tag, plain)
+				b.step(Left{Tag: tag})
+			}
+			from := b.at
+			b.after(time.Second)
+			b.step(Stalled{From: from})
+			for _, tag := range strings.Split("abcd", "") {
+				b.finish("r"+tag, tag)
+			}
+			b.lastRead, b.lastReadAt = 0, b.at
+			b.Done()
+		}},
 		{"process that outlives its grace period", "STOP", func(b *bed) {
 			b.signal(Signal{1, Stop}, &step{})
 			b.after(4 * time.Second)
--- a/core/soak/state.go
+++ b/core/soak/state.go
@@ -87,6 +87,8 @@
 	switch e := body.(type) {
 	case Tick:
 		s.tick()
+	case Stalled:
+		s.stalled(e)
 	case Exited:
 		s.exited(e)
 	case Sent:
@@ -200,7 +202,7 @@
 	switch {
 	case !v.ordered:
 		s.find("ENDED", "vm %d ended by itself: %s", e.VM, e.Cause)
-	case !v.stopped.IsZero() && e.Cause != "":
+	case !v.stopped.IsZero() && e.Cause != "" && s.now.Sub(v.began) > starting:
 		s.find("STOP", "vm %d was asked to stop and ended with %s", e.VM, e.Cause)
 	}
 	v.up = false
@@ -210,6 +212,20 @@
 	v.due = s.now.Add(v.after)
 }
 
+// stalled troubles everything for a time in which the soak did not run.
+func (s *State) stalled(e Stalled) {
+	s.report.Stalls++
+	s.note("the soak did not run for %v", s.now.Sub(e.From))
+	for n := range s.vms {
+		s.troubles.begin(subject{partVM, n}, e.From, false).to = s.now
+		s.vms[n].hasPause = true
+	}
+	for n := range s.cfg.Hosts {
+		s.troubles.begin(subject{partHost, n}, e.From, false).to = s.now
+	}
+	s.troubles.begin(subject{part: partCore}, e.From, false).to = s.now
+}
+
 // absent begins the trouble of a process that ends.
 func (s *State) absent(n int, planned bool) {
 	v := &s.vms[n]
--- a/io/cmds/soak.go
+++ b/io/cmds/soak.go
@@ -61,8 +61,8 @@
 	if c.JSON {
 		return json.NewEncoder(os.Stdout).Encode(r)
 	}
-	fmt.Printf("seed %d: %d requests, %d served, %d runs, %d changes, %d reads, %.3f served after the recovery\nfaults %v\njudged %v\n",
-		r.Seed, r.Requests, r.Served, r.Runs, r.Changes, r.Reads, r.Recovered, r.Faults, r.Judged)
+	fmt.Printf("seed %d: %d requests, %d served, %d runs, %d changes, %d reads, %d stalls, %.3f served after the recovery\nfaults %v\njudged %v\n",
+		r.Seed, r.Requests, r.Served, r.Runs, r.Changes, r.Reads, r.Stalls, r.Recovered, r.Faults, r.Judged)
 	for _, f := range r.Findings {
 		fmt.Println("finding:", f)
 	}
--- a/io/soak/soak.go
+++ b/io/soak/soak.go
@@ -52,8 +52,9 @@
 )
 
 const (
-	tickEvery = 20 * time.Millisecond
-	queued    = 4096 // events
+	tickEvery  = 20 * time.Millisecond
+	stallAfter = 250 * time.Millisecond // without a turn of the control loop, after which the machine did not run the soak
+	queued     = 4096                   // events
 )
 
 // soaks counts those of this process.
@@ -159,6 +160,7 @@
 func (s *Soak) control(ctx context.Context) error {
 	ticker := time.NewTicker(tickEvery)
 	defer ticker.Stop()
+	last := time.Now()
 	for !s.state.Over() {
 		var e stamped
 		select {
@@ -168,6 +170,13 @@
 			e = stamped{at, soak.Tick{}}
 		case e = <-s.events:
 		}
+		now := time.Now()
+		if now.Sub(last) > stallAfter {
+			if err := s.carry(s.state.Step(now, soak.Stalled{From: last})); err != nil {
+				return err
+			}
+		}
+		last = now
 		if err := s.carry(s.state.Step(e.at, e.body)); err != nil {
 			return err
 		}
--- a/io/soak/soak_test.go
+++ b/io/soak/soak_test.go
@@ -21,6 +21,9 @@
 	{1, 8 * time.Second, "first seed"},
 	{9, 20 * time.Second, "judged a connection to a process that was still starting as lost"},
 	{13, 20 * time.Second, "the same at another VM"},
+	{21, 20 * time.Second, "judged requests that were held up before a harmed upstream as late"},
+	{23, 20 * time.Second, "judged a stop 2 ms after the start, and work during a stall of the whole machine"},
+	{24, 20 * time.Second, "judged work during the same stall"},
 }
 
 // Guards against promises that real processes break when faults come in series
