Answer portions in frames, so that late and failed shards are not lost

Origins learn of failing upstreams from the pieces.

An upstream outside of the zone costs 15 ms instead of 25 there, so that failing ones in the zone are left sooner.

--- a/core/effect/call.go
+++ b/core/effect/call.go
@@ -32,11 +32,12 @@
 	Merged  model.Merged
 }
 
-// Gather answers another VM with its portion.
+// Gather answers another VM with pieces of its portion.
 type Gather struct {
 	Request model.RequestID
 	Pieces  []model.Piece
-	Records []byte
+	Records []byte // highest of the parts of these pieces, highest first
+	More    bool   // further pieces follow
 }
 
 // Forget closes the idle connections to an upstream that is gone.
--- a/core/event/call.go
+++ b/core/event/call.go
@@ -18,11 +18,12 @@
 	Portion     *model.Portion // of another VM's request; nil for a caller's
 }
 
-// Gathered is a VM's answer to an attempt at a portion.
+// Gathered is a VM's answer to an attempt at a portion, or a part of it.
 type Gathered struct {
 	Attempt model.AttemptID
 	Pieces  []model.Piece
-	Records []byte // highest of the parts, highest first
+	Records []byte // highest of the parts of these pieces, highest first
+	More    bool   // further pieces follow
 }
 
 // Returned is a complete response to an attempt along a route.
--- a/core/model/portion.go
+++ b/core/model/portion.go
@@ -16,9 +16,11 @@
 	Legs    []int  // numbers of the shards in the route, ascending
 }
 
-// Piece is what became of one shard of a portion.
+// Piece is what became of one shard of a portion. Without a receipt no answer
+// will come, unless it is open.
 type Piece struct {
 	Leg     int
 	Receipt string     // of the part; empty without one
 	Tried   UpstreamID // the upstream that was asked; empty when none was
+	Open    bool       // the answer may still come; another piece follows
 }
--- a/core/proxy/call.go
+++ b/core/proxy/call.go
@@ -22,6 +22,8 @@
 	flow     time.Time     // when the last part came; the arrival of the call before the first one
 	ended    bool
 	timer    time.Time
+	struck   []model.UpstreamID // that broke off
+	stream   stream             // of a portion for another VM
 }
 
 // leg is the part of a call that one service answers.
@@ -36,6 +38,7 @@
 	after   time.Duration // the longest wait that an upstream asked for
 	ran     model.Ran     // whether the request may have run on this leg
 	lost    bool          // no further attempt will be made
+	told    bool          // the other VM has its piece
 }
 
 // part is an answer of an upstream.
--- a/core/proxy/finish.go
+++ b/core/proxy/finish.go
@@ -73,13 +73,25 @@
 		out = t.blame(at, a.host, e.Reason, out)
 	}
 	if e.Reason == model.FailedReset && e.Ran != model.RanNo {
-		if struck, news := t.suspects.add(at, a.call.event.Fingerprint, a.host.upstream.ID); news {
-			out = append(out, effect.ToControl{Body: struck})
+		a.call.struck = append(a.call.struck, a.host.upstream.ID)
+		if !a.call.scatter() {
+			out = t.strike(at, a.call, out)
 		}
 	}
 	return t.broken(at, a, e.Reason, e.Ran, e.After, out)
 }
 
+// strike holds against a request that its upstreams broke off.
+func (t *Table) strike(at time.Time, c *call, out []effect.Effect) []effect.Effect {
+	if len(c.struck) == 0 || c.included() > 0 {
+		return out
+	}
+	if struck, news := t.suspects.add(at, c.event.Fingerprint, c.struck...); news {
+		out = append(out, effect.ToControl{Body: struck})
+	}
+	return out
+}
+
 // broken ends an attempt that gave no answer and goes on with its call.
 func (t *Table) broken(at time.Time, a *attempt, reason model.Failure, ran model.Ran, after time.Duration, out []effect.Effect) []effect.Effect {
 	t.end(at, a, string(reason))
@@ -123,7 +135,7 @@
 	n := c.included()
 	switch {
 	case c.scatter() && c.enough():
-		merged := merge(c)
+		merged := merge(c.legs, c.route.Records)
 		out = append(out, effect.Merge{Request: c.event.ID, Merged: merged})
 		outcome := "served"
 		if merged.Missing > 0 {
@@ -181,6 +193,9 @@
 func (t *Table) close(at time.Time, c *call, outcome string, reason model.Refusal, out []effect.Effect) []effect.Effect {
 	c.ended = true
 	delete(t.calls, c.event.ID)
+	// Of a request over many shards some upstreams may just have crashed by
+	// themselves; one that crashes them has no answer at all.
+	out = t.strike(at, c, out)
 	if !c.timer.IsZero() {
 		out = append(out, effect.StopTimer{ID: event.TimerID{Kind: event.TimerCall, N: uint64(c.event.ID)}})
 	}
--- a/core/proxy/gather.go
+++ b/core/proxy/gather.go
@@ -1,13 +1,29 @@
 package proxy
 
 import (
-	"bytes"
+	"slices"
 	"time"
 
 	"comfreypulley/core/effect"
 	"comfreypulley/core/model"
 )
 
+// When a VM answers a portion. Most shards come in one frame; what is late
+// follows piece by piece, so that the origin need not wait for it and does not
+// lose it.
+const (
+	firstFrame  = 0.85                 // quantile of the latencies after which the first frame leaves
+	firstLatest = 0.25                 // part of the objective after which it does in any case
+	lastFrame   = 0.8                  // part of the objective after which nothing is waited for
+	failedFrame = 3 * time.Millisecond // from a failure until it is told, with others that come meanwhile
+)
+
+// stream is how far the answer to a portion is.
+type stream struct {
+	began  bool      // the first frame has left
+	failed time.Time // when failures are told; zero when there are none
+}
+
 // narrow turns a call for another VM's portion into one over its shards, with a
 // single attempt for each: the other VM makes the second one. It reports false
 // when the portion is not of the document in force.
@@ -28,50 +44,114 @@
 	return len(c.legs) > 0
 }
 
-// stepPortion makes the attempts of a portion and answers once each shard has an
-// answer, cannot get one, or is overdue.
+// stepPortion makes the attempts of a portion and sends what has come of it.
 func (t *Table) stepPortion(at time.Time, c *call, out []effect.Effect) []effect.Effect {
-	open := false
-	due := c.deadline
 	for _, l := range c.legs {
-		if len(l.tries) == 0 && !l.lost {
-			if h := t.pick(at, c, l); h != nil {
-				out = t.send(at, c, l, h, out)
-			}
-			l.lost = true // whatever comes, the other VM goes on with this shard
-		}
-		if l.part != nil || l.pending == 0 {
+		if l.lost || l.pending > 0 || l.part != nil {
 			continue
 		}
-		hedge := l.tries[0].sent.Add(c.pace.portion(c.route))
-		if flow := c.flow.Add(flowGap); flow.After(hedge) {
-			hedge = flow
+		// An upstream that was not reached does not count as an attempt.
+		if h := t.pick(at, c, l); h != nil && l.arrivals() == 0 {
+			out = t.send(at, c, l, h, out)
+		} else {
+			l.lost = true // the other VM goes on with this shard
+		}
+	}
+	var answered, failed, open []int
+	for n, l := range c.legs {
+		switch {
+		case l.told:
+		case l.part != nil:
+			answered = append(answered, n)
+		case l.pending == 0:
+			failed = append(failed, n)
+		default:
+			open = append(open, n)
+		}
+	}
+	r := c.route
+	first := c.arrived.Add(min(c.pace.first(r), time.Duration(firstLatest*float64(objective(r)))))
+	end := c.arrived.Add(time.Duration(lastFrame * float64(objective(r))))
+	if c.deadline.Before(end) {
+		end = c.deadline
+	}
+	switch {
+	case len(open) == 0 || !at.Before(end):
+		out = t.frame(c, t.untold(c), false, out)
+		return t.close(at, c, "gathered", "", out)
+	case !c.stream.began && !at.Before(first):
+		c.stream.began, c.stream.failed = true, time.Time{}
+		out = t.frame(c, slices.Concat(answered, failed, open), true, out)
+	case c.stream.began:
+		// A later frame has one answer, since the other VM may have others
+		// directly by then.
+		for _, n := range answered {
+			out = t.frame(c, []int{n}, true, out)
 		}
-		open = open || hedge.After(at)
-		if hedge.After(at) && hedge.Before(due) {
-			due = hedge
+	}
+	if out = t.frameFailures(at, c, failed, out); !c.stream.failed.IsZero() && c.stream.failed.Before(end) {
+		end = c.stream.failed
+	}
+	if !c.stream.began && first.Before(end) {
+		end = first
+	}
+	return t.wakeAt(at, c, end, out)
+}
+
+// frameFailures tells failures after a short wait for others.
+func (t *Table) frameFailures(at time.Time, c *call, failed []int, out []effect.Effect) []effect.Effect {
+	untold := failed[:0:0]
+	for _, n := range failed {
+		if !c.legs[n].told {
+			untold = append(untold, n)
 		}
 	}
-	if !open || !at.Before(c.deadline) {
-		return t.finishPortion(at, c, out)
+	switch {
+	case len(untold) == 0:
+		c.stream.failed = time.Time{}
+	case c.stream.failed.IsZero():
+		c.stream.failed = at.Add(failedFrame)
+	case !at.Before(c.stream.failed):
+		c.stream.failed = time.Time{}
+		return t.frame(c, untold, true, out)
 	}
-	return t.wakeAt(at, c, due, out)
+	return out
 }
 
-// finishPortion answers the other VM.
-func (t *Table) finishPortion(at time.Time, c *call, out []effect.Effect) []effect.Effect {
-	g := effect.Gather{Request: c.event.ID}
-	for i, l := range c.legs {
-		p := model.Piece{Leg: c.event.Portion.Legs[i]}
-		if len(l.tries) > 0 && l.arrivals() > 0 {
-			p.Tried = l.tries[0].host.upstream.ID
+// untold returns the legs whose pieces the other VM does not have.
+func (t *Table) untold(c *call) []int {
+	var legs []int
+	for n, l := range c.legs {
+		if !l.told {
+			legs = append(legs, n)
+		}
+	}
+	return legs
+}
+
+// frame sends the pieces of some legs. Of those that are open the origin learns
+// which upstream it need not try.
+func (t *Table) frame(c *call, legs []int, more bool, out []effect.Effect) []effect.Effect {
+	g := effect.Gather{Request: c.event.ID, More: more}
+	var parts []*leg
+	for _, n := range legs {
+		l := c.legs[n]
+		l.told = l.part != nil || l.pending == 0 || !more
+		p := model.Piece{Leg: c.event.Portion.Legs[n], Open: !l.told}
+		for _, a := range l.tries {
+			if a.outcome != string(model.FailedRefused) {
+				p.Tried = a.host.upstream.ID
+			}
 		}
 		if l.part != nil {
 			p.Receipt = l.part.receipt
+			parts = append(parts, l)
 		}
 		g.Pieces = append(g.Pieces, p)
 	}
-	g.Records = bytes.Clone(merge(c).Records)
-	out = append(out, g)
-	return t.close(at, c, "gathered", "", out)
+	g.Records = merge(parts, c.route.Records).Records
+	if more && len(g.Pieces) == 0 {
+		return out
+	}
+	return append(out, g)
 }
--- a/core/proxy/host.go
+++ b/core/proxy/host.go
@@ -20,7 +20,7 @@
 	failCost     = 60 * time.Millisecond  // expected loss of time by a failure
 	leavingCost  = 20 * time.Millisecond
 	outsideCost  = 4 * time.Millisecond  // bytes between zones are charged
-	awayCost     = 25 * time.Millisecond // the same for a portion, whose second attempts another VM makes
+	awayCost     = 15 * time.Millisecond // the same for a portion, whose second attempts another VM makes
 	stalledCost  = 20 * time.Millisecond
 	stalledAfter = 1.5 // times the expected latency, after which an attempt counts as stalled
 )
--- a/core/proxy/merge.go
+++ b/core/proxy/merge.go
@@ -10,12 +10,12 @@
 // recordSize is the length of one record of a part, in bytes.
 const recordSize = 16
 
-// merge puts the highest records of all parts together. Equal records all
-// count; a shorter rest at the end of a part is no record.
-func merge(c *call) model.Merged {
+// merge puts the highest records of the parts of some legs together. Equal
+// records all count; a shorter rest at the end of a part is no record.
+func merge(legs []*leg, most int) model.Merged {
 	var m model.Merged
 	var records [][]byte
-	for _, l := range c.legs {
+	for _, l := range legs {
 		if l.part == nil {
 			m.Missing++
 			continue
@@ -27,8 +27,8 @@
 		}
 	}
 	slices.SortFunc(records, func(a, b []byte) int { return bytes.Compare(b, a) })
-	if len(records) > c.route.Records {
-		records = records[:c.route.Records]
+	if len(records) > most {
+		records = records[:most]
 	}
 	m.Records = make([]byte, 0, recordSize*len(records))
 	for _, r := range records {
--- a/core/proxy/pace.go
+++ b/core/proxy/pace.go
@@ -16,8 +16,6 @@
 	earlyHedge   = 0.8  // the same when the allowance is full, since it cannot be saved up
 	firstHedge   = 4    // part of the objective used before the quantile is known
 	latestHedge  = 2.5  // part of the objective after which a hedge comes too late
-	portionHedge = 0.93 // quantile after which a VM answers a portion without the shard, whose answer is then lost
-	portionShare = 0.3  // part of the objective after which it does so in any case
 	singleHedge  = 0.95 // quantile for a request to one upstream
 )
 
@@ -28,7 +26,7 @@
 	fresh   int           // latencies since the hedge delays were computed
 	late    time.Duration // hedge delay when few extra attempts are left; 0 while not known
 	early   time.Duration // hedge delay when the allowance is full
-	last    time.Duration // hedge delay of a portion
+	most    time.Duration // within which most answers come, for the first frame of a portion
 }
 
 // refresh is how many latencies pass between two computations of the delays.
@@ -60,7 +58,7 @@
 	}
 	p.late = d
 	p.early, _ = p.seen.Quantile(early)
-	p.last, _ = p.seen.Quantile(portionHedge)
+	p.most, _ = p.seen.Quantile(firstFrame)
 }
 
 func (p *pace) expected(r *model.Route) time.Duration {
@@ -80,19 +78,12 @@
 	return min(delay, time.Duration(float64(objective(r))/latestHedge))
 }
 
-// portion returns how long a shard of a portion may take.
-func (p *pace) portion(r *model.Route) time.Duration {
-	delay := objective(r) / firstHedge
-	if p.last > 0 {
-		delay = p.last
+// first returns how long the first frame of a portion waits for answers.
+func (p *pace) first(r *model.Route) time.Duration {
+	if p.most > 0 {
+		return p.most
 	}
-	return min(delay, longestPortion(r))
-}
-
-// longestPortion returns how long a VM waits for the shards of a portion at the
-// most.
-func longestPortion(r *model.Route) time.Duration {
-	return time.Duration(portionShare * float64(objective(r)))
+	return objective(r) / firstHedge
 }
 
 // objective returns the latency objective of a route, or a part of its timeout
--- a/core/proxy/spread.go
+++ b/core/proxy/spread.go
@@ -18,8 +18,8 @@
 const (
 	portionLegs   = 9                    // shards of a portion at most
 	delegateTime  = 2 * leastTime        // a portion with less time left is not given away
-	portionFactor = 1.5                  // of the hedge delay of portions, after which their shards are tried directly
-	portionWays   = 8 * time.Millisecond // beyond the longest time of a portion, after which they are in any case
+	portionFactor = 1.5                  // of the hedge delay of first frames, after which the shards of a portion are tried directly
+	portionWays   = 8 * time.Millisecond // beyond the latest first frame, after which they are in any case
 	avoidFailed   = 2 * time.Second      // a VM that failed or is silent gets no portion for this long
 	avoidRefusing = 500 * time.Millisecond
 	avoidLate     = 500 * time.Millisecond // the same after an overdue portion, which proves little
@@ -47,7 +47,8 @@
 	daemon  *daemon
 	tries   []*attempt // one for each shard
 	sent    time.Time
-	overdue bool // its shards are tried directly
+	heard   bool // something of it has come
+	overdue bool // its shards are tried directly before anything has come
 	ended   bool // cancelled after its call ended without it
 }
 
@@ -153,49 +154,82 @@
 	})
 }
 
-// Gathered takes the answer of another VM. Its records replace the parts that
-// came directly meanwhile, since they are merged already.
+// Gathered takes pieces from another VM. Merged records replace the parts that
+// came directly meanwhile, unless the origin has all of them already.
 func (t *Table) Gathered(at time.Time, e event.Gathered, out []effect.Effect) []effect.Effect {
 	g, ok := t.spread.delegations[e.Attempt]
 	if !ok {
 		return out
 	}
-	delete(t.spread.delegations, g.id)
+	if f, ok := t.spread.failing[g.daemon.Zone]; ok {
+		f.daemon = nil
+	}
 	c := g.call
+	if !g.heard {
+		g.heard = true
+		t.portionPace(c.route).add(c.route, at.Sub(g.sent))
+	}
 	pieces := make(map[*leg]model.Piece, len(e.Pieces))
+	news := false
 	for _, p := range e.Pieces {
-		if p.Leg >= 0 && p.Leg < len(c.legs) {
-			pieces[c.legs[p.Leg]] = p
+		if p.Leg < 0 || p.Leg >= len(c.legs) {
+			continue
 		}
+		l := c.legs[p.Leg]
+		pieces[l] = p
+		news = news || p.Receipt != "" && l.part == nil
 	}
 	records := e.Records
 	for _, a := range g.tries {
-		p := pieces[a.leg]
-		a.leg.pending--
-		a.took = at.Sub(a.sent)
-		switch {
-		case p.Receipt != "":
-			a.outcome = "answered"
-			a.leg.ran = model.RanYes
+		p, told := pieces[a.leg]
+		if a.outcome != "" || !told && e.More {
+			continue
+		}
+		if p.Open {
+			a.host = t.known(p.Tried)
+			continue
+		}
+		t.settle(at, a, p)
+		if p.Receipt != "" && news {
 			a.leg.part = &part{receipt: p.Receipt, reply: model.Reply{Body: records}}
 			records = nil
-		case p.Tried != "":
-			a.outcome = string(model.FailedTimeout)
-			a.host = t.known(p.Tried)
-			a.leg.uncertain()
-		default:
-			a.outcome = string(model.FailedRefused)
 		}
 	}
-	if f, ok := t.spread.failing[g.daemon.Zone]; ok {
-		f.daemon = nil
+	if news {
+		t.suspects.clear(c.event.Fingerprint)
+		c.flow = at
+	}
+	if !e.More {
+		delete(t.spread.delegations, g.id)
 	}
-	t.portionPace(c.route).add(c.route, at.Sub(g.sent))
-	t.suspects.clear(c.event.Fingerprint)
-	c.flow = at
 	return t.step(at, c, out)
 }
 
+// settle ends the attempt of one shard of a portion.
+func (t *Table) settle(at time.Time, a *attempt, p model.Piece) {
+	a.leg.pending--
+	a.took = at.Sub(a.sent)
+	if h, ok := t.hosts[p.Tried]; ok {
+		failed := 0.0
+		if p.Receipt == "" {
+			failed = 1
+		}
+		h.fails.add(at, failed, 0)
+	}
+	switch {
+	case p.Receipt != "":
+		a.outcome = "answered"
+		a.leg.ran = model.RanYes
+		a.call.pace.add(a.call.route, a.took)
+	case p.Tried != "":
+		a.outcome = string(model.FailedTimeout)
+		a.host = t.known(p.Tried)
+		a.leg.uncertain()
+	default:
+		a.outcome = string(model.FailedRefused)
+	}
+}
+
 // known returns an upstream, or a stand-in for one that is not listed here.
 func (t *Table) known(id model.UpstreamID) *host {
 	if h, ok := t.hosts[id]; ok {
@@ -219,6 +253,9 @@
 		outcome = model.FailedRefused // no upstream was asked
 	}
 	for _, a := range g.tries {
+		if a.outcome != "" {
+			continue
+		}
 		a.leg.pending--
 		a.took, a.outcome = at.Sub(a.sent), string(outcome)
 		if e.Ran != model.RanNo {
@@ -233,7 +270,7 @@
 // directly. As long as nothing of the call has come, this VM may be what is late.
 func (t *Table) overdue(at time.Time, a *attempt, out []effect.Effect) []effect.Effect {
 	g := a.delegation
-	if g == nil || a.outcome != "" || g.overdue || !g.call.flow.After(g.call.arrived) {
+	if g == nil || a.outcome != "" || g.heard || g.overdue || !g.call.flow.After(g.call.arrived) {
 		return out
 	}
 	g.overdue = true
@@ -275,7 +312,7 @@
 func (t *Table) sweepDelegations(at time.Time, out []effect.Effect) []effect.Effect {
 	for _, id := range slices.Sorted(maps.Keys(t.spread.delegations)) {
 		g := t.spread.delegations[id]
-		if g.call.ended && at.Sub(g.sent) >= abandonAfter && !g.ended {
+		if g.call.ended && at.Sub(g.sent) >= abandonAfter+objective(g.call.route) && !g.ended {
 			g.ended = true
 			out = t.avoid(at, g.daemon, out)
 			out = append(out, effect.Cancel{Attempt: g.id})
@@ -284,14 +321,15 @@
 	return out
 }
 
-// portionPace is what is known of the latencies of a route's portions.
+// portionPace is what is known of the time to the first frames of a route's
+// portions.
 func (t *Table) portionPace(r *model.Route) *pace { return t.paceOf(r.Name + " portions") }
 
 // due returns when the shards of a delegation are tried directly.
 func (t *Table) delegationDue(g *delegation) time.Time {
 	r := g.call.route
 	delay := time.Duration(portionFactor * float64(t.portionPace(r).hedge(r, 0)))
-	return g.sent.Add(min(delay, longestPortion(r)+portionWays))
+	return g.sent.Add(min(delay, time.Duration(firstLatest*float64(objective(r)))+portionWays))
 }
 
 // portionsOf returns the portions of a route, as long as there are VMs to gather
--- a/core/proxy/spread_test.go
+++ b/core/proxy/spread_test.go
@@ -1,8 +1,10 @@
 package proxy_test
 
 import (
+	"bytes"
 	"fmt"
 	"net/netip"
+	"reflect"
 	"slices"
 	"testing"
 	"time"
@@ -173,32 +175,139 @@
 	}
 }
 
+// gathers returns the answers to another VM.
+func gathers(out []effect.Effect) []effect.Gather {
+	var list []effect.Gather
+	for _, e := range out {
+		if g, ok := e.(effect.Gather); ok {
+			list = append(list, g)
+		}
+	}
+	return list
+}
+
+func returned(f effect.Forward, receipt string) event.Returned {
+	return event.Returned{Attempt: f.Attempt, Receipt: receipt, Reply: model.Reply{Status: 200, Body: []byte("0123456789abcdef")}}
+}
+
 // Guards against a helper that holds the shards it has until those of a paused
-// upstream come, or makes the second attempt itself.
-func TestHelperAnswersWithoutOverdueShards(t *testing.T) {
+// upstream come, that loses a late answer, or that makes the second attempt.
+func TestHelperSendsLateShardsAfterTheOthers(t *testing.T) {
 	table := wide(t)
-	out := ask(table, began, 1, &model.Portion{Version: 1, Legs: []int{3, 5}})
+	out := ask(table, began, 1, &model.Portion{Version: 1, Legs: []int{3, 5, 7}})
 	_, direct := forwards(out)
-	if len(direct) != 2 {
-		t.Fatalf("got %d attempts, want 2", len(direct))
+	if len(direct) != 3 {
+		t.Fatalf("got %d attempts, want 3", len(direct))
 	}
 	at := began.Add(5 * time.Millisecond)
-	out = append(out, table.Returned(at, event.Returned{
-		Attempt: direct[0].Attempt, Receipt: "r3", Reply: model.Reply{Status: 200, Body: []byte("0123456789abcdef")},
-	}, nil)...)
-	_, out = wake(table, at, out)
-	i := slices.IndexFunc(out, func(e effect.Effect) bool { _, ok := e.(effect.Gather); return ok })
-	if i < 0 {
-		t.Fatalf("got %v, want an answer once the other shard is overdue", out)
-	}
-	got := out[i].(effect.Gather).Pieces
-	want := []model.Piece{{Leg: 3, Tried: direct[0].Upstream, Receipt: "r3"}, {Leg: 5, Tried: direct[1].Upstream}}
-	if !slices.Equal(got, want) {
-		t.Errorf("got pieces %+v, want %+v", got, want)
+	out = append(out, table.Returned(at, returned(direct[0], "r3"), nil)...)
+	out = append(out, table.Returned(at, returned(direct[1], "r5"), nil)...)
+	at, out = wake(table, at, out)
+	want := []effect.Gather{{
+		Request: 1, More: true, Records: []byte("0123456789abcdef0123456789abcdef"),
+		Pieces: []model.Piece{
+			{Leg: 3, Tried: direct[0].Upstream, Receipt: "r3"},
+			{Leg: 5, Tried: direct[1].Upstream, Receipt: "r5"},
+			{Leg: 7, Tried: direct[2].Upstream, Open: true},
+		},
+	}}
+	if got := gathers(out); !reflect.DeepEqual(got, want) {
+		t.Errorf("got %+v, want %+v once the last shard is overdue", got, want)
 	}
 	if _, more := forwards(out); len(more) > 0 {
 		t.Errorf("the helper makes %d further attempts", len(more))
 	}
+	out = table.Returned(at.Add(10*time.Millisecond), returned(direct[2], "r7"), nil)
+	want = []effect.Gather{{
+		Request: 1, Records: []byte("0123456789abcdef"), Pieces: []model.Piece{{Leg: 7, Tried: direct[2].Upstream, Receipt: "r7"}},
+	}}
+	if got := gathers(out); !reflect.DeepEqual(got, want) {
+		t.Errorf("got %+v, want %+v", got, want)
+	}
+}
+
+// Guards against a second attempt on the upstream that holds up the first one,
+// which another VM made.
+func TestSecondAttemptAvoidsTheHelpersUpstream(t *testing.T) {
+	for _, held := range []model.UpstreamID{"s0/a", "s0/b"} {
+		table := wide(t, daemonIn("a", 1), daemonIn("b", 1))
+		out := ask(table, began, 1, nil)
+		portions, _ := forwards(out)
+		at := began.Add(5 * time.Millisecond)
+		for _, f := range portions {
+			g := answer(f)
+			if slices.Contains(f.Portion.Legs, 0) {
+				g.More = true
+				g.Pieces[0] = model.Piece{Leg: 0, Tried: held, Open: true}
+			}
+			out = append(out, table.Gathered(at, g, nil)...)
+		}
+		var direct []effect.Forward
+		for range 5 {
+			at, out = wake(table, at, out)
+			_, more := forwards(out)
+			direct = append(direct, more...)
+		}
+		if len(direct) != 1 || direct[0].Upstream == held {
+			t.Errorf("got direct attempts %+v, want one that is not on %s", direct, held)
+		}
+	}
+}
+
+// Guards against a shard that is given back because its upstream is gone, though
+// no attempt was made.
+func TestHelperTriesAnotherUpstreamAfterARefusal(t *testing.T) {
+	table := wide(t)
+	_, direct := forwards(ask(table, began, 1, &model.Portion{Version: 1, Legs: []int{3}}))
+	gone := direct[0]
+	_, direct = forwards(table.Failed(began.Add(time.Millisecond), event.Failed{Attempt: gone.Attempt, Reason: model.FailedRefused, Ran: model.RanNo}, nil))
+	if len(direct) != 1 || direct[0].Upstream == gone.Upstream {
+		t.Fatalf("got attempts %+v after a refusal by %s, want one on the other upstream", direct, gone.Upstream)
+	}
+	got := gathers(table.Returned(began.Add(5*time.Millisecond), returned(direct[0], "r3"), nil))
+	want := []model.Piece{{Leg: 3, Tried: direct[0].Upstream, Receipt: "r3"}}
+	if len(got) != 1 || got[0].More || !slices.Equal(got[0].Pieces, want) {
+		t.Errorf("got %+v, want pieces %+v", got, want)
+	}
+}
+
+// Guards against an origin that learns of a shed only with the answers of the
+// other shards, too late to try another upstream.
+func TestHelperTellsFailuresEarly(t *testing.T) {
+	table := wide(t)
+	out := ask(table, began, 1, &model.Portion{Version: 1, Legs: []int{3, 5}})
+	_, direct := forwards(out)
+	at := began.Add(2 * time.Millisecond)
+	out = append(out, table.Returned(at, event.Returned{Attempt: direct[0].Attempt, NotRun: true, Reply: model.Reply{Status: 503}}, nil)...)
+	at, out = wake(table, at, out)
+	want := []effect.Gather{{Request: 1, More: true, Records: []byte{}, Pieces: []model.Piece{{Leg: 3, Tried: direct[0].Upstream}}}}
+	if got := gathers(out); !reflect.DeepEqual(got, want) || at.Sub(began) > 6*time.Millisecond {
+		t.Errorf("got %+v after %v, want %+v within 6ms", got, at.Sub(began), want)
+	}
+}
+
+// Guards against a late shard that is lost once a direct attempt was made beside
+// it, and against one that counts twice.
+func TestLateShardOfPortionCounts(t *testing.T) {
+	table := wide(t, daemonIn("a", 1), daemonIn("b", 1))
+	portions, _ := forwards(ask(table, began, 1, nil))
+	at := began.Add(10 * time.Millisecond)
+	var last effect.Forward
+	for _, f := range portions {
+		g := answer(f)
+		if slices.Contains(f.Portion.Legs, 0) {
+			last = f
+			g.Pieces, g.More = g.Pieces[1:], true
+		}
+		table.Gathered(at, g, nil)
+	}
+	out := table.Gathered(at.Add(time.Millisecond), event.Gathered{
+		Attempt: last.Attempt, Pieces: []model.Piece{{Leg: 0, Tried: "u", Receipt: "r0"}}, Records: []byte("fedcba9876543210"),
+	}, nil)
+	i := slices.IndexFunc(out, func(e effect.Effect) bool { _, ok := e.(effect.Merge); return ok })
+	if i < 0 || out[i].(effect.Merge).Merged.Missing != 0 || !bytes.Contains(out[i].(effect.Merge).Merged.Records, []byte("fedcba9876543210")) {
+		t.Errorf("got %v, want a whole answer with the late shard's record", out)
+	}
 }
 
 // Guards against shards of another document than the one that the caller's VM
--- a/core/proxy/step.go
+++ b/core/proxy/step.go
@@ -194,8 +194,8 @@
 // link or processor, which a hedge would load further.
 func (t *Table) hedgeDue(c *call, l *leg) time.Time {
 	last := l.tries[len(l.tries)-1]
-	if last.delegation != nil && last.outcome == "" {
-		return t.delegationDue(last.delegation)
+	if g := last.delegation; g != nil && !g.heard && last.outcome == "" {
+		return t.delegationDue(g)
 	}
 	due := last.sent.Add(c.pace.hedge(c.route, t.allowance(l.service).Share()))
 	if flow := c.flow.Add(flowGap); c.scatter() && flow.After(due) {
--- a/core/proxy/world_test.go
+++ b/core/proxy/world_test.go
@@ -48,7 +48,9 @@
 	forward effect.Forward
 	service string
 	ran     bool
-	portion bool // at another VM
+	refused bool  // no connection was made
+	portion bool  // at another VM
+	told    []int // shards of it that were told
 }
 
 type caller struct {
@@ -61,6 +63,8 @@
 	gone     bool
 	statedNo bool           // the refusal said that it did not run
 	portion  *model.Portion // of another VM's request
+	told     []int          // shards that the other VM was told of
+	answers  bool           // it has some answers
 }
 
 func service(version uint64, n int) string { return fmt.Sprintf("set%d-%d", version%2, n) }
@@ -169,7 +173,7 @@
 			w.final(e.Request)
 			w.merged(e)
 		case effect.Gather:
-			w.gathered(e, w.final(e.Request))
+			w.gathered(e)
 		case effect.Refuse:
 			c := w.final(e.Rejection.Request)
 			c.statedNo = e.Rejection.Ran == model.RanNo
@@ -223,59 +227,93 @@
 }
 
 // gathered checks what this VM answers to another one.
-func (w *world) gathered(e effect.Gather, c *caller) {
-	var legs []int
+func (w *world) gathered(e effect.Gather) {
+	c := w.callers[e.Request]
+	if c.portion == nil || c.finals > 0 {
+		w.t.Fatalf("request %d is answered with pieces %+v", e.Request, e.Pieces)
+	}
+	answers := 0
 	for _, p := range e.Pieces {
-		legs = append(legs, p.Leg)
+		if p.Open {
+			if p.Receipt != "" || p.Tried == "" || !e.More {
+				w.t.Fatalf("open piece %+v of request %d", p, e.Request)
+			}
+			continue
+		}
+		if slices.Contains(c.told, p.Leg) {
+			w.t.Fatalf("shard %d of request %d is told twice", p.Leg, e.Request)
+		}
+		c.told = append(c.told, p.Leg)
 		if want := fmt.Sprintf("%d@%s", e.Request, service(c.version, p.Leg)); p.Receipt != "" && p.Receipt != want {
 			w.t.Fatalf("shard %d has receipt %s, want %s", p.Leg, p.Receipt, want)
 		}
 		if p.Tried == "" && c.runs[service(c.version, p.Leg)] > 0 {
 			w.t.Fatalf("shard %d ran and is stated as not tried", p.Leg)
 		}
+		if p.Receipt != "" {
+			answers++
+		}
+	}
+	if answers > 1 && c.answers {
+		w.t.Fatalf("a later frame of request %d has %d answers, which the other VM may have in part", e.Request, answers)
 	}
-	if c.portion == nil || !slices.Equal(legs, c.portion.Legs) {
-		w.t.Fatalf("request %d got shards %v, want portion %+v", e.Request, legs, c.portion)
+	c.answers = c.answers || answers > 0
+	if e.More {
+		return
+	}
+	w.final(e.Request)
+	slices.Sort(c.told)
+	if !slices.Equal(c.told, c.portion.Legs) {
+		w.t.Fatalf("request %d got shards %v, want portion %+v", e.Request, c.told, c.portion)
 	}
 	for _, f := range c.flights {
-		if n := len(slices.DeleteFunc(slices.Clone(c.flights), func(o *flight) bool { return o.service != f.service })); n > 1 {
+		if n := len(slices.DeleteFunc(slices.Clone(c.flights), func(o *flight) bool { return o.service != f.service || o.refused })); n > 1 {
 			w.t.Fatalf("request %d has %d attempts on %s for another VM", e.Request, n, f.service)
 		}
 	}
 }
 
-// endPortion ends a portion at another VM: some shards are answered, some tried.
+// endPortion lets another VM answer a portion frame by frame, refuse it or break
+// off.
 func (w *world) endPortion(id model.AttemptID, f *flight, outcome int) {
 	c := w.callers[f.forward.Request]
-	try := func(leg int) {
-		sub := &flight{forward: f.forward, service: service(c.version, leg)}
-		c.flights = append(c.flights, sub)
-		w.arrived(sub)
-		c.runs[sub.service]++
-	}
-	if outcome == 3 {
+	switch {
+	case outcome == 3 && len(f.told) == 0:
+		delete(w.flights, id)
 		w.do(w.table.Failed(w.now, event.Failed{Attempt: id, Reason: model.FailedShed, Ran: model.RanNo}, nil))
 		return
+	case outcome == 4:
+		delete(w.flights, id)
+		w.do(w.table.Failed(w.now, event.Failed{Attempt: id, Reason: model.FailedReset, Ran: model.RanUnknown}, nil))
+		return
 	}
-	gathered := event.Gathered{Attempt: id}
+	g := event.Gathered{Attempt: id, More: true}
 	for _, leg := range f.forward.Portion.Legs {
+		if slices.Contains(f.told, leg) || len(f.told) > 0 && len(g.Pieces) > 0 || rapid.Bool().Draw(w.t, "later") {
+			continue
+		}
 		p := model.Piece{Leg: leg}
-		switch kind := rapid.IntRange(0, 5).Draw(w.t, "piece"); {
-		case kind > 1:
-			p.Receipt = fmt.Sprintf("%d@%s", f.forward.Request, service(c.version, leg))
-			gathered.Records = append(gathered.Records, fmt.Sprintf("%016d", id)...)
-			fallthrough
-		case kind == 1:
+		if kind := rapid.IntRange(0, 5).Draw(w.t, "piece"); kind > 0 {
 			p.Tried = model.UpstreamID(service(c.version, leg) + "/1")
-			try(leg)
+			sub := &flight{forward: f.forward, service: service(c.version, leg)}
+			c.flights = append(c.flights, sub)
+			w.arrived(sub)
+			c.runs[sub.service]++
+			if kind > 1 {
+				p.Receipt = fmt.Sprintf("%d@%s", f.forward.Request, service(c.version, leg))
+				g.Records = append(g.Records, fmt.Sprintf("%016d", id)...)
+			}
 		}
-		gathered.Pieces = append(gathered.Pieces, p)
+		g.Pieces = append(g.Pieces, p)
 	}
-	if outcome > 3 {
-		w.do(w.table.Failed(w.now, event.Failed{Attempt: id, Reason: model.FailedReset, Ran: model.RanUnknown}, nil))
-		return
+	for _, p := range g.Pieces {
+		f.told = append(f.told, p.Leg)
+	}
+	if len(f.told) == len(f.forward.Portion.Legs) {
+		delete(w.flights, id)
+		g.More = false
 	}
-	w.do(w.table.Gathered(w.now, gathered, nil))
+	w.do(w.table.Gathered(w.now, g, nil))
 }
 
 // arrived counts an attempt that reached its upstream.
@@ -358,11 +396,11 @@
 	slices.Sort(ids)
 	id := ids[rapid.IntRange(0, len(ids)-1).Draw(w.t, "flight")]
 	f := w.flights[id]
-	delete(w.flights, id)
 	if f.portion {
 		w.endPortion(id, f, outcome)
 		return
 	}
+	delete(w.flights, id)
 	c := w.callers[f.forward.Request]
 	ran := func() {
 		w.arrived(f)
@@ -394,6 +432,7 @@
 		returned.Receipt = ""
 		w.do(w.table.Returned(w.now, returned, nil))
 	case 7:
+		f.refused = true
 		w.do(w.table.Failed(w.now, event.Failed{Attempt: id, Reason: model.FailedRefused, Ran: model.RanNo}, nil))
 	default:
 		if rapid.Bool().Draw(w.t, "ran") {
--- a/io/proxy/call.go
+++ b/io/proxy/call.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"bufio"
 	"errors"
 	"fmt"
 	"io"
@@ -11,6 +12,8 @@
 	"sync"
 	"time"
 
+	"github.com/vmihailenco/msgpack/v5"
+
 	"comfreypulley/core/effect"
 	"comfreypulley/core/event"
 	"comfreypulley/core/model"
@@ -169,6 +172,13 @@
 		return nil, 0, err
 	}
 	defer response.Body.Close()
+	if a.forward.Portion != nil {
+		end, err = a.gathered(response)
+		if !response.Close && c.reader.Buffered() == 0 {
+			keep = keepFor(response.Header)
+		}
+		return end, keep, err
+	}
 	body, err := readBody(response)
 	if err != nil {
 		return nil, 0, fmt.Errorf("body: %w", err)
@@ -176,10 +186,6 @@
 	if !response.Close && c.reader.Buffered() == 0 {
 		keep = keepFor(response.Header)
 	}
-	if a.forward.Portion != nil {
-		end, err = a.gathered(response, body)
-		return end, keep, err
-	}
 	d := a.client.Dialect
 	tag := response.Header.Get(d.Tag)
 	switch {
@@ -202,17 +208,32 @@
 	return returned, keep, nil
 }
 
-// gathered reads another VM's answer to a portion. A refusal states that nothing
-// of it was run.
-func (a *call) gathered(response *http.Response, body []byte) (end event.Body, err error) {
+// gathered reads another VM's answer to a portion, of which all frames but the
+// last are posted. A refusal states that nothing of it was run.
+func (a *call) gathered(response *http.Response) (end event.Body, err error) {
 	if response.StatusCode != http.StatusOK {
-		return event.Failed{Attempt: a.forward.Attempt, Reason: model.FailedShed, Ran: model.RanNo, Fresh: a.fresh}, nil
+		_, err = readBody(response)
+		return event.Failed{Attempt: a.forward.Attempt, Reason: model.FailedShed, Ran: model.RanNo, Fresh: a.fresh}, err
 	}
-	pieces, err := readPieces(response.Header)
-	if err != nil {
-		return nil, &AnswerError{Problem: err.Error()}
+	body := bufio.NewReader(io.LimitReader(response.Body, maxAnswer))
+	decoder := msgpack.NewDecoder(body)
+	for {
+		var f piecesFrame
+		if err := decoder.Decode(&f); err != nil {
+			return nil, fmt.Errorf("frame of a portion: %w", err)
+		}
+		g := event.Gathered{Attempt: a.forward.Attempt, Pieces: f.Pieces, Records: f.Records, More: f.More}
+		if !f.More {
+			_, err := io.Copy(io.Discard, body) // up to the end of the last chunk, so that the connection can be used again
+			return g, err
+		}
+		a.mu.Lock()
+		over := a.done
+		a.mu.Unlock()
+		if !over {
+			a.client.Post(g)
+		}
 	}
-	return event.Gathered{Attempt: a.forward.Attempt, Pieces: pieces, Records: body}, nil
 }
 
 // readBody reads a body up to maxAnswer and one byte more.
--- a/io/proxy/portion.go
+++ b/io/proxy/portion.go
@@ -3,29 +3,31 @@
 import (
 	"fmt"
 	"net/http"
-	"slices"
 	"strconv"
 	"strings"
 
+	"github.com/vmihailenco/msgpack/v5"
+
+	"comfreypulley/core/effect"
 	"comfreypulley/core/model"
 )
 
-// Headers between VMs. A portion is a version and the numbers of shards; a piece
-// is the number of a shard, the upstream that was asked and the receipt, each
-// after a semicolon, as far as there are any.
-const (
-	portionHeader = "Comfreypulley-Portion"
-	pieceHeader   = "Comfreypulley-Piece"
-)
+// portionHeader names the version of a document and the numbers of shards, each
+// after a semicolon.
+const portionHeader = "Comfreypulley-Portion"
 
-// PortionError reports a header between VMs that makes no sense.
-type PortionError struct {
-	Header string
-	Text   string
+// piecesFrame is one msgpack object in the body of an answer to a portion.
+type piecesFrame struct {
+	Pieces  []model.Piece
+	Records []byte
+	More    bool // another frame follows
 }
 
+// PortionError reports a header that names no portion.
+type PortionError struct{ Text string }
+
 // Error implements error.
-func (e *PortionError) Error() string { return fmt.Sprintf("header %s: %q", e.Header, e.Text) }
+func (e *PortionError) Error() string { return fmt.Sprintf("header %s: %q", portionHeader, e.Text) }
 
 func writePortion(p *model.Portion) string {
 	b := strconv.AppendUint(nil, p.Version, 10)
@@ -38,7 +40,7 @@
 func readPortion(text string) (p *model.Portion, err error) {
 	defer func() {
 		if err != nil {
-			err = &PortionError{Header: portionHeader, Text: text}
+			err = &PortionError{Text: text}
 		}
 	}()
 	version, rest, _ := strings.Cut(text, ";")
@@ -56,32 +58,6 @@
 	return p, nil
 }
 
-func writePiece(p model.Piece) string {
-	text := strconv.Itoa(p.Leg)
-	if p.Tried != "" || p.Receipt != "" {
-		text += ";" + string(p.Tried)
-	}
-	if p.Receipt != "" {
-		text += ";" + p.Receipt
-	}
-	return text
-}
-
-func readPieces(h http.Header) (pieces []model.Piece, err error) {
-	for _, text := range h.Values(pieceHeader) {
-		number, rest, _ := strings.Cut(text, ";")
-		p := model.Piece{}
-		if p.Leg, err = strconv.Atoi(number); err != nil {
-			return nil, &PortionError{Header: pieceHeader, Text: text}
-		}
-		tried, receipt, _ := strings.Cut(rest, ";")
-		p.Tried, p.Receipt = model.UpstreamID(tried), receipt
-		pieces = append(pieces, p)
-	}
-	slices.SortFunc(pieces, func(a, b model.Piece) int { return a.Leg - b.Leg })
-	return pieces, nil
-}
-
 // Gatherer takes portions of other VMs' requests for a Server. It implements
 // http.Handler.
 type Gatherer struct{ Server *Server }
@@ -102,3 +78,32 @@
 	}
 	s.serve(w, r, p)
 }
+
+// stream writes frames to another VM until the last one, or a refusal. It
+// reports false when the other VM has left.
+func (s *Server) stream(w http.ResponseWriter, r *http.Request, x *Exchange) bool {
+	encoder := msgpack.NewEncoder(w)
+	encoder.UseCompactInts(true)
+	w.Header()["Content-Type"], w.Header()["Date"] = nil, nil // no VM reads them
+	for {
+		select {
+		case e := <-x.answer:
+			g, ok := e.(effect.Gather)
+			if !ok {
+				s.write(w, e)
+				return true
+			}
+			if err := encoder.Encode(piecesFrame{Pieces: g.Pieces, Records: g.Records, More: g.More}); err != nil {
+				return false
+			}
+			if !g.More {
+				return true
+			}
+			if err := http.NewResponseController(w).Flush(); err != nil {
+				return false
+			}
+		case <-r.Context().Done():
+			return false
+		}
+	}
+}
--- a/io/proxy/portion_test.go
+++ b/io/proxy/portion_test.go
@@ -1,10 +1,12 @@
 package proxy_test
 
 import (
+	"net"
 	"net/http"
 	"net/http/httptest"
 	"net/netip"
 	"reflect"
+	"sync/atomic"
 	"testing"
 	"time"
 
@@ -14,33 +16,47 @@
 	"comfreypulley/io/proxy"
 )
 
-// newHelper returns the server of another VM. Its calls are posted to a channel.
-func newHelper(t *testing.T) (s *proxy.Server, addr netip.AddrPort, calls chan event.Body) {
+// helper is the server of another VM.
+type helper struct {
+	*proxy.Server
+	web   *httptest.Server
+	calls chan event.Body // what it posts
+	conns atomic.Int64    // that were made to it
+}
+
+func newHelper(t *testing.T) *helper {
 	t.Helper()
-	calls = make(chan event.Body, 10)
-	s = &proxy.Server{Dialect: dialect, Post: func(b event.Body) { calls <- b }}
-	server := httptest.NewServer(&proxy.Gatherer{Server: s})
-	t.Cleanup(server.Close)
-	return s, netip.MustParseAddrPort(server.Listener.Addr().String()), calls
+	h := &helper{calls: make(chan event.Body, 10)}
+	h.Server = &proxy.Server{Dialect: dialect, Post: func(b event.Body) { h.calls <- b }}
+	h.web = httptest.NewUnstartedServer(&proxy.Gatherer{Server: h.Server})
+	h.web.Config.ConnState = func(_ net.Conn, state http.ConnState) {
+		if state == http.StateNew {
+			h.conns.Add(1)
+		}
+	}
+	h.web.Start()
+	t.Cleanup(h.web.Close)
+	return h
 }
 
-func give(s *sender, addr netip.AddrPort, p *model.Portion) {
+func give(s *sender, h *helper, p *model.Portion) {
 	s.next++
+	addr := netip.MustParseAddrPort(h.web.Listener.Addr().String())
 	s.client.Forward(effect.Forward{Attempt: s.next, Request: 1, Upstream: "vm b", Addr: addr, Timeout: 2 * time.Second, Part: true, Portion: p})
 }
 
 // Guards against a portion that changes on its way to another VM or back, and a
 // request that the other VM passes on changed.
 func TestPortionPassesUnchanged(t *testing.T) {
-	server, addr, calls := newHelper(t)
+	h := newHelper(t)
 	s := newSender(t)
 	want := &model.Portion{Version: 7, Legs: []int{0, 3, 17}}
-	give(s, addr, want)
-	call := (<-calls).(event.Call)
+	give(s, h, want)
+	call := (<-h.calls).(event.Call)
 	if !reflect.DeepEqual(call.Portion, want) || call.Tag != "t" || call.Path != "/x/1" || call.Wait <= 0 || call.Wait > 2*time.Second {
 		t.Errorf("got call %+v with portion %+v, want that of %+v", call, call.Portion, want)
 	}
-	x := server.Exchange(call.ID)
+	x := h.Exchange(call.ID)
 	for name := range x.Headers {
 		if name == "Comfreypulley-Portion" {
 			t.Error("the portion is passed on to upstreams")
@@ -49,38 +65,64 @@
 	if x.Method != http.MethodGet || x.Host != "a.example" || x.URI != "/x/1?q=a%20b" {
 		t.Errorf("got %s %s %s, want the caller's request", x.Method, x.Host, x.URI)
 	}
-	pieces := []model.Piece{{Leg: 0, Tried: "u1", Receipt: "r;1"}, {Leg: 3, Tried: "u2"}, {Leg: 17}}
-	server.Finish(call.ID, effect.Gather{Request: call.ID, Pieces: pieces, Records: []byte("0123456789abcdef")})
-	got, ok := (<-s.ends).(event.Gathered)
-	if !ok || !reflect.DeepEqual(got.Pieces, pieces) || string(got.Records) != "0123456789abcdef" {
-		t.Errorf("got %+v, want pieces %+v", got, pieces)
+	frames := []event.Gathered{
+		{Attempt: 1, Pieces: []model.Piece{{Leg: 0, Tried: "u1", Receipt: "r;1"}, {Leg: 3, Tried: "u2"}}, Records: []byte("0123456789abcdef"), More: true},
+		{Attempt: 1, Pieces: []model.Piece{{Leg: 17}}},
+	}
+	for _, want := range frames {
+		h.Finish(call.ID, effect.Gather{Request: call.ID, Pieces: want.Pieces, Records: want.Records, More: want.More})
+		if got := <-s.ends; !reflect.DeepEqual(got, want) {
+			t.Errorf("got %+v, want %+v", got, want)
+		}
+	}
+	give(s, h, want)
+	again := (<-h.calls).(event.Call)
+	h.Finish(again.ID, effect.Gather{Request: again.ID, Pieces: frames[1].Pieces})
+	<-s.ends
+	if n := h.conns.Load(); n != 1 {
+		t.Errorf("got %d connections for two portions, want 1", n)
+	}
+}
+
+// Guards against pieces that are taken for all there are when the other VM ends
+// between two frames.
+func TestPortionThatBreaksOff(t *testing.T) {
+	h := newHelper(t)
+	s := newSender(t)
+	give(s, h, &model.Portion{Version: 1, Legs: []int{0, 1}})
+	call := (<-h.calls).(event.Call)
+	h.Finish(call.ID, effect.Gather{Request: call.ID, Pieces: []model.Piece{{Leg: 0, Tried: "u", Receipt: "r"}}, More: true})
+	<-s.ends
+	h.web.CloseClientConnections()
+	if got, ok := (<-s.ends).(event.Failed); !ok || got.Ran != model.RanUnknown {
+		t.Errorf("got %+v, want a failure that does not state what ran", got)
 	}
 }
 
 // Guards against a VM that leaves and takes a portion which it may not finish,
 // and an origin that counts it as run.
 func TestLeavingVMTakesNoPortion(t *testing.T) {
-	server, addr, calls := newHelper(t)
-	server.Leave()
+	h := newHelper(t)
+	h.Leave()
 	s := newSender(t)
-	give(s, addr, &model.Portion{Version: 1, Legs: []int{0}})
+	give(s, h, &model.Portion{Version: 1, Legs: []int{0}})
 	if got, ok := (<-s.ends).(event.Failed); !ok || got.Ran != model.RanNo {
 		t.Errorf("got %+v, want a failure that states that nothing ran", got)
 	}
-	if len(calls) > 0 {
+	if len(h.calls) > 0 {
 		t.Error("the portion was taken")
 	}
 }
 
 // Guards against work for an origin that has given its request up.
 func TestCancelledPortionIsGone(t *testing.T) {
-	_, addr, calls := newHelper(t)
+	h := newHelper(t)
 	s := newSender(t)
-	give(s, addr, &model.Portion{Version: 1, Legs: []int{0}})
-	call := (<-calls).(event.Call)
+	give(s, h, &model.Portion{Version: 1, Legs: []int{0}})
+	call := (<-h.calls).(event.Call)
 	s.client.Cancel(effect.Cancel{Attempt: 1})
 	select {
-	case body := <-calls:
+	case body := <-h.calls:
 		if got, ok := body.(event.Gone); !ok || got.Request != call.ID {
 			t.Errorf("got %+v, want the end of request %d", body, call.ID)
 		}
@@ -92,12 +134,12 @@
 // Guards against a caller who names a portion in a header of its own: the other
 // VM would gather other shards than it is asked for.
 func TestPortionOfACallerIsNotPassedOn(t *testing.T) {
-	_, addr, calls := newHelper(t)
+	h := newHelper(t)
 	s := newSender(t)
 	s.portion = "1;9"
 	want := &model.Portion{Version: 7, Legs: []int{0}}
-	give(s, addr, want)
-	if call := (<-calls).(event.Call); !reflect.DeepEqual(call.Portion, want) {
+	give(s, h, want)
+	if call := (<-h.calls).(event.Call); !reflect.DeepEqual(call.Portion, want) {
 		t.Errorf("got portion %+v, want %+v", call.Portion, want)
 	}
 }
--- a/io/proxy/server.go
+++ b/io/proxy/server.go
@@ -86,12 +86,14 @@
 	return s.pending[id]
 }
 
-// Finish hands an effect.Deliver, effect.Merge, effect.Gather or effect.Refuse to the request
+// Finish hands an effect.Deliver, effect.Merge, effect.Refuse or effect.Gather to the request
 // that waits for it.
 func (s *Server) Finish(id model.RequestID, e effect.Effect) {
 	s.mu.Lock()
 	x, ok := s.pending[id]
-	delete(s.pending, id)
+	if g, part := e.(effect.Gather); !part || !g.More {
+		delete(s.pending, id)
+	}
 	s.mu.Unlock()
 	if ok {
 		x.answer <- e
@@ -125,8 +127,12 @@
 	}
 	x := &Exchange{
 		Method: r.Method, Host: r.Host, URI: r.RequestURI, Headers: r.Header, Body: body, Tag: r.Header.Get(s.Dialect.Tag),
-		answer: make(chan effect.Effect, 1),
 	}
+	frames := 1
+	if portion != nil {
+		frames = 2*len(portion.Legs) + 1 // a shard has one piece, and failures may come in frames of their own
+	}
+	x.answer = make(chan effect.Effect, frames)
 	id := model.RequestID(s.next.Add(1))
 	if !s.add(id, x) {
 		s.refuse(w, model.Rejection{Reason: model.RefusedBusy, Ran: model.RanNo, After: busyPause})
@@ -137,17 +143,28 @@
 		ID: id, Tag: x.Tag, Host: r.Host, Path: path, Wait: s.Dialect.wait(r.Header), Fingerprint: x.fingerprint(),
 		Portion: portion,
 	})
+	if portion != nil {
+		if !s.stream(w, r, x) {
+			s.leave(id)
+		}
+		return
+	}
 	select {
 	case e := <-x.answer:
 		s.write(w, e)
 	case <-r.Context().Done():
-		s.mu.Lock()
-		delete(s.pending, id)
-		s.mu.Unlock()
-		s.Post(event.Gone{Request: id})
+		s.leave(id)
 	}
 }
 
+// leave gives a request up whose caller has left.
+func (s *Server) leave(id model.RequestID) {
+	s.mu.Lock()
+	delete(s.pending, id)
+	s.mu.Unlock()
+	s.Post(event.Gone{Request: id})
+}
+
 // drainPause is when a caller may come back that met a server which is leaving:
 // another one takes its next connection.
 const drainPause = time.Millisecond
@@ -181,12 +198,6 @@
 		}
 		w.Header().Set(s.Dialect.Missing, strconv.Itoa(e.Merged.Missing))
 		s.body(w, http.StatusOK, e.Merged.Records)
-	case effect.Gather:
-		for _, piece := range e.Pieces {
-			w.Header().Add(pieceHeader, writePiece(piece))
-		}
-		w.Header()["Date"] = nil // no VM reads it
-		s.body(w, http.StatusOK, e.Records)
 	case effect.Refuse:
 		s.refuse(w, e.Rejection)
 	}
