--- a/core/proxy/gather.go
+++ b/core/proxy/gather.go
@@ -26,7 +26,7 @@
 
 // narrow turns a call for another VM's portion into one over its shards, with a
 // single attempt for each: the other VM makes the second one. It reports false
-// when the portion is not of the document in force.
+// when the portion is not one of the document in force.
 func (t *Table) narrow(c *call) bool {
 	p := c.event.Portion
 	if p.Version != t.document.Version || !c.scatter() {
@@ -34,8 +34,8 @@
 	}
 	route := *c.route
 	route.Attempts = 1
-	for _, n := range p.Legs {
-		if n < 0 || n >= len(route.Shards) {
+	for i, n := range p.Legs {
+		if n < 0 || n >= len(route.Shards) || i > 0 && n <= p.Legs[i-1] {
 			return false
 		}
 		c.legs = append(c.legs, &leg{service: route.Shards[n], ran: model.RanNo})
@@ -46,42 +46,22 @@
 
 // stepPortion makes the attempts of a portion and sends what has come of it.
 func (t *Table) stepPortion(at time.Time, c *call, out []effect.Effect) []effect.Effect {
-	for _, l := range c.legs {
-		if l.lost || l.pending > 0 || l.part != nil {
-			continue
-		}
-		// An upstream that was not reached does not count as an attempt.
-		if h := t.pick(at, c, l); h != nil && l.arrivals() == 0 {
-			out = t.send(at, c, l, h, out)
-		} else {
-			l.lost = true // the other VM goes on with this shard
-		}
-	}
-	var answered, failed, open []int
-	for n, l := range c.legs {
-		switch {
-		case l.told:
-		case l.part != nil:
-			answered = append(answered, n)
-		case l.pending == 0:
-			failed = append(failed, n)
-		default:
-			open = append(open, n)
-		}
-	}
-	r := c.route
-	first := c.arrived.Add(min(c.pace.first(r), time.Duration(firstLatest*float64(objective(r)))))
-	end := c.arrived.Add(time.Duration(lastFrame * float64(objective(r))))
+	out = t.askShards(at, c, out)
+	answered, failed, open := c.untold()
+	wait := float64(objective(c.route))
+	first := c.arrived.Add(min(c.pace.first(c.route), time.Duration(firstLatest*wait)))
+	end := c.arrived.Add(time.Duration(lastFrame * wait))
 	if c.deadline.Before(end) {
 		end = c.deadline
 	}
 	switch {
 	case len(open) == 0 || !at.Before(end):
-		out = t.frame(c, t.untold(c), false, out)
+		out = t.frame(c, slices.Concat(answered, failed, open), false, out)
 		return t.close(at, c, "gathered", "", out)
 	case !c.stream.began && !at.Before(first):
 		c.stream.began, c.stream.failed = true, time.Time{}
 		out = t.frame(c, slices.Concat(answered, failed, open), true, out)
+		failed = nil
 	case c.stream.began:
 		// A later frame has one answer, since the other VM may have others
 		// directly by then.
@@ -98,37 +78,52 @@
 	return t.wakeAt(at, c, end, out)
 }
 
-// frameFailures tells failures after a short wait for others.
-func (t *Table) frameFailures(at time.Time, c *call, failed []int, out []effect.Effect) []effect.Effect {
-	untold := failed[:0:0]
-	for _, n := range failed {
-		if !c.legs[n].told {
-			untold = append(untold, n)
+// askShards makes the first attempt of each shard, and another one while no
+// upstream was reached: that does not count as an attempt.
+func (t *Table) askShards(at time.Time, c *call, out []effect.Effect) []effect.Effect {
+	for _, l := range c.legs {
+		if l.lost || l.pending > 0 || l.part != nil {
+			continue
+		}
+		if h := t.pick(at, c, l); h != nil && l.arrivals() == 0 {
+			out = t.send(at, c, l, h, out)
+		} else {
+			l.lost = true // the other VM goes on with this shard
+		}
+	}
+	return out
+}
+
+// untold returns the legs whose pieces the other VM does not have.
+func (c *call) untold() (answered, failed, open []int) {
+	for n, l := range c.legs {
+		switch {
+		case l.told:
+		case l.part != nil:
+			answered = append(answered, n)
+		case l.pending == 0:
+			failed = append(failed, n)
+		default:
+			open = append(open, n)
 		}
 	}
+	return answered, failed, open
+}
+
+// frameFailures tells failures after a short wait for others.
+func (t *Table) frameFailures(at time.Time, c *call, failed []int, out []effect.Effect) []effect.Effect {
 	switch {
-	case len(untold) == 0:
+	case len(failed) == 0:
 		c.stream.failed = time.Time{}
 	case c.stream.failed.IsZero():
 		c.stream.failed = at.Add(failedFrame)
 	case !at.Before(c.stream.failed):
 		c.stream.failed = time.Time{}
-		return t.frame(c, untold, true, out)
+		return t.frame(c, failed, true, out)
 	}
 	return out
 }
 
-// untold returns the legs whose pieces the other VM does not have.
-func (t *Table) untold(c *call) []int {
-	var legs []int
-	for n, l := range c.legs {
-		if !l.told {
-			legs = append(legs, n)
-		}
-	}
-	return legs
-}
-
 // frame sends the pieces of some legs. Of those that are open the origin learns
 // which upstream it need not try.
 func (t *Table) frame(c *call, legs []int, more bool, out []effect.Effect) []effect.Effect {
--- a/core/proxy/world_test.go
+++ b/core/proxy/world_test.go
@@ -234,22 +234,7 @@
 	}
 	answers := 0
 	for _, p := range e.Pieces {
-		if p.Open {
-			if p.Receipt != "" || p.Tried == "" || !e.More {
-				w.t.Fatalf("open piece %+v of request %d", p, e.Request)
-			}
-			continue
-		}
-		if slices.Contains(c.told, p.Leg) {
-			w.t.Fatalf("shard %d of request %d is told twice", p.Leg, e.Request)
-		}
-		c.told = append(c.told, p.Leg)
-		if want := fmt.Sprintf("%d@%s", e.Request, service(c.version, p.Leg)); p.Receipt != "" && p.Receipt != want {
-			w.t.Fatalf("shard %d has receipt %s, want %s", p.Leg, p.Receipt, want)
-		}
-		if p.Tried == "" && c.runs[service(c.version, p.Leg)] > 0 {
-			w.t.Fatalf("shard %d ran and is stated as not tried", p.Leg)
-		}
+		w.piece(e, c, p)
 		if p.Receipt != "" {
 			answers++
 		}
@@ -273,6 +258,26 @@
 	}
 }
 
+// piece checks what another VM is told of one shard.
+func (w *world) piece(e effect.Gather, c *caller, p model.Piece) {
+	if p.Open {
+		if p.Receipt != "" || p.Tried == "" || !e.More {
+			w.t.Fatalf("open piece %+v of request %d", p, e.Request)
+		}
+		return
+	}
+	if slices.Contains(c.told, p.Leg) {
+		w.t.Fatalf("shard %d of request %d is told twice", p.Leg, e.Request)
+	}
+	c.told = append(c.told, p.Leg)
+	if want := fmt.Sprintf("%d@%s", e.Request, service(c.version, p.Leg)); p.Receipt != "" && p.Receipt != want {
+		w.t.Fatalf("shard %d has receipt %s, want %s", p.Leg, p.Receipt, want)
+	}
+	if p.Tried == "" && c.runs[service(c.version, p.Leg)] > 0 {
+		w.t.Fatalf("shard %d ran and is stated as not tried", p.Leg)
+	}
+}
+
 // endPortion lets another VM answer a portion frame by frame, refuse it or break
 // off.
 func (w *world) endPortion(id model.AttemptID, f *flight, outcome int) {
--- a/io/soak/soak_test.go
+++ b/io/soak/soak_test.go
@@ -5,6 +5,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"testing"
 	"time"
 
@@ -34,7 +35,7 @@
 		t.Fatalf("build: %v\n%s", err, out)
 	}
 	for _, s := range seeds {
-		t.Run(fmt.Sprintf("%d", s.seed), func(t *testing.T) {
+		t.Run(strconv.FormatUint(s.seed, 10), func(t *testing.T) {
 			t.Parallel()
 			folder, err := os.MkdirTemp("", fmt.Sprintf("comfreypulley-soak-%d-", s.seed))
 			if err != nil {
