Give up the preference for the own zone where an upstream fails

The cost is 25 ms again, and an upstream of which a quarter of the attempts fail, or that other VMs reported, bears it too.

TestFailingUpstreamIsNotPreferredForItsZone fails without the rule.

--- a/core/proxy/host.go
+++ b/core/proxy/host.go
@@ -20,7 +20,8 @@
 	failCost     = 60 * time.Millisecond  // expected loss of time by a failure
 	leavingCost  = 20 * time.Millisecond
 	outsideCost  = 4 * time.Millisecond  // bytes between zones are charged
-	awayCost     = 15 * time.Millisecond // the same for a portion, whose second attempts another VM makes
+	awayCost     = 25 * time.Millisecond // the same for a portion, whose second attempts another VM makes
+	ailingFails  = 0.25                  // share of failed attempts from which an upstream is not preferred for its zone
 	stalledCost  = 20 * time.Millisecond
 	stalledAfter = 1.5 // times the expected latency, after which an attempt counts as stalled
 )
@@ -92,7 +93,7 @@
 	}
 	total := expected * (1 + 0.4*min(busy, slots)/slots + max(0, busy+1-slots)/slots)
 	total += h.fails.read(at, 0) * float64(failCost)
-	if h.upstream.Zone != zone {
+	if h.upstream.Zone != zone || h.ailing(at) {
 		total += float64(outside)
 	}
 	if at.Sub(h.leaving) < leavingFor {
@@ -101,6 +102,12 @@
 	return time.Duration(total) + max(h.stalled(at), h.rhythm.wait(at, typical)) + h.reports.cost(at)
 }
 
+// ailing reports whether the upstream fails often or was reported by other VMs.
+// One like that is not preferred for its zone.
+func (h *host) ailing(at time.Time) bool {
+	return h.fails.read(at, 0) >= ailingFails || h.reports.cost(at) >= hintCost/2
+}
+
 // stalled returns what an overdue attempt says about the next one: an upstream
 // that pauses or is silent answers nobody.
 func (h *host) stalled(at time.Time) time.Duration {
--- a/core/proxy/spread_test.go
+++ b/core/proxy/spread_test.go
@@ -324,3 +324,25 @@
 		t.Errorf("got %v, want a refusal that states that nothing ran", out)
 	}
 }
+
+// Guards against a helper that stays with an upstream which sheds, since bytes
+// from another zone are charged.
+func TestFailingUpstreamIsNotPreferredForItsZone(t *testing.T) {
+	table := wide(t)
+	at := began
+	var last model.UpstreamID
+	for id := range model.RequestID(2) {
+		_, direct := forwards(ask(table, at, id+1, &model.Portion{Version: 1, Legs: []int{3}}))
+		if len(direct) != 1 {
+			t.Fatalf("got %d attempts, want 1", len(direct))
+		}
+		if last = direct[0].Upstream; last == "s3/b" {
+			break
+		}
+		table.Returned(at.Add(time.Millisecond), event.Returned{Attempt: direct[0].Attempt, NotRun: true, Reply: model.Reply{Status: 503}}, nil)
+		at = at.Add(100 * time.Millisecond)
+	}
+	if last != "s3/b" {
+		t.Errorf("got attempts on %s after it shed the first one, want one on the other upstream", last)
+	}
+}
