Take hangups from the first moment of a process

The signals are now taken before the settings are read, and stops before the command line is.

A signal in the first second of a process may still end it on a busy machine, before the program's first instruction, and the soak's judge allows that from the time of the signal on. A recovery in which callers wait in vain is now found, too.

Entry VMs learn of each other 0.3 s after the VMs with disks start instead of 0.8 s, so that portions are given sooner after a full restart.

--- a/core/plane/daemons.go
+++ b/core/plane/daemons.go
@@ -16,8 +16,8 @@
 // so that a lost message is made up for by the next one.
 const (
 	daemonsPeriod = 2 * time.Second // between two tellings without a change
-	daemonsApart  = 500 * time.Millisecond
-	daemonsSettle = 800 * time.Millisecond // after a start, when this VM does not know yet who follows it
+	daemonsApart  = 300 * time.Millisecond
+	daemonsSettle = 300 * time.Millisecond // after a start, when this VM does not know yet who follows it
 	daemonsFade   = 6 * time.Second        // after which another VM's list is dropped
 )
 
--- a/core/soak/plan.go
+++ b/core/soak/plan.go
@@ -391,6 +391,9 @@
 		}
 	case Reload:
 	}
+	if e.Sign == Stop || e.Sign == Reload {
+		v.signalled = s.now
+	}
 	if v.up {
 		s.emit(e)
 	}
--- a/core/soak/request.go
+++ b/core/soak/request.go
@@ -13,6 +13,7 @@
 	Request
 	runs     []*run
 	left     time.Time // when its caller closed the connection
+	unheard  bool      // its VM did not run when it was sent
 	refused  bool
 	answered bool
 	status   int
@@ -188,7 +189,7 @@
 // broken judges a connection that ended without a complete answer.
 func (s *State) broken(q *request, cause string) {
 	took := s.now.Sub(q.At)
-	if took >= min(q.Wait, timeout)-lossSlack || !s.sound(q.Entry, q.runs, q.At) {
+	if q.unheard || took >= min(q.Wait, timeout)-lossSlack || !s.sound(q.Entry, q.runs, q.At) {
 		return
 	}
 	s.report.Judged["LOST"]++
--- a/core/soak/state.go
+++ b/core/soak/state.go
@@ -45,18 +45,19 @@
 
 // vm is a process.
 type vm struct {
-	up       bool
-	ordered  bool      // its end was asked for
-	stopped  time.Time // when it was asked to stop; zero before
-	paused   int       // faults that hold it
-	respawn  Spawn
-	after    time.Duration // from its end to its next start
-	due      time.Time     // of its next start, zero while it is up
-	down     []*trouble
-	began    time.Time
-	seen     int // newest change that a run of its requests followed
-	seenAt   time.Time
-	hasPause bool // it was held since it was asked to stop
+	up        bool
+	ordered   bool      // its end was asked for
+	stopped   time.Time // when it was asked to stop; zero before
+	paused    int       // faults that hold it
+	signalled time.Time // when it was last told to stop or reload
+	respawn   Spawn
+	after     time.Duration // from its end to its next start
+	due       time.Time     // of its next start, zero while it is up
+	down      []*trouble
+	began     time.Time
+	seen      int // newest change that a run of its requests followed
+	seenAt    time.Time
+	hasPause  bool // it was held since it was asked to stop
 }
 
 // New returns a soak that is about to start its processes.
@@ -92,7 +93,7 @@
 	case Exited:
 		s.exited(e)
 	case Sent:
-		s.requests[e.Tag] = &request{Request: e.Request}
+		s.requests[e.Tag] = &request{Request: e.Request, unheard: !s.vms[e.Entry].up}
 		s.report.Requests++
 	case Left:
 		if q := s.requests[e.Tag]; q != nil {
@@ -199,10 +200,13 @@
 func (s *State) exited(e Exited) {
 	v := &s.vms[e.VM]
 	s.note("vm %d ended: %q", e.VM, e.Cause)
+	// A process that has just begun does not take signals yet.
+	early := e.Cause != "" && !v.signalled.IsZero() && v.signalled.Sub(v.began) <= starting
 	switch {
+	case early:
 	case !v.ordered:
 		s.find("ENDED", "vm %d ended by itself: %s", e.VM, e.Cause)
-	case !v.stopped.IsZero() && e.Cause != "" && s.now.Sub(v.began) > starting:
+	case !v.stopped.IsZero() && e.Cause != "":
 		s.find("STOP", "vm %d was asked to stop and ended with %s", e.VM, e.Cause)
 	}
 	v.up = false
@@ -292,7 +296,8 @@
 	from := s.cfg.Began.Add(settling + s.cfg.Period + recoverWithin)
 	sent, served := 0, 0
 	for _, q := range s.requests {
-		if q.At.Before(from) || !q.answered || q.Class == Added {
+		waited := !q.left.IsZero() && q.left.Sub(q.At) >= q.Wait
+		if q.At.Before(from) || !q.answered && !waited || q.Class == Added || !s.troubles.calm(subject{partVM, q.Entry}, q.At, q.At.Add(q.Wait), true) {
 			continue
 		}
 		sent++
@@ -300,9 +305,15 @@
 			served++
 		}
 	}
-	if sent > 0 {
-		s.report.Recovered = float64(served) / float64(sent)
+	s.report.Judged["RECOVER"] = sent
+	if sent == 0 && s.report.Stalls > 0 {
+		return // they left nothing to judge
 	}
+	if sent == 0 {
+		s.find("RECOVER", "nothing was sent and answered %v after the last fault", recoverWithin)
+		return
+	}
+	s.report.Recovered = float64(served) / float64(sent)
 	if s.report.Recovered < target {
 		s.find("RECOVER", "%d of %d requests are served %v after the last fault", served, sent, recoverWithin)
 	}
--- a/io/cmds/main.go
+++ b/io/cmds/main.go
@@ -41,6 +41,8 @@
 // Main runs the command line and returns the exit status. The folders of
 // docs/examples are in examples.
 func Main(args []string, examples fs.FS) int {
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
 	var c commands
 	status := 0
 	parser, err := kong.New(&c,
@@ -60,8 +62,6 @@
 	if parsed.Command() == "" {
 		return status
 	}
-	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
-	defer stop()
 	handler := json.New(os.Stderr)
 	logger := &log.Logger{Handler: handler, Level: log.InfoLevel}
 	if err := parsed.Run(&scope{ctx: ctx, handler: handler, logger: logger, examples: examples}); err != nil {
--- a/io/cmds/platform.go
+++ b/io/cmds/platform.go
@@ -21,6 +21,9 @@
 
 // Run implements the subcommand.
 func (c *platformCommand) Run(s *scope) (err error) {
+	// Taken before anything else: a hangup ends a process that does not take it.
+	h := newHangups(s.logger)
+	defer h.stop(nil)
 	settings, err := platform.Read()
 	if err != nil {
 		return err
@@ -34,7 +37,7 @@
 	if err != nil {
 		return err
 	}
-	h := &hangups{logger: logger, stopped: make(chan struct{})}
+	h.logger = logger
 	var group run.Group
 	group.Add(func() error { return resident.Run(s.ctx) }, func(error) {})
 	group.Add(h.run, h.stop)
@@ -46,17 +49,22 @@
 // limits are fixed by then, and the seeds count only for a start.
 type hangups struct {
 	logger  log.Interface
+	signals chan os.Signal
 	stopped chan struct{}
 	once    sync.Once
 }
 
+func newHangups(logger log.Interface) *hangups {
+	h := &hangups{logger: logger, signals: make(chan os.Signal, 1), stopped: make(chan struct{})}
+	signal.Notify(h.signals, syscall.SIGHUP)
+	return h
+}
+
 func (h *hangups) run() error {
-	signals := make(chan os.Signal, 1)
-	signal.Notify(signals, syscall.SIGHUP)
-	defer signal.Stop(signals)
+	defer signal.Stop(h.signals)
 	for {
 		select {
-		case <-signals:
+		case <-h.signals:
 			if _, err := platform.Read(); err != nil {
 				h.logger.WithError(err).Error("settings not read again; the old ones stay in use")
 				continue
