--- a/io/soak/soak.go
+++ b/io/soak/soak.go
@@ -87,9 +87,9 @@
 	roster   atomic.Pointer[soak.Roster]
 	traffic  sync.WaitGroup
 
-	mu     sync.Mutex
-	orders map[uint64]int // orders by the bytes of their manifest
-	proxes []*fault.Proxy
+	mu      sync.Mutex
+	orders  map[uint64]int // orders by the bytes of their manifest
+	proxies []*fault.Proxy
 }
 
 // host is an upstream and the proxy before it.
@@ -309,7 +309,7 @@
 		return nil, err
 	}
 	s.mu.Lock()
-	s.proxes = append(s.proxes, p)
+	s.proxies = append(s.proxies, p)
 	s.mu.Unlock()
 	go (&gate{proxy: p, soak: s}).run()
 	return p, nil
@@ -337,7 +337,7 @@
 	for _, h := range s.hosts {
 		h.host.Close()
 	}
-	for _, p := range s.proxes {
+	for _, p := range s.proxies {
 		p.Close()
 	}
 }
