--- a/io/soak/carry.go
+++ b/io/soak/carry.go
@@ -101,6 +101,7 @@
 
 func (h *host) become(k identity) {
 	k.id += "x"
+	h.soak.setService(k)
 	h.now.Store(&k)
 	h.stub.Rename(k.id)
 }
--- a/io/soak/soak.go
+++ b/io/soak/soak.go
@@ -87,9 +87,10 @@
 	roster   atomic.Pointer[soak.Roster]
 	traffic  sync.WaitGroup
 
-	mu      sync.Mutex
-	orders  map[uint64]int // orders by the bytes of their manifest
-	proxies []*fault.Proxy
+	mu       sync.Mutex
+	orders   map[uint64]int    // orders by the bytes of their manifest
+	services map[string]string // by the id of an upstream
+	proxies  []*fault.Proxy
 }
 
 // host is an upstream and the proxy before it.
@@ -125,6 +126,7 @@
 	s.faults = bufio.NewWriter(file)
 	defer func() { err = errors.Join(err, s.faults.Flush(), file.Close()) }()
 	s.events, s.orders, s.over = make(chan stamped, queued), make(map[uint64]int), make(chan struct{})
+	s.services = make(map[string]string)
 	s.roster.Store(&soak.Roster{})
 	s.number = os.Getpid() + apart*int(soaks.Add(1))
 	traffic, cancel := context.WithCancel(ctx)
@@ -263,6 +265,7 @@
 	h := &host{soak: s, number: n}
 	known := &identity{id: fmt.Sprintf("u%d", n), service: service}
 	h.now.Store(known)
+	s.setService(*known)
 	h.listed.Store(known)
 	h.stub, err = stub.New(stub.Config{
 		ID: fmt.Sprintf("u%d", n), Seed: s.Seed + uint64(n),
@@ -293,7 +296,7 @@
 // Arrived implements stub.Watcher.
 func (h *host) Arrived(a stub.Arrival) {
 	h.soak.post(soak.Arrived{Run: soak.Run{
-		ID: a.Receipt, Host: h.number, Service: h.now.Load().service, Tag: a.Tag, Digest: a.Digest, Wait: a.Wait, Accepted: a.Accepted, Records: a.Records,
+		ID: a.Receipt, Host: h.number, Service: h.soak.service(a.Upstream), Tag: a.Tag, Digest: a.Digest, Wait: a.Wait, Accepted: a.Accepted, Records: a.Records,
 	}})
 }
 
@@ -368,6 +371,19 @@
 	return list
 }
 
+// service returns that of an upstream's id.
+func (s *Soak) service(id string) string {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	return s.services[id]
+}
+
+func (s *Soak) setService(k identity) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.services[k.id] = k.service
+}
+
 // order returns the number of the order with these bytes.
 func (s *Soak) order(manifest []byte) int {
 	s.mu.Lock()
--- a/io/soak/soak_test.go
+++ b/io/soak/soak_test.go
@@ -27,7 +27,7 @@
 	{16, 10 * time.Second, "a hangup 25 ms after the start ended the process, TestHangupWhileStarting"},
 	{17, 10 * time.Second, "the same, and a stop 179 ms after the start on a machine that stopped the soak"},
 	{21, 10 * time.Second, "judged requests that were held up before a harmed upstream as late"},
-	{23, 10 * time.Second, "judged a stop 2 ms after the start, and work during a stall of the whole machine"},
+	{23, 10 * time.Second, "judged a stop 2 ms after the start, work during a stall of the whole machine, and a request that waited while its upstream changed its name"},
 	{24, 10 * time.Second, "judged work during the same stall"},
 }
 
--- a/io/stub/routed.go
+++ b/io/stub/routed.go
@@ -34,6 +34,7 @@
 
 // Arrival is a routed request at a stand-in.
 type Arrival struct {
+	Upstream string // as which the stand-in took the request
 	Receipt  string
 	Tag      string
 	Digest   uint64        // of its method, URI and body
@@ -68,13 +69,14 @@
 	if err != nil {
 		ms = 0 // the watcher sees that it is missing
 	}
-	a := Arrival{Tag: tag, Digest: Digest(r.Method, r.RequestURI, body), Wait: time.Duration(ms) * time.Millisecond}
+	name := *s.name.Load()
+	a := Arrival{Upstream: name, Tag: tag, Digest: Digest(r.Method, r.RequestURI, body), Wait: time.Duration(ms) * time.Millisecond}
 	refuse := func(status int) {
 		s.routed.Watcher.Arrived(a)
 		w.Header().Set(d.NotRun, "1")
 		w.WriteHeader(status)
 	}
-	if expected := r.Header.Get(d.Expect); expected != "" && expected != *s.name.Load() {
+	if expected := r.Header.Get(d.Expect); expected != "" && expected != name {
 		refuse(http.StatusMisdirectedRequest)
 		return
 	}
--- a/io/stub/stub_test.go
+++ b/io/stub/stub_test.go
@@ -387,7 +387,7 @@
 	}
 	ran := watcher.seen[0]
 	want := Arrival{
-		Receipt: answered.Get("R"), Tag: "tag", Digest: Digest(http.MethodGet, "/a?b", nil), Wait: 70 * time.Millisecond,
+		Upstream: "u", Receipt: answered.Get("R"), Tag: "tag", Digest: Digest(http.MethodGet, "/a?b", nil), Wait: 70 * time.Millisecond,
 		Accepted: true, Records: []byte(body),
 	}
 	if ran.Receipt == "" || !reflect.DeepEqual(ran, want) {
@@ -397,3 +397,59 @@
 		t.Error("the refused request counts as accepted")
 	}
 }
+
+// renamer sends a request that waits for a slot.
+type renamer struct {
+	host  *Host
+	ended chan error
+}
+
+func (r *renamer) run() {
+	request, err := http.NewRequest(http.MethodGet, "http://"+r.host.Addr(0).String()+"/a", http.NoBody)
+	if err != nil {
+		r.ended <- err
+		return
+	}
+	request.Header.Set("W", "5000")
+	response, err := http.DefaultClient.Do(request)
+	if err == nil {
+		err = response.Body.Close()
+	}
+	r.ended <- err
+}
+
+// Guards against a request that was taken under one name and counts as run under
+// a later one.
+func TestRoutedRequestKeepsTheNameItWasTakenUnder(t *testing.T) {
+	watcher := &arrivals{}
+	d := &proxy.Dialect{Tag: "T", Wait: "W", Receipt: "R", Expect: "E", NotRun: "N", Load: "L"}
+	s, h := start(t, Config{ID: "u", Settings: Settings{Slots: 1, Queue: 1, Service: time.Second}, Routed: &Routed{Dialect: d, Watcher: watcher}})
+	r := &renamer{host: h, ended: make(chan error, 2)}
+	go r.run()
+	for deadline := time.Now().Add(patience); s.slots.load(s.settings.Load()).Inflight == 0; {
+		if time.Now().After(deadline) {
+			t.Fatal("the first request does not run")
+		}
+		<-time.After(time.Millisecond)
+	}
+	go r.run()
+	for s.slots.load(s.settings.Load()).Queued == 0 {
+		if len(r.ended) > 0 {
+			t.Fatal("a request ended before the second one waited")
+		}
+		<-time.After(time.Millisecond)
+	}
+	s.Rename("v")
+	for range 2 {
+		if err := <-r.ended; err != nil {
+			t.Fatal(err)
+		}
+	}
+	watcher.mu.Lock()
+	defer watcher.mu.Unlock()
+	for _, a := range watcher.seen {
+		if a.Upstream != "u" {
+			t.Errorf("got a request of upstream %s, want u", a.Upstream)
+		}
+	}
+}
