Give the soak's upstreams addresses of their own, and name things plainly

Upstreams now listen on addresses that differ between soaks, as the VMs do.

Figurative names of the soak's planner and of the routed traffic give way to plain ones; nothing else changes.

--- a/core/proxy/delegate.go
+++ b/core/proxy/delegate.go
@@ -47,10 +47,10 @@
 func (t *Table) give(at time.Time, c *call, legs []int, d *daemon, out []effect.Effect) []effect.Effect {
 	t.next++
 	g := &delegation{id: t.next, call: c, daemon: d, sent: at}
-	stand := &host{upstream: model.Upstream{ID: peerOf(d.ID)}}
+	placeholder := &host{upstream: model.Upstream{ID: peerOf(d.ID)}}
 	for _, n := range legs {
 		l := c.legs[n]
-		a := &attempt{id: g.id, call: c, leg: l, host: stand, sent: at, delegation: g}
+		a := &attempt{id: g.id, call: c, leg: l, host: placeholder, sent: at, delegation: g}
 		l.tries = append(l.tries, a)
 		l.pending++
 		g.tries = append(g.tries, a)
@@ -58,7 +58,7 @@
 	t.spread.delegations[g.id] = g
 	out = append(out, effect.Count{Counter: effect.CountAttempts, Reason: "portion", N: 1})
 	return append(out, effect.Forward{
-		Attempt: g.id, Request: c.event.ID, Upstream: stand.upstream.ID, Addr: d.Gathers, Timeout: c.deadline.Sub(at), Part: true,
+		Attempt: g.id, Request: c.event.ID, Upstream: placeholder.upstream.ID, Addr: d.Gathers, Timeout: c.deadline.Sub(at), Part: true,
 		Portion: &model.Portion{Version: c.version, Legs: legs},
 	})
 }
@@ -183,7 +183,7 @@
 		return out
 	}
 	g.overdue = true
-	t.shun(at, g.daemon, avoidLate)
+	t.exclude(at, g.daemon, avoidLate)
 	return out
 }
 
--- a/core/proxy/hint.go
+++ b/core/proxy/hint.go
@@ -52,7 +52,7 @@
 // Hint takes what another VM of the zone told.
 func (t *Table) Hint(at time.Time, e event.Hint, out []effect.Effect) []effect.Effect {
 	if d, ok := t.spread.daemonOf(e.Upstream); ok {
-		t.shun(at, d, avoidFailed)
+		t.exclude(at, d, avoidFailed)
 		return out
 	}
 	if h, ok := t.hosts[e.Upstream]; ok {
--- a/core/proxy/host.go
+++ b/core/proxy/host.go
@@ -9,21 +9,21 @@
 
 // How an upstream is judged.
 const (
-	averageGain  = 0.3                    // weight of a new sample in a moving average
-	maxRatio     = 5                      // a single pause must not count for more than this
-	averageFade  = 3 * time.Second        // in which an old average loses most of its weight
-	firstDown    = 400 * time.Millisecond // after a failed connection; doubles with each further one
-	longestDown  = 5 * time.Second
-	loadFade     = 400 * time.Millisecond // in which a load report loses most of its weight
-	leavingFor   = 3 * time.Second        // an upstream that closes connections may be leaving
-	coldFactor   = 1.6                    // work of an upstream that has just started, in parts of the usual
-	failCost     = 60 * time.Millisecond  // expected loss of time by a failure
-	leavingCost  = 20 * time.Millisecond
-	outsideCost  = 4 * time.Millisecond  // bytes between zones are charged
-	awayCost     = 25 * time.Millisecond // the same for a portion, whose second attempts another VM makes
-	ailingFails  = 0.25                  // share of failed attempts from which an upstream is not preferred for its zone
-	stalledCost  = 20 * time.Millisecond
-	stalledAfter = 1.5 // times the expected latency, after which an attempt counts as stalled
+	averageGain    = 0.3                    // weight of a new sample in a moving average
+	maxRatio       = 5                      // a single pause must not count for more than this
+	averageFade    = 3 * time.Second        // in which an old average loses most of its weight
+	firstDown      = 400 * time.Millisecond // after a failed connection; doubles with each further one
+	longestDown    = 5 * time.Second
+	loadFade       = 400 * time.Millisecond // in which a load report loses most of its weight
+	leavingFor     = 3 * time.Second        // an upstream that closes connections may be leaving
+	coldFactor     = 1.6                    // work of an upstream that has just started, in parts of the usual
+	failCost       = 60 * time.Millisecond  // expected loss of time by a failure
+	leavingCost    = 20 * time.Millisecond
+	outsideCost    = 4 * time.Millisecond  // bytes between zones are charged
+	awayCost       = 25 * time.Millisecond // the same for a portion, whose second attempts another VM makes
+	unhealthyFails = 0.25                  // share of failed attempts from which an upstream is not preferred for its zone
+	stalledCost    = 20 * time.Millisecond
+	stalledAfter   = 1.5 // times the expected latency, after which an attempt counts as stalled
 )
 
 // host is what is known of one upstream.
@@ -93,7 +93,7 @@
 	}
 	total := expected * (1 + 0.4*min(busy, slots)/slots + max(0, busy+1-slots)/slots)
 	total += h.fails.read(at, 0) * float64(failCost)
-	if h.upstream.Zone != zone || h.ailing(at) {
+	if h.upstream.Zone != zone || h.unhealthy(at) {
 		total += float64(outside)
 	}
 	if at.Sub(h.leaving) < leavingFor {
@@ -102,10 +102,10 @@
 	return time.Duration(total) + max(h.stalled(at), h.rhythm.wait(at, typical)) + h.reports.cost(at)
 }
 
-// ailing reports whether the upstream fails often or was reported by other VMs.
+// unhealthy reports whether the upstream fails often or was reported by other VMs.
 // One like that is not preferred for its zone.
-func (h *host) ailing(at time.Time) bool {
-	return h.fails.read(at, 0) >= ailingFails || h.reports.cost(at) >= hintCost/2
+func (h *host) unhealthy(at time.Time) bool {
+	return h.fails.read(at, 0) >= unhealthyFails || h.reports.cost(at) >= hintCost/2
 }
 
 // stalled returns what an overdue attempt says about the next one: an upstream
--- a/core/proxy/spread.go
+++ b/core/proxy/spread.go
@@ -107,7 +107,7 @@
 
 // avoid gives a VM no portions for a while, and tells the zone.
 func (t *Table) avoid(at time.Time, d *daemon, out []effect.Effect) []effect.Effect {
-	t.shun(at, d, avoidFailed)
+	t.exclude(at, d, avoidFailed)
 	if at.Sub(d.told) < hintPause {
 		return out
 	}
@@ -115,9 +115,9 @@
 	return append(out, effect.ToControl{Body: event.Hint{Upstream: peerOf(d.ID), Sure: true}})
 }
 
-// shun gives a VM no portions for a while, and none to its zone when another VM
+// exclude gives a VM no portions for a while, and none to its zone when another VM
 // of it failed just before and none has answered since.
-func (t *Table) shun(at time.Time, d *daemon, period time.Duration) {
+func (t *Table) exclude(at time.Time, d *daemon, period time.Duration) {
 	s := &t.spread
 	d.avoid = at.Add(period)
 	f, ok := s.failing[d.Zone]
--- a/core/soak/config.go
+++ b/core/soak/config.go
@@ -38,12 +38,12 @@
 
 // Times of a soak.
 const (
-	starting    = time.Second     // of a process, until it accepts connections
-	settling    = 5 * time.Second // from the first start to the first fault
-	lastReads   = stableWindow    // after the recovery, when the state is read back
-	cycle       = 20 * time.Second
-	stormy      = 4 * time.Second // of a cycle, when any fault may come; calm VMs are judged in the rest
-	changeEvery = 1200 * time.Millisecond
+	starting     = time.Second     // of a process, until it accepts connections
+	settling     = 5 * time.Second // from the first start to the first fault
+	lastReads    = stableWindow    // after the recovery, when the state is read back
+	cycle        = 20 * time.Second
+	unrestricted = 4 * time.Second // of a cycle, when any fault may come; calm VMs are judged in the rest
+	changeEvery  = 1200 * time.Millisecond
 )
 
 // Attempts is the number of upstreams that a request may be sent to, for each
--- a/core/soak/plan.go
+++ b/core/soak/plan.go
@@ -23,7 +23,7 @@
 	shortest    = 100 * time.Millisecond
 	longest     = 2500 * time.Millisecond
 	maxRestart  = time.Second
-	maxGap      = 700 * time.Millisecond  // between two faults of a stormy time
+	maxGap      = 700 * time.Millisecond  // between two faults of an unrestricted time
 	maxFollow   = 600 * time.Millisecond  // from a fault to the next one on the same VM
 	calmGap     = 1200 * time.Millisecond // between two faults of a calm time
 	reuseAfter  = 2 * time.Second         // from an upstream's end until the list shows who has its address
@@ -50,11 +50,11 @@
 		// Around a lost disk, the others that hold the log stay as they are.
 		wipe := next
 		next = p.wipes()
-		for at := from; at < min(from+stormy, end); at += p.upTo(maxGap) {
-			p.storm(at, !wipe)
+		for at := from; at < min(from+unrestricted, end); at += p.upTo(maxGap) {
+			p.anyFault(at, !wipe)
 		}
-		for at := from + stormy; at < min(from+cycle, end); at += p.upTo(calmGap) {
-			p.breeze(at, !wipe && !next)
+		for at := from + unrestricted; at < min(from+cycle, end); at += p.upTo(calmGap) {
+			p.mildFault(at, !wipe && !next)
 		}
 		if at := from + wipeAt; wipe && at < end {
 			p.kill(at, p.random.IntN(s.cfg.Controls), Spawn{Wipe: true})
@@ -92,8 +92,8 @@
 	return who
 }
 
-// storm adds a fault of a stormy time, often followed by others on the same VM.
-func (p *planner) storm(at time.Duration, core bool) {
+// anyFault adds a fault of an unrestricted time, often followed by others on the same VM.
+func (p *planner) anyFault(at time.Duration, core bool) {
 	n := p.vm(core)
 	switch p.random.IntN(10) {
 	case 0:
@@ -116,9 +116,9 @@
 	}
 }
 
-// breeze adds a fault of a calm time: planned work, and trouble that does not
+// mildFault adds a fault of a calm time: planned work, and trouble that does not
 // touch the log.
-func (p *planner) breeze(at time.Duration, core bool) {
+func (p *planner) mildFault(at time.Duration, core bool) {
 	switch p.random.IntN(12) {
 	case 0, 1, 2, 3, 4:
 		n := p.vm(core && p.random.IntN(8) == 0)
--- a/io/soak/machine.go
+++ b/io/soak/machine.go
@@ -55,10 +55,15 @@
 	exited  chan struct{}
 }
 
-// newMachine opens the proxies of a VM. Its zone is the third byte of its
-// address; the second one differs between soaks that run at the same time.
+// ip returns a loopback address of a zone. The second and third byte differ
+// between soaks that run at the same time.
+func (s *Soak) ip(zone, last byte) netip.Addr {
+	return netip.AddrFrom4([4]byte{127, byte(1 + s.number%250), zone + byte(s.number/250%80)*Zones, last})
+}
+
+// newMachine opens the proxies of a VM.
 func (s *Soak) newMachine(n int, zone byte, control bool) (m *machine, err error) {
-	ip := netip.AddrFrom4([4]byte{127, byte(1 + s.number%250), zone + byte(s.number/250%80)*Zones, byte(n + 1)})
+	ip := s.ip(zone, byte(n+1))
 	at := func(port uint16) netip.AddrPort { return netip.AddrPortFrom(ip, port) }
 	name := fmt.Sprintf("vm%d", n)
 	m = &machine{
--- a/io/soak/soak.go
+++ b/io/soak/soak.go
@@ -41,6 +41,7 @@
 
 // Upstreams.
 const (
+	firstHost   = 100 // last byte of its address
 	hostSlots   = 4
 	hostQueue   = 8
 	hostConns   = 64
@@ -278,7 +279,10 @@
 	if err != nil {
 		return err
 	}
-	if h.host, err = stub.Listen(h.stub, stub.Door{Addr: anyPort}); err != nil {
+	// With an address of its own: the port of an upstream that has crashed would
+	// otherwise go to another soak, whose requests then came here.
+	addr := netip.AddrPortFrom(s.ip(byte(n%Zones), byte(firstHost+n)), 0)
+	if h.host, err = stub.Listen(h.stub, stub.Door{Addr: addr}); err != nil {
 		return err
 	}
 	go h.run()
--- a/io/soak/soak_test.go
+++ b/io/soak/soak_test.go
@@ -20,6 +20,7 @@
 	cause  string
 }{
 	{1, 8 * time.Second, "first seed"},
+	{5, 10 * time.Second, "got requests of another soak, whose upstream had crashed and lost its port"},
 	{7, 10 * time.Second, "judged a request to a VM that had stopped and not started again as lost"},
 	{9, 2 * time.Second, "judged a connection to a process that was still starting as lost"},
 	{13, 2 * time.Second, "the same at another VM"},
