--- a/core/effect/call.go
+++ b/core/effect/call.go
@@ -47,7 +47,8 @@
 type Trace struct {
 	Tag      string
 	Route    string
-	Outcome  string // served, partial, refused, failed or left
+	Outcome  string // served, partial, refused, failed or left; gathered or incomplete for a portion
+	Allowed  int    // attempts that the route allows for each leg; 1 when it must not run twice
 	Reason   model.Refusal
 	Took     time.Duration
 	Version  uint64        // of the document that was used
--- a/core/proxy/call.go
+++ b/core/proxy/call.go
@@ -138,6 +138,14 @@
 	return longest
 }
 
+// allowed is the number of attempts that the route allows for each leg.
+func (c *call) allowed() int {
+	if c.route.Once {
+		return 1
+	}
+	return max(1, c.route.Attempts)
+}
+
 // uncertain notes that the request may have run on the leg.
 func (l *leg) uncertain() {
 	if l.ran == model.RanNo {
--- a/core/proxy/finish.go
+++ b/core/proxy/finish.go
@@ -201,7 +201,7 @@
 	}
 	trace := effect.Trace{
 		Tag: c.event.Tag, Route: c.route.Name, Outcome: outcome, Reason: reason, Took: at.Sub(c.arrived), Version: c.version,
-		Roster: c.roster, Included: c.included(),
+		Roster: c.roster, Included: c.included(), Allowed: c.allowed(),
 	}
 	for _, l := range c.legs {
 		info := model.Leg{Service: l.service}
--- a/core/proxy/gather.go
+++ b/core/proxy/gather.go
@@ -57,7 +57,11 @@
 	switch {
 	case len(open) == 0 || !at.Before(end):
 		out = t.frame(c, slices.Concat(answered, failed, open), false, out)
-		return t.close(at, c, "gathered", "", out)
+		outcome := "gathered"
+		if c.included() < len(c.legs) {
+			outcome = "incomplete"
+		}
+		return t.close(at, c, outcome, "", out)
 	case !c.stream.began && !at.Before(first):
 		c.stream.began, c.stream.failed = true, time.Time{}
 		out = t.frame(c, slices.Concat(answered, failed, open), true, out)
--- a/core/proxy/spread_test.go
+++ b/core/proxy/spread_test.go
@@ -346,3 +346,18 @@
 		t.Errorf("got attempts on %s after it shed the first one, want one on the other upstream", last)
 	}
 }
+
+// Guards against a line that does not tell whether a failed request could have
+// been tried again, and one of a portion that hides its missing shards.
+func TestTraceSaysWhatTheRouteAllows(t *testing.T) {
+	table := wide(t)
+	_, direct := forwards(ask(table, began, 1, &model.Portion{Version: 1, Legs: []int{3}}))
+	out := table.Failed(began.Add(time.Millisecond), event.Failed{Attempt: direct[0].Attempt, Reason: model.FailedReset, Ran: model.RanUnknown}, nil)
+	i := slices.IndexFunc(out, func(e effect.Effect) bool { _, ok := e.(effect.Trace); return ok })
+	if i < 0 {
+		t.Fatalf("got %v, want a trace", out)
+	}
+	if got := out[i].(effect.Trace); got.Allowed != 1 || got.Outcome != "incomplete" {
+		t.Errorf("got %d attempts allowed and outcome %q, want 1 and incomplete", got.Allowed, got.Outcome)
+	}
+}
--- a/io/serve/traces.go
+++ b/io/serve/traces.go
@@ -36,7 +36,7 @@
 		t.period, t.written, t.omitted = now, make(map[string]int), make(map[string]int)
 	}
 	most := failedTraces
-	if e.Outcome == "served" {
+	if e.Outcome == "served" || e.Outcome == "gathered" {
 		most = servedTraces
 	}
 	t.counters.Latency(e.Outcome, e.Took)
@@ -46,7 +46,7 @@
 	}
 	fields := log.Fields{
 		"request": e.Tag, "route": e.Route, "outcome": e.Outcome, "took": e.Took.String(), "document": e.Version,
-		"roster": e.Roster.Truncate(time.Millisecond).String(), "included": e.Included, "legs": legsText(e),
+		"roster": e.Roster.Truncate(time.Millisecond).String(), "included": e.Included, "allowed": e.Allowed, "legs": legsText(e),
 	}
 	if e.Reason != "" {
 		fields["reason"] = string(e.Reason)
