--- a/core/plane/doc.go
+++ b/core/plane/doc.go
@@ -16,5 +16,7 @@
 // All state is that of the one control goroutine. One file holds one concern:
 // log.go applies what the log commits, queue.go retries commands until they are
 // answered, and tree.go, member.go and lease.go are where the distribution tree,
-// the liveness watch and the leases attach.
+// the liveness watch and the leases attach. In a fleet that enrols by itself,
+// enrol.go registers VMs with disks, roster.go has the list of upstreams, hint.go
+// passes on what the traffic found, and daemons.go tells entry VMs of each other.
 package plane
