--- a/core/soak/plan.go
+++ b/core/soak/plan.go
@@ -385,8 +385,8 @@
 		v.ordered = true
 		switch {
 		case e.Sign == Kill:
-			v.stopped = time.Time{}
-		case v.stopped.IsZero():
+			v.stopped, v.killed = time.Time{}, true
+		case v.stopped.IsZero() && !v.killed:
 			v.stopped, v.hasPause = s.now, v.paused > 0
 		}
 	case Reload:
--- a/core/soak/soak_test.go
+++ b/core/soak/soak_test.go
@@ -357,6 +357,12 @@
 			b.lastRead, b.lastReadAt = 0, b.at
 			b.Done()
 		}},
+		{"process that is told to stop while a kill ends it", "", func(b *bed) {
+			b.now = b.at
+			b.signal(Signal{1, Kill}, &step{})
+			b.signal(Signal{1, Stop}, &step{})
+			b.step(Exited{VM: 1, Cause: "signal: killed"})
+		}},
 		{"process that outlives its grace period", "STOP", func(b *bed) {
 			b.signal(Signal{1, Stop}, &step{})
 			b.after(4 * time.Second)
--- a/core/soak/state.go
+++ b/core/soak/state.go
@@ -17,8 +17,9 @@
 	plan     []step // ascending by at
 	undo     []step // what ends faults that are in force
 	vms      []vm
-	drains   []int // upstreams that leave
-	muted    int   // faults that silence the list
+	drains   []int     // upstreams that leave
+	muted    int       // faults that silence the list
+	stall    time.Time // end of the last stall of the soak
 	troubles troubles
 
 	version    uint64
@@ -47,6 +48,7 @@
 type vm struct {
 	up        bool
 	ordered   bool      // its end was asked for
+	killed    bool      // it is about to end
 	stopped   time.Time // when it was asked to stop; zero before
 	paused    int       // faults that hold it
 	signalled time.Time // when it was last told to stop or reload
@@ -177,7 +179,7 @@
 		if !v.hasPause {
 			s.find("STOP", "vm %d still runs %v after it was asked to stop", n, s.now.Sub(v.stopped))
 		}
-		v.stopped = time.Time{}
+		v.stopped, v.killed = time.Time{}, true
 		s.emit(Signal{VM: n, Sign: Kill})
 	}
 }
@@ -219,6 +221,7 @@
 // stalled troubles everything for a time in which the soak did not run.
 func (s *State) stalled(e Stalled) {
 	s.report.Stalls++
+	s.stall = s.now
 	s.note("the soak did not run for %v", s.now.Sub(e.From))
 	for n := range s.vms {
 		s.troubles.begin(subject{partVM, n}, e.From, false).to = s.now
@@ -251,6 +254,11 @@
 		s.find("CONFIG", "%d of %d requests beyond their timeout had no answer in time", s.lateAnswers, n)
 	}
 	s.judgeExtra()
+	if s.report.Stalls > 0 && s.now.Sub(s.stall) < recoverWithin+lastReads {
+		// The machines were not back for as long as the recovery may take.
+		s.note("the recovery is not judged: the soak did not run %v before its end", s.now.Sub(s.stall))
+		return
+	}
 	s.judgeRecovery()
 	newest := s.newestAcked(s.now.Add(-applyWithin))
 	if s.lastRead < newest || s.now.Sub(s.lastReadAt) > lastReads {
