Log to standard output on the platform, and never wait for its reader

Cause: the users ask for logs on standard output that block nothing; the processes wrote to standard error, each line in the goroutine that logged it, so that a full pipe would have stopped the control or traffic loop. io/spool queues 512 lines beside them, drops further ones and says how many. A process that gives up at its start logs the cause as a line, too.

TestPlatformLogsToStandardOutput did not pass within 60 s before; TestWriteDoesNotWaitForTheReader covers the queue.

--- a/io/check/platform_test.go
+++ b/io/check/platform_test.go
@@ -1,13 +1,19 @@
 package check
 
 import (
+	"bufio"
 	"errors"
+	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"testing"
+	"time"
 
+	"comfreypulley/core/model"
+	"comfreypulley/io/serve"
 	"comfreypulley/platform"
 )
 
@@ -39,3 +45,45 @@
 		t.Errorf("got end %v, want an exit for want of settings", err)
 	}
 }
+
+// readyPort is free: portions are taken on the port after the peers'.
+const readyPort = 2 * portsPerVM
+
+// Guards against logs that go elsewhere than to standard output, where the
+// platform collects them.
+func TestPlatformLogsToStandardOutput(t *testing.T) {
+	w := &world{number: int(worlds.Add(1))}
+	at := func(port int) netip.AddrPort { return w.address(0, port) }
+	site := &serve.Site{
+		VM: model.VM{Zone: "a", Peer: at(peerPort)}, Metrics: at(peerPort), Peering: at(peerPort),
+		Callers: at(callerPort), Ready: at(readyPort), Losses: 1, Grace: time.Second,
+	}
+	settings := filepath.Join(t.TempDir(), "settings")
+	text := platform.Rig{}.Settings(site, at(callerPort))
+	if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
+		t.Fatal(err)
+	}
+	cmd := exec.Command(program, "platform", "entry")
+	cmd.Env = append(os.Environ(), platform.Rig{}.Environment(settings))
+	out, err := cmd.StdoutPipe()
+	if err != nil {
+		t.Fatal(err)
+	}
+	if err := cmd.Start(); err != nil {
+		t.Fatal(err)
+	}
+	timer := time.AfterFunc(maxWait, func() { _ = cmd.Process.Kill() })
+	defer timer.Stop()
+	scanner, got := bufio.NewScanner(out), ""
+	for !strings.Contains(got, `"message":"started"`) && scanner.Scan() {
+		got += scanner.Text() + "\n"
+	}
+	if !strings.Contains(got, `"message":"started"`) {
+		t.Errorf("got %q on standard output, want a line of the start", got)
+	}
+	if err := cmd.Process.Kill(); err != nil && !errors.Is(err, os.ErrProcessDone) {
+		t.Error(err)
+	}
+	// Killed as it should be.
+	_ = cmd.Wait()
+}
--- a/io/cmds/main.go
+++ b/io/cmds/main.go
@@ -11,6 +11,8 @@
 	"github.com/alecthomas/kong"
 	"github.com/apex/log"
 	"github.com/apex/log/handlers/json"
+
+	"comfreypulley/io/spool"
 )
 
 // commands is the grammar of the command line.
@@ -62,7 +64,9 @@
 	if parsed.Command() == "" {
 		return status
 	}
-	handler := json.New(os.Stderr)
+	lines := spool.New(os.Stderr)
+	defer lines.Close()
+	handler := json.New(lines)
 	logger := &log.Logger{Handler: handler, Level: log.InfoLevel}
 	if err := parsed.Run(&scope{ctx: ctx, handler: handler, logger: logger, examples: examples}); err != nil {
 		fmt.Fprintln(os.Stderr, "comfreypulley:", err)
--- a/io/cmds/platform.go
+++ b/io/cmds/platform.go
@@ -7,9 +7,11 @@
 	"syscall"
 
 	"github.com/apex/log"
+	"github.com/apex/log/handlers/json"
 	"github.com/oklog/run"
 
 	"comfreypulley/io/serve"
+	"comfreypulley/io/spool"
 	"comfreypulley/platform"
 )
 
@@ -24,6 +26,15 @@
 	// Taken before anything else: a hangup ends a process that does not take it.
 	h := newHangups(s.logger)
 	defer h.stop(nil)
+	// The platform collects standard output.
+	lines := spool.New(os.Stdout)
+	defer lines.Close()
+	h.logger = &log.Logger{Handler: json.New(lines), Level: log.InfoLevel}
+	defer func() {
+		if err != nil {
+			h.logger.WithError(err).Error("ended")
+		}
+	}()
 	settings, err := platform.Read()
 	if err != nil {
 		return err
@@ -32,7 +43,7 @@
 	if err != nil {
 		return err
 	}
-	logger := s.logger.WithFields(log.Fields{"vm": string(site.VM.ID), "zone": string(site.VM.Zone)})
+	logger := h.logger.WithFields(log.Fields{"vm": string(site.VM.ID), "zone": string(site.VM.Zone)})
 	resident, err := serve.NewResident(site, logger)
 	if err != nil {
 		return err
