--- a/core/proxy/host.go
+++ b/core/proxy/host.go
@@ -13,10 +13,12 @@
 	maxRatio       = 5                      // a single pause must not count for more than this
 	averageFade    = 3 * time.Second        // in which an old average loses most of its weight
 	firstDown      = 400 * time.Millisecond // after a failed connection; doubles with each further one
+	mostDoublings  = 8                      // of it, so that it does not overflow
 	longestDown    = 5 * time.Second
 	loadFade       = 400 * time.Millisecond // in which a load report loses most of its weight
 	leavingFor     = 3 * time.Second        // an upstream that closes connections may be leaving
 	coldFactor     = 1.6                    // work of an upstream that has just started, in parts of the usual
+	busyCost       = 0.4                    // further time on a full upstream, in parts of the usual
 	failCost       = 60 * time.Millisecond  // expected loss of time by a failure
 	leavingCost    = 20 * time.Millisecond
 	outsideCost    = 4 * time.Millisecond  // bytes between zones are charged
@@ -75,7 +77,7 @@
 func (h *host) failed(at time.Time, reason model.Failure) {
 	h.fails.add(at, 1, 0)
 	if reason == model.FailedRefused || reason == model.FailedTimeout {
-		h.down = at.Add(min(firstDown<<min(h.refusals, 8), longestDown))
+		h.down = at.Add(min(firstDown<<min(h.refusals, mostDoublings), longestDown))
 		h.refusals++
 	}
 }
@@ -91,7 +93,7 @@
 	if at.Before(h.coldTo) {
 		expected *= coldFactor
 	}
-	total := expected * (1 + 0.4*min(busy, slots)/slots + max(0, busy+1-slots)/slots)
+	total := expected * (1 + busyCost*min(busy, slots)/slots + max(0, busy+1-slots)/slots)
 	total += h.fails.read(at, 0) * float64(failCost)
 	if h.upstream.Zone != zone || h.unhealthy(at) {
 		total += float64(outside)
--- a/core/proxy/step.go
+++ b/core/proxy/step.go
@@ -15,6 +15,8 @@
 	workMargin   = 1100 * time.Microsecond // the same for the work on request and answer, at the speed of a whole core
 	flowGap      = 4 * time.Millisecond    // without a part of a call, after which the missing ones count as overdue
 	lastMargin   = 15 * time.Millisecond   // before the caller's deadline
+	lastPart     = 8                       // part of the caller's time that the margin before its deadline may take
+	mostExpected = 2                       // typical latencies that an answer is expected to take at the most
 	leastTime    = 4 * time.Millisecond    // an attempt with less time left is not made
 	repick       = 3 * time.Millisecond    // until an upstream is looked for again
 	recheck      = 8 * time.Millisecond    // until the allowance for extra attempts is looked at again
@@ -45,7 +47,7 @@
 	if e.Wait > 0 {
 		wait = min(wait, e.Wait)
 	}
-	c.deadline = at.Add(wait - min(lastMargin, wait/8))
+	c.deadline = at.Add(wait - min(lastMargin, wait/lastPart))
 	c.cutoff = at.Add(objective(route) - t.margin())
 	if e.Portion != nil {
 		if !t.narrow(c) {
@@ -209,7 +211,7 @@
 	t.next++
 	a := &attempt{
 		id: t.next, call: c, leg: l, host: h, sent: at, hedge: l.pending > 0,
-		expected: time.Duration(float64(c.pace.expected(c.route)) * min(2, h.ratio.read(at, 1))),
+		expected: time.Duration(float64(c.pace.expected(c.route)) * min(mostExpected, h.ratio.read(at, 1))),
 	}
 	kind := "first"
 	if len(l.tries) > 0 {
--- a/core/soak/config.go
+++ b/core/soak/config.go
@@ -42,8 +42,9 @@
 	settling     = 5 * time.Second // from the first start to the first fault
 	lastReads    = stableWindow    // after the recovery, when the state is read back
 	cycle        = 20 * time.Second
-	unrestricted = 4 * time.Second // of a cycle, when any fault may come; calm VMs are judged in the rest
-	changeEvery  = 1200 * time.Millisecond
+	unrestricted = 4 * time.Second         // of a cycle, when any fault may come; calm VMs are judged in the rest
+	firstChange  = 1250 * time.Millisecond // from the first start
+	changeEvery  = 1200 * time.Millisecond // between two changes at least, at most twice that
 )
 
 // Attempts is the number of upstreams that a request may be sent to, for each
--- a/core/soak/doc.go
+++ b/core/soak/doc.go
@@ -11,5 +11,5 @@
 //
 // Times are instants of one clock. A finding is a broken promise: an answer
 // that is not what an upstream gave, a request that ran too often or for nobody,
-// a manifest that was lost or taken back, a process that ended by itself.
+// a document that was lost or taken back, a process that ended by itself.
 package soak
--- a/core/soak/plan.go
+++ b/core/soak/plan.go
@@ -7,17 +7,6 @@
 	"time"
 )
 
-// step is a fault: what begins it, what ends it and whom it troubles.
-type step struct {
-	at, length time.Duration
-	name       string
-	begin, end []Effect
-	subjects   []subject
-	how        Spawn         // the next start of a process that it ends
-	after      time.Duration // from the end of a process to its next start
-	troubles   []*trouble    // while it is in force
-}
-
 // Times of faults.
 const (
 	shortest    = 100 * time.Millisecond
@@ -29,7 +18,16 @@
 	reuseAfter  = 2 * time.Second         // from an upstream's end until the list shows who has its address
 	crashLength = 2500 * time.Millisecond // until an upstream that crashed counts as sound
 	wipeAt      = 10 * time.Second        // in a cycle in which a disk is lost
-	slowBy      = 20
+	mostDelay   = 200 * time.Millisecond  // of each byte on a harmed link
+)
+
+// How faults are drawn. The cases of the switches below are equally likely.
+const (
+	wipeOdds   = 4  // a disk is lost in one cycle of so many
+	followOdds = 3  // one fault in so many is followed by another one on the same VM
+	coreOdds   = 8  // one planned stop in so many may be of a VM that holds the log
+	mostPieces = 8  // that a delivery is split into
+	slowBy     = 20 // factor on the service times of a slow upstream
 )
 
 // planner draws the faults of a soak. Equal seeds give equal plans.
@@ -72,7 +70,7 @@
 }
 
 // wipes draws whether a disk is lost in a cycle.
-func (p *planner) wipes() bool { return p.random.IntN(4) == 0 }
+func (p *planner) wipes() bool { return p.random.IntN(wipeOdds) == 0 }
 
 func (p *planner) add(st step) { p.steps = append(p.steps, st) }
 
@@ -109,7 +107,7 @@
 		p.host(at + p.upTo(maxFollow))
 	default:
 		p.process(at, n)
-		for p.random.IntN(5) < 2 {
+		for p.random.IntN(followOdds) == 0 {
 			at += p.upTo(maxFollow)
 			p.process(at, n)
 		}
@@ -121,9 +119,9 @@
 func (p *planner) mildFault(at time.Duration, core bool) {
 	switch p.random.IntN(12) {
 	case 0, 1, 2, 3, 4:
-		n := p.vm(core && p.random.IntN(8) == 0)
+		n := p.vm(core && p.random.IntN(coreOdds) == 0)
 		p.add(step{at: at, name: "stop", begin: []Effect{Signal{n, Stop}}, after: p.upTo(maxRestart)})
-		for p.random.IntN(3) == 0 {
+		for p.random.IntN(followOdds) == 0 {
 			// A second signal while the process stops.
 			at += p.upTo(2 * maxFollow)
 			p.add(step{at: at, name: "signal", begin: []Effect{Signal{n, []Sign{Stop, Reload}[p.random.IntN(2)]}}, after: p.upTo(maxRestart)})
@@ -173,11 +171,11 @@
 	case 7:
 		link("one way", place, p.oneWay())
 	case 8:
-		link("late", place, Harm{Delay: p.upTo(200 * time.Millisecond)})
+		link("late", place, Harm{Delay: p.upTo(mostDelay)})
 	case 9:
 		link("refused", place, Harm{Refuse: true})
 	case 10:
-		link("pieces", place, Harm{In: Flow{Pieces: 1 + p.random.IntN(8)}, Out: Flow{Pieces: 1 + p.random.IntN(8)}})
+		link("pieces", place, Harm{In: Flow{Pieces: 1 + p.random.IntN(mostPieces)}, Out: Flow{Pieces: 1 + p.random.IntN(mostPieces)}})
 	default:
 		p.add(step{at: at, length: shortest, name: "reset", subjects: p.whom(n), begin: []Effect{Reset{place, n}}})
 	}
@@ -263,9 +261,9 @@
 	case 4:
 		harm("upstream one way", p.oneWay())
 	case 5:
-		harm("upstream late", Harm{Delay: p.upTo(200 * time.Millisecond)})
+		harm("upstream late", Harm{Delay: p.upTo(mostDelay)})
 	case 6:
-		harm("upstream pieces", Harm{Out: Flow{Pieces: 1 + p.random.IntN(8)}})
+		harm("upstream pieces", Harm{Out: Flow{Pieces: 1 + p.random.IntN(mostPieces)}})
 	case 7:
 		st.name, st.subjects = "list silent", []subject{{part: partCore}}
 		st.begin, st.end = []Effect{Roster{Mute: true}}, []Effect{Roster{}}
@@ -318,83 +316,3 @@
 	p.drains = append(p.drains, n)
 	p.add(step{at: at, name: "drain", begin: []Effect{Roster{Drained: []int{n}}}})
 }
-
-// begin puts a fault in force.
-func (s *State) begin(st step) {
-	s.report.Faults[st.name]++
-	s.note("%s: %+v", st.name, st.begin)
-	for _, who := range st.subjects {
-		st.troubles = append(st.troubles, s.troubles.begin(who, s.now, false))
-	}
-	for _, e := range st.begin {
-		s.apply(e, &st)
-	}
-	s.undo = append(s.undo, st)
-}
-
-// finish ends a fault.
-func (s *State) finish(st step) {
-	if len(st.end) > 0 {
-		s.note("end of %s: %+v", st.name, st.end)
-	}
-	for _, e := range st.end {
-		s.apply(e, &st)
-	}
-	for _, tr := range st.troubles {
-		tr.to = s.now
-	}
-}
-
-// apply emits the effect of a fault as far as the state of its process allows.
-func (s *State) apply(e Effect, st *step) {
-	switch e := e.(type) {
-	case Signal:
-		s.signal(e, st)
-	case Roster:
-		s.drains = append(s.drains, e.Drained...)
-		if e.Mute {
-			s.muted++
-		} else if len(e.Drained) == 0 {
-			s.muted--
-		}
-		s.emit(Roster{Drained: slices.Clone(s.drains), Mute: s.muted > 0})
-	default:
-		s.emit(e)
-	}
-}
-
-func (s *State) signal(e Signal, st *step) {
-	v := &s.vms[e.VM]
-	switch e.Sign {
-	case Pause:
-		v.paused++
-		v.hasPause = true
-	case Resume:
-		v.paused--
-		if v.paused > 0 {
-			return
-		}
-	case Kill, Stop:
-		if !v.up {
-			return
-		}
-		if !v.ordered || e.Sign == Kill {
-			s.absent(e.VM, e.Sign == Stop)
-			v.respawn, v.after = st.how, st.after
-		}
-		v.ordered = true
-		switch {
-		case e.Sign == Kill:
-			v.stopped, v.killed = time.Time{}, true
-		case v.stopped.IsZero() && !v.killed:
-			v.stopped, v.hasPause = s.now, v.paused > 0
-		}
-	case Reload:
-	}
-	if e.Sign == Stop || e.Sign == Reload {
-		v.signalled = s.now
-	}
-	if v.up {
-		s.emit(e)
-	}
-}
--- a/core/soak/state.go
+++ b/core/soak/state.go
@@ -44,24 +44,6 @@
 	counts map[string]int // findings by rule
 }
 
-// vm is a process.
-type vm struct {
-	up        bool
-	ordered   bool      // its end was asked for
-	killed    bool      // it is about to end
-	stopped   time.Time // when it was asked to stop; zero before
-	paused    int       // faults that hold it
-	signalled time.Time // when it was last told to stop or reload
-	respawn   Spawn
-	after     time.Duration // from its end to its next start
-	due       time.Time     // of its next start, zero while it is up
-	down      []*trouble
-	began     time.Time
-	seen      int // newest change that a run of its requests followed
-	seenAt    time.Time
-	hasPause  bool // it was held since it was asked to stop
-}
-
 // New returns a soak that is about to start its processes.
 func New(cfg Config) *State {
 	s := &State{
@@ -80,7 +62,7 @@
 	for n := range s.vms {
 		s.spawn(n, Spawn{VM: n, First: true})
 	}
-	s.nextChange = at.Add(settling / 4)
+	s.nextChange = at.Add(firstChange)
 	return s.take()
 }
 
@@ -162,62 +144,13 @@
 	}
 	if !s.now.Before(s.nextChange) && elapsed < s.End()-lastReads {
 		s.change()
-		if s.random.IntN(5) == 0 {
+		if s.random.IntN(raceOdds) == 0 {
 			s.change() // a second operator at the same time
 		}
 		s.nextChange = s.now.Add(changeEvery + time.Duration(s.random.Int64N(int64(changeEvery))))
 	}
 }
 
-// tend starts a process again or ends one that outlives its grace period.
-func (s *State) tend(n int) {
-	v := &s.vms[n]
-	switch {
-	case !v.due.IsZero() && !s.now.Before(v.due):
-		s.spawn(n, v.respawn)
-	case v.up && !v.stopped.IsZero() && s.now.Sub(v.stopped) > s.cfg.Grace:
-		if !v.hasPause {
-			s.find("STOP", "vm %d still runs %v after it was asked to stop", n, s.now.Sub(v.stopped))
-		}
-		v.stopped, v.killed = time.Time{}, true
-		s.emit(Signal{VM: n, Sign: Kill})
-	}
-}
-
-// spawn starts a process and ends the trouble of its absence.
-func (s *State) spawn(n int, how Spawn) {
-	v := &s.vms[n]
-	for _, tr := range v.down {
-		tr.to = s.now
-	}
-	how.VM = n
-	*v = vm{up: true, began: s.now, seen: -1, paused: v.paused}
-	// A proxy accepts connections before the process behind it does.
-	s.troubles.begin(subject{partVM, n}, s.now, false).to = s.now.Add(starting)
-	s.emit(how)
-	s.note("vm %d starts", n)
-}
-
-// exited judges the end of a process.
-func (s *State) exited(e Exited) {
-	v := &s.vms[e.VM]
-	s.note("vm %d ended: %q", e.VM, e.Cause)
-	// A process that has just begun does not take signals yet.
-	early := e.Cause != "" && !v.signalled.IsZero() && v.signalled.Sub(v.began) <= starting
-	switch {
-	case early:
-	case !v.ordered:
-		s.find("ENDED", "vm %d ended by itself: %s", e.VM, e.Cause)
-	case !v.stopped.IsZero() && e.Cause != "":
-		s.find("STOP", "vm %d was asked to stop and ended with %s", e.VM, e.Cause)
-	}
-	v.up = false
-	if !v.ordered {
-		s.absent(e.VM, false)
-	}
-	v.due = s.now.Add(v.after)
-}
-
 // stalled troubles everything for a time in which the soak did not run.
 func (s *State) stalled(e Stalled) {
 	s.report.Stalls++
@@ -233,96 +166,5 @@
 	s.troubles.begin(subject{part: partCore}, e.From, false).to = s.now
 }
 
-// absent begins the trouble of a process that ends.
-func (s *State) absent(n int, planned bool) {
-	v := &s.vms[n]
-	v.down = append(v.down, s.troubles.begin(subject{partVM, n}, s.now, planned))
-	if n < s.cfg.Controls {
-		v.down = append(v.down, s.troubles.begin(subject{part: partCore}, s.now, planned))
-	}
-}
-
-// Done judges what can be judged only at the end.
-func (s *State) Done() {
-	if s.lateArrivals > 3 {
-		s.find("GONE", "%d requests reached an upstream after their caller had left", s.lateArrivals)
-	}
-	if n := s.report.Judged["GONE"]; s.lateWork > 3 && 4*s.lateWork > n {
-		s.find("GONE", "%d of %d runs went on after their caller had left", s.lateWork, n)
-	}
-	if n := s.report.Judged["TIMEOUT"]; s.lateAnswers >= 8 && 4*s.lateAnswers > n {
-		s.find("CONFIG", "%d of %d requests beyond their timeout had no answer in time", s.lateAnswers, n)
-	}
-	s.judgeExtra()
-	if s.report.Stalls > 0 && s.now.Sub(s.stall) < recoverWithin+lastReads {
-		// The machines were not back for as long as the recovery may take.
-		s.note("the recovery is not judged: the soak did not run %v before its end", s.now.Sub(s.stall))
-		return
-	}
-	s.judgeRecovery()
-	newest := s.newestAcked(s.now.Add(-applyWithin))
-	if s.lastRead < newest || s.now.Sub(s.lastReadAt) > lastReads {
-		s.find("LOST", "the newest acknowledged change is %d, the last one read is %d, %v ago", newest, s.lastRead, s.now.Sub(s.lastReadAt))
-	}
-}
-
 // Report returns the outcome so far.
 func (s *State) Report() Report { return s.report }
-
-// judgeExtra compares the further attempts on each service with its budget in
-// every window.
-func (s *State) judgeExtra() {
-	for service, extra := range s.extra {
-		var sent []time.Time
-		for _, q := range s.requests {
-			if s.may(q, service) {
-				sent = append(sent, q.At)
-			}
-		}
-		within := func(times []time.Time, from time.Time) int {
-			n := 0
-			for _, at := range times {
-				if !at.Before(from) && at.Before(from.Add(budgetWindow)) {
-					n++
-				}
-			}
-			return n
-		}
-		for _, from := range extra {
-			requests := max(within(sent, from), within(sent, from.Add(-budgetWindow)), within(sent, from.Add(-budgetWindow/2)))
-			if n, bound := within(extra, from), s.cfg.Ratio*float64(requests)+float64(s.cfg.Extra); float64(n) > bound {
-				s.find("BUDGET", "service %s got %d further attempts in %v, more than %.1f", service, n, budgetWindow, bound)
-				break
-			}
-		}
-	}
-}
-
-// judgeRecovery compares what is served after the recovery with the target.
-func (s *State) judgeRecovery() {
-	const target = 0.95 // of days with trouble
-	from := s.cfg.Began.Add(settling + s.cfg.Period + recoverWithin)
-	sent, served := 0, 0
-	for _, q := range s.requests {
-		waited := !q.left.IsZero() && q.left.Sub(q.At) >= q.Wait
-		if q.At.Before(from) || !q.answered && !waited || q.Class == Added || !s.troubles.calm(subject{partVM, q.Entry}, q.At, q.At.Add(q.Wait), true) {
-			continue
-		}
-		sent++
-		if q.status >= 200 && q.status < 300 {
-			served++
-		}
-	}
-	s.report.Judged["RECOVER"] = sent
-	if sent == 0 && s.report.Stalls > 0 {
-		return // they left nothing to judge
-	}
-	if sent == 0 {
-		s.find("RECOVER", "nothing was sent and answered %v after the last fault", recoverWithin)
-		return
-	}
-	s.report.Recovered = float64(served) / float64(sent)
-	if s.report.Recovered < target {
-		s.find("RECOVER", "%d of %d requests are served %v after the last fault", served, sent, recoverWithin)
-	}
-}
--- a/io/proxy/portion.go
+++ b/io/proxy/portion.go
@@ -67,7 +67,8 @@
 	s := g.Server
 	p, err := readPortion(r.Header.Get(portionHeader))
 	if err != nil {
-		w.WriteHeader(http.StatusBadRequest)
+		// The VM that asked counts it as a portion that was not taken.
+		http.Error(w, err.Error(), http.StatusBadRequest)
 		return
 	}
 	r.Header.Del(portionHeader)
--- a/io/soak/caller.go
+++ b/io/soak/caller.go
@@ -28,6 +28,9 @@
 	retryDial   = 50 * time.Millisecond
 	impatient   = 150 * time.Millisecond // within which a caller may leave early
 	bodySize    = 700                    // bytes, of a Write
+	idleOdds    = 40                     // one pause in so many is a long one
+	leaveOdds   = 6                      // one request in so many is left early
+	oldChanges  = 4                      // routes of so many changes are asked for, the last one of which is gone
 )
 
 // waits are how long callers wait, by class. The second one of a class is
@@ -43,13 +46,13 @@
 // caller sends requests to one entry VM, on a connection that it keeps as long
 // as it works.
 type caller struct {
-	soak    *Soak
-	machine *machine
-	number  int
-	random  *rand.Rand
-	sent    int
-	conn    net.Conn // nil when there is none
-	reader  *bufio.Reader
+	soak   *Soak
+	vm     *vm
+	number int
+	random *rand.Rand
+	sent   int
+	conn   net.Conn // nil when there is none
+	reader *bufio.Reader
 }
 
 func (c *caller) run() {
@@ -62,7 +65,7 @@
 		}
 		c.exchange()
 		pause := leastPause + time.Duration(c.random.Int64N(int64(pauseSpread)))
-		if c.random.IntN(40) == 0 {
+		if c.random.IntN(idleOdds) == 0 {
 			pause = longPause
 		}
 		c.pause(pause)
@@ -85,7 +88,7 @@
 	ctx, cancel := context.WithTimeout(c.soak.ctx, dialTimeout)
 	defer cancel()
 	var d net.Dialer
-	conn, err := d.DialContext(ctx, "tcp", c.machine.callers.Addr().String())
+	conn, err := d.DialContext(ctx, "tcp", c.vm.callers.Addr().String())
 	if err != nil {
 		return false // the VM is down; the caller tries again
 	}
@@ -105,8 +108,8 @@
 func (c *caller) exchange() {
 	c.sent++
 	r := soak.Request{
-		Tag: fmt.Sprintf("%d-%d-%d", c.machine.number, c.number, c.sent), Entry: c.machine.number,
-		Class: soak.Class(c.random.IntN(int(soak.Added) + 1)), Change: max(0, int(c.soak.newest.Load())-1-c.random.IntN(4)),
+		Tag: fmt.Sprintf("%d-%d-%d", c.vm.number, c.number, c.sent), Entry: c.vm.number,
+		Class: soak.Class(c.random.IntN(int(soak.Added) + 1)), Change: max(0, int(c.soak.newest.Load())-1-c.random.IntN(oldChanges)),
 	}
 	r.Wait = waits[r.Class][c.random.IntN(len(waits[r.Class]))]
 	method, body := http.MethodGet, []byte(nil)
@@ -116,7 +119,7 @@
 	uri := soak.Path(r.Class, r.Change, r.Tag)
 	r.Digest, r.At = stub.Digest(method, uri, body), time.Now()
 	stay := r.Wait
-	if c.random.IntN(6) == 0 {
+	if c.random.IntN(leaveOdds) == 0 {
 		stay = time.Duration(c.random.Int64N(int64(impatient)))
 	}
 	c.soak.post(soak.Sent{Request: r})
@@ -182,16 +185,16 @@
 
 // startTraffic starts callers and readers.
 func (s *Soak) startTraffic() {
-	for _, m := range s.machines {
-		random := rand.New(rand.NewPCG(s.Seed, uint64(m.number)))
-		if m.callers == nil {
+	for _, v := range s.vms {
+		random := rand.New(rand.NewPCG(s.Seed, uint64(v.number)))
+		if v.callers == nil {
 			s.traffic.Add(1)
-			go (&reader{soak: s, machine: m, random: random}).run()
+			go (&reader{soak: s, vm: v, random: random}).run()
 			continue
 		}
 		for n := range callers {
 			s.traffic.Add(1)
-			c := &caller{soak: s, machine: m, number: n, random: rand.New(rand.NewPCG(s.Seed, uint64(m.number*callers+n)))}
+			c := &caller{soak: s, vm: v, number: n, random: rand.New(rand.NewPCG(s.Seed, uint64(v.number*callers+n)))}
 			go c.run()
 		}
 	}
--- a/io/soak/carry.go
+++ b/io/soak/carry.go
@@ -23,9 +23,9 @@
 func (s *Soak) do(e soak.Effect) error {
 	switch e := e.(type) {
 	case soak.Spawn:
-		return s.machines[e.VM].spawn(e)
+		return s.vms[e.VM].spawn(e)
 	case soak.Signal:
-		return s.machines[e.VM].signal(e)
+		return s.vms[e.VM].signal(e)
 	case soak.Set:
 		for _, p := range s.at(e.Place, e.Index) {
 			if err := p.Set(s.rules(e.Harm)); err != nil {
@@ -55,13 +55,13 @@
 func (s *Soak) at(place soak.Place, index int) []*fault.Proxy {
 	switch place {
 	case soak.Peers:
-		m := s.machines[index]
-		if m.gathers == nil {
-			return []*fault.Proxy{m.peers}
+		v := s.vms[index]
+		if v.gathers == nil {
+			return []*fault.Proxy{v.peers}
 		}
-		return []*fault.Proxy{m.peers, m.gathers}
+		return []*fault.Proxy{v.peers, v.gathers}
 	case soak.Callers:
-		return []*fault.Proxy{s.machines[index].callers}
+		return []*fault.Proxy{s.vms[index].callers}
 	default:
 		return []*fault.Proxy{s.hosts[index].proxy}
 	}
@@ -74,7 +74,7 @@
 	}
 	r := fault.Rules{Cut: h.Cut, Refuse: h.Refuse, Up: flow(h.In), Down: flow(h.Out)}
 	for _, zone := range h.Zones {
-		addr := s.machines[zone].site.VM.Peer.Addr() // the first VMs are in the zones of their numbers
+		addr := s.vms[zone].site.VM.Peer.Addr() // the first VMs are in the zones of their numbers
 		r.Sources = append(r.Sources, fault.Source{From: netip.PrefixFrom(addr, zoneBits).Masked(), Cut: true})
 	}
 	return r
--- a/io/soak/operator.go
+++ b/io/soak/operator.go
@@ -32,7 +32,7 @@
 
 // send starts the operator of an order.
 func (s *Soak) send(e soak.Order) error {
-	raw, err := s.Rig.Manifest(e.Document)
+	raw, err := s.Rig.Document(e.Document)
 	if err != nil {
 		return err
 	}
@@ -50,7 +50,7 @@
 func (o *operator) run() {
 	defer o.soak.traffic.Done()
 	for retry := orderRetry; o.soak.ctx.Err() == nil; retry += orderRetry / 2 {
-		status := o.try(o.soak.machines[o.random.IntN(controls)])
+		status := o.try(o.soak.vms[o.random.IntN(controls)])
 		if status == http.StatusOK || status >= 400 && status < 500 {
 			o.soak.post(soak.Ordered{Order: o.number, Status: status})
 			return
@@ -63,10 +63,10 @@
 }
 
 // try returns the status of a call, 0 without an answer.
-func (o *operator) try(m *machine) int {
+func (o *operator) try(v *vm) int {
 	ctx, cancel := context.WithTimeout(o.soak.ctx, orderTimeout)
 	defer cancel()
-	r, err := o.soak.Rig.Put(ctx, m.site.Control, o.bytes)
+	r, err := o.soak.Rig.Put(ctx, v.site.Control, o.bytes)
 	if err != nil {
 		o.soak.post(soak.Failed{Cause: err.Error()})
 		return 0
@@ -84,9 +84,9 @@
 
 // reader reads the document back from one VM again and again.
 type reader struct {
-	soak    *Soak
-	machine *machine
-	random  *rand.Rand
+	soak   *Soak
+	vm     *vm
+	random *rand.Rand
 }
 
 func (r *reader) run() {
@@ -94,7 +94,7 @@
 	for r.soak.ctx.Err() == nil {
 		at := time.Now()
 		if raw := r.read(); raw != nil {
-			r.soak.post(soak.Read{VM: r.machine.number, At: at, Order: r.soak.order(raw)})
+			r.soak.post(soak.Read{VM: r.vm.number, At: at, Order: r.soak.order(raw)})
 		}
 		select {
 		case <-r.soak.ctx.Done():
@@ -107,7 +107,7 @@
 func (r *reader) read() []byte {
 	ctx, cancel := context.WithTimeout(r.soak.ctx, orderTimeout)
 	defer cancel()
-	request, err := r.soak.Rig.Get(ctx, r.machine.site.Control)
+	request, err := r.soak.Rig.Get(ctx, r.vm.site.Control)
 	if err != nil {
 		r.soak.post(soak.Failed{Cause: err.Error()})
 		return nil
--- a/io/soak/rig.go
+++ b/io/soak/rig.go
@@ -19,8 +19,8 @@
 	Settings(site *serve.Site, lister netip.AddrPort) string
 	// List answers calls for the list of upstreams; nil refuses them.
 	List(upstreams func() []model.Upstream) http.Handler
-	// Manifest, Put and Get are the operators' side.
-	Manifest(d *model.Document) ([]byte, error)
-	Put(ctx context.Context, to netip.AddrPort, manifest []byte) (*http.Request, error)
+	// Document, Put and Get are the operators' side.
+	Document(d *model.Document) ([]byte, error)
+	Put(ctx context.Context, to netip.AddrPort, document []byte) (*http.Request, error)
 	Get(ctx context.Context, from netip.AddrPort) (*http.Request, error)
 }
--- a/io/soak/soak.go
+++ b/io/soak/soak.go
@@ -20,7 +20,6 @@
 	"comfreypulley/core/model"
 	"comfreypulley/core/soak"
 	"comfreypulley/io/fault"
-	"comfreypulley/io/stub"
 )
 
 // class annotates errors of this package.
@@ -28,7 +27,7 @@
 
 // Size and limits of the fleet.
 const (
-	Zones    = 3
+	zones    = 3
 	controls = 5 // bear one lost disk beside one that is down
 	entries  = 6
 	callers  = 5 // of each entry VM
@@ -53,9 +52,10 @@
 )
 
 const (
-	tickEvery  = 20 * time.Millisecond
-	stallAfter = 250 * time.Millisecond // without a turn of the control loop, after which the machine did not run the soak
-	queued     = 4096                   // events
+	headerTimeout = time.Second // of the list's server
+	tickEvery     = 20 * time.Millisecond
+	stallAfter    = 250 * time.Millisecond // without a turn of the control loop, after which the vm did not run the soak
+	queued        = 4096                   // events
 )
 
 // soaks counts those of this process.
@@ -75,39 +75,25 @@
 	Folder  string        // for settings, data and logs
 	Rig     Rig
 
-	number   int             // tells the addresses of soaks apart that run at the same time
-	ctx      context.Context // of traffic; ends before the processes do
-	over     chan struct{}   // closed when no event is taken any more
-	events   chan stamped
-	state    *soak.State
-	faults   *bufio.Writer // log of what was done and found
-	machines []*machine
-	hosts    []*host
-	lister   netip.AddrPort
-	newest   atomic.Int64 // change whose routes callers may use, plus one
-	roster   atomic.Pointer[soak.Roster]
-	traffic  sync.WaitGroup
+	number  int             // tells the addresses of soaks apart that run at the same time
+	ctx     context.Context // of traffic; ends before the processes do
+	over    chan struct{}   // closed when no event is taken any more
+	events  chan stamped
+	state   *soak.State
+	faults  *bufio.Writer // log of what was done and found
+	vms     []*vm
+	hosts   []*host
+	lister  netip.AddrPort
+	newest  atomic.Int64 // change whose routes callers may use, plus one
+	roster  atomic.Pointer[soak.Roster]
+	traffic sync.WaitGroup
 
 	mu       sync.Mutex
-	orders   map[uint64]int    // orders by the bytes of their manifest
+	orders   map[uint64]int    // orders by the bytes of their document
 	services map[string]string // by the id of an upstream
 	proxies  []*fault.Proxy
 }
 
-// host is an upstream and the proxy before it.
-type host struct {
-	soak   *Soak
-	number int
-	stub   *stub.Stub
-	host   *stub.Host
-	proxy  *fault.Proxy
-	now    atomic.Pointer[identity] // as which it answers
-	listed atomic.Pointer[identity] // as which the list has it
-}
-
-// identity is as which an upstream answers.
-type identity struct{ id, service string }
-
 // stamped is an event and when it was seen.
 type stamped struct {
 	at   time.Time
@@ -140,7 +126,7 @@
 	}
 	now := time.Now()
 	s.state = soak.New(soak.Config{
-		Seed: s.Seed, Period: s.Period, Began: now, Controls: controls, Entries: entries, Zones: Zones,
+		Seed: s.Seed, Period: s.Period, Began: now, Controls: controls, Entries: entries, Zones: zones,
 		Grace: grace, Ratio: ratio, Extra: extra, Hosts: soak.Services(),
 	})
 	if err := s.carry(s.state.Start(now)); err != nil {
@@ -229,115 +215,30 @@
 		return err
 	}
 	s.lister = l.Addr().(*net.TCPAddr).AddrPort()
-	server := &http.Server{Handler: s.Rig.List(s.list), ReadHeaderTimeout: time.Second}
+	server := &http.Server{Handler: s.Rig.List(s.list), ReadHeaderTimeout: headerTimeout}
 	go (&listServer{server: server, listener: l, soak: s}).run()
 	context.AfterFunc(s.ctx, func() { _ = server.Close() })
 	var seeds []model.VM
 	for n := range controls + entries {
-		m, err := s.newMachine(n, byte(n%Zones), n < controls)
+		v, err := s.newVM(n, byte(n%zones), n < controls)
 		if err != nil {
 			return err
 		}
-		s.machines = append(s.machines, m)
-		if n < Zones {
-			seeds = append(seeds, m.site.VM)
+		s.vms = append(s.vms, v)
+		if n < zones {
+			seeds = append(seeds, v.site.VM)
 		}
 	}
-	for _, m := range s.machines {
-		m.site.Seeds = seeds
+	for _, v := range s.vms {
+		v.site.Seeds = seeds
 	}
 	return nil
 }
 
-// listServer serves the list of upstreams.
-type listServer struct {
-	server   *http.Server
-	listener net.Listener
-	soak     *Soak
-}
-
-func (l *listServer) run() {
-	if err := l.server.Serve(l.listener); !errors.Is(err, http.ErrServerClosed) {
-		l.soak.post(soak.Failed{Cause: err.Error()})
-	}
-}
-
-func (s *Soak) addHost(n int, service string) (err error) {
-	h := &host{soak: s, number: n}
-	known := &identity{id: fmt.Sprintf("u%d", n), service: service}
-	h.now.Store(known)
-	s.setService(*known)
-	h.listed.Store(known)
-	h.stub, err = stub.New(stub.Config{
-		ID: fmt.Sprintf("u%d", n), Seed: s.Seed + uint64(n),
-		Settings: stub.Settings{
-			Slots: hostSlots, Queue: hostQueue, Conns: hostConns, Service: hostService, Spread: hostSpread,
-			Rare: hostRare, RareBy: hostRareBy, Restart: hostRestart,
-		},
-		Routed: &stub.Routed{Dialect: s.Rig.Dialect(), Watcher: h},
-	})
-	if err != nil {
-		return err
-	}
-	// With an address of its own: the port of an upstream that has crashed would
-	// otherwise go to another soak, whose requests then came here.
-	addr := netip.AddrPortFrom(s.ip(byte(n%Zones), byte(firstHost+n)), 0)
-	if h.host, err = stub.Listen(h.stub, stub.Door{Addr: addr}); err != nil {
-		return err
-	}
-	go h.run()
-	h.proxy, err = s.open(anyPort, h.host.Addr(0))
-	s.hosts = append(s.hosts, h)
-	return err
-}
-
-func (h *host) run() {
-	if err := h.host.Run(); err != nil {
-		h.soak.post(soak.Failed{Cause: err.Error()})
-	}
-}
-
-// Arrived implements stub.Watcher.
-func (h *host) Arrived(a stub.Arrival) {
-	h.soak.post(soak.Arrived{Run: soak.Run{
-		ID: a.Receipt, Host: h.number, Service: h.soak.service(a.Upstream), Tag: a.Tag, Digest: a.Digest, Wait: a.Wait, Accepted: a.Accepted, Records: a.Records,
-	}})
-}
-
-// Ended implements stub.Watcher.
-func (h *host) Ended(receipt, tag string, finished bool) {
-	h.soak.post(soak.Ended{ID: receipt, Tag: tag, Finished: finished})
-}
-
-// open starts a proxy.
-func (s *Soak) open(addr, target netip.AddrPort) (*fault.Proxy, error) {
-	p, err := fault.Listen(addr, target, s.Seed)
-	if err != nil {
-		return nil, err
-	}
-	s.mu.Lock()
-	s.proxies = append(s.proxies, p)
-	s.mu.Unlock()
-	go (&gate{proxy: p, soak: s}).run()
-	return p, nil
-}
-
-// gate runs a proxy.
-type gate struct {
-	proxy *fault.Proxy
-	soak  *Soak
-}
-
-func (g *gate) run() {
-	if err := g.proxy.Run(); err != nil {
-		g.soak.post(soak.Failed{Cause: err.Error()})
-	}
-}
-
 // close ends the processes, upstreams and proxies.
 func (s *Soak) close() {
-	for _, m := range s.machines {
-		if err := m.end(); err != nil {
+	for _, v := range s.vms {
+		if err := v.end(); err != nil {
 			fmt.Fprintln(s.faults, "end:", err)
 		}
 	}
@@ -349,50 +250,11 @@
 	}
 }
 
-// list returns what the list of upstreams shows, nil when it is silent.
-func (s *Soak) list() []model.Upstream {
-	roster := s.roster.Load()
-	if roster.Mute {
-		return nil
-	}
-	var list []model.Upstream
-	for _, h := range s.hosts {
-		known := h.listed.Load()
-		u := model.Upstream{
-			ID: model.UpstreamID(known.id), Addr: h.proxy.Addr(), Zone: model.Zone(fmt.Sprintf("z%d", h.number%Zones)),
-			Index: known.service, Slots: hostSlots,
-		}
-		for _, n := range roster.Drained {
-			if n == h.number {
-				u.State = model.StateDraining
-			}
-		}
-		list = append(list, u)
-	}
-	if len(roster.Drained) > 0 {
-		s.post(soak.Listed{Drained: roster.Drained})
-	}
-	return list
-}
-
-// service returns that of an upstream's id.
-func (s *Soak) service(id string) string {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	return s.services[id]
-}
-
-func (s *Soak) setService(k identity) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.services[k.id] = k.service
-}
-
 // order returns the number of the order with these bytes.
-func (s *Soak) order(manifest []byte) int {
+func (s *Soak) order(document []byte) int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
-	if n, ok := s.orders[hash(manifest)]; ok {
+	if n, ok := s.orders[hash(document)]; ok {
 		return n
 	}
 	return -1
--- a/io/soak/machine.go
+++ b/io/soak/vm.go
@@ -41,8 +41,8 @@
 	soak.Stop: syscall.SIGTERM, soak.Reload: syscall.SIGHUP,
 }
 
-// machine is a VM: one process at a time, and the proxies before it.
-type machine struct {
+// vm is a VM: one process at a time, and the proxies before it.
+type vm struct {
 	soak    *Soak
 	number  int
 	site    serve.Site
@@ -58,74 +58,74 @@
 // ip returns a loopback address of a zone. The second and third byte differ
 // between soaks that run at the same time.
 func (s *Soak) ip(zone, last byte) netip.Addr {
-	return netip.AddrFrom4([4]byte{127, byte(1 + s.number%250), zone + byte(s.number/250%80)*Zones, last})
+	return netip.AddrFrom4([4]byte{127, byte(1 + s.number%250), zone + byte(s.number/250%80)*zones, last})
 }
 
-// newMachine opens the proxies of a VM.
-func (s *Soak) newMachine(n int, zone byte, control bool) (m *machine, err error) {
+// newVM opens the proxies of a VM.
+func (s *Soak) newVM(n int, zone byte, control bool) (v *vm, err error) {
 	ip := s.ip(zone, byte(n+1))
 	at := func(port uint16) netip.AddrPort { return netip.AddrPortFrom(ip, port) }
 	name := fmt.Sprintf("vm%d", n)
-	m = &machine{
+	v = &vm{
 		soak: s, number: n, file: filepath.Join(s.Folder, name+".conf"), log: filepath.Join(s.Folder, name+".log"),
 		site: serve.Site{
 			VM:      model.VM{ID: model.VMID(ip.String()), Zone: model.Zone(fmt.Sprintf("z%d", zone)), Peer: at(peerPort), Disk: control},
 			Peering: at(listenPort), Metrics: at(metricsPort), Losses: losses, Grace: grace, Ratio: ratio, Extra: extra,
 		},
 	}
-	if m.peers, err = s.open(at(peerPort), m.site.Peering); err != nil {
+	if v.peers, err = s.open(at(peerPort), v.site.Peering); err != nil {
 		return nil, err
 	}
 	if control {
-		m.site.Control, m.site.Data = at(controlPort), filepath.Join(s.Folder, name+".data")
-		return m, nil
+		v.site.Control, v.site.Data = at(controlPort), filepath.Join(s.Folder, name+".data")
+		return v, nil
 	}
-	m.site.Callers, m.site.Ready = at(callerPort), at(readyPort)
-	m.site.Gathers, m.site.Spread = at(gatherPort), spread
-	if m.gathers, err = s.open(m.site.Gathers, at(listenPort+1)); err != nil {
+	v.site.Callers, v.site.Ready = at(callerPort), at(readyPort)
+	v.site.Gathers, v.site.Spread = at(gatherPort), spread
+	if v.gathers, err = s.open(v.site.Gathers, at(listenPort+1)); err != nil {
 		return nil, err
 	}
-	m.callers, err = s.open(anyPort, m.site.Callers)
-	return m, err
+	v.callers, err = s.open(anyPort, v.site.Callers)
+	return v, err
 }
 
 // spawn starts the process.
-func (m *machine) spawn(e soak.Spawn) (err error) {
-	m.site.Founding = e.First
-	if err := m.prepare(e); err != nil {
+func (v *vm) spawn(e soak.Spawn) (err error) {
+	v.site.Founding = e.First
+	if err := v.prepare(e); err != nil {
 		return err
 	}
-	if err := os.WriteFile(m.file, []byte(m.soak.Rig.Settings(&m.site, m.soak.lister)), textMode); err != nil {
+	if err := os.WriteFile(v.file, []byte(v.soak.Rig.Settings(&v.site, v.soak.lister)), textMode); err != nil {
 		return err
 	}
-	out, err := os.OpenFile(m.log, os.O_WRONLY|os.O_CREATE|os.O_APPEND, textMode)
+	out, err := os.OpenFile(v.log, os.O_WRONLY|os.O_CREATE|os.O_APPEND, textMode)
 	if err != nil {
 		return err
 	}
 	defer func() { err = errors.Join(err, out.Close()) }() // the process has its own descriptor
-	m.cmd = exec.Command(m.soak.Program, m.soak.Rig.Arguments(&m.site)...)
-	m.cmd.Env = append(os.Environ(), m.soak.Rig.Environment(m.file))
-	m.cmd.Stdout, m.cmd.Stderr = out, out
-	if err := m.cmd.Start(); err != nil {
+	v.cmd = exec.Command(v.soak.Program, v.soak.Rig.Arguments(&v.site)...)
+	v.cmd.Env = append(os.Environ(), v.soak.Rig.Environment(v.file))
+	v.cmd.Stdout, v.cmd.Stderr = out, out
+	if err := v.cmd.Start(); err != nil {
 		return err
 	}
-	m.exited = make(chan struct{})
-	w := &waiter{machine: m, cmd: m.cmd, exited: m.exited}
+	v.exited = make(chan struct{})
+	w := &waiter{vm: v, cmd: v.cmd, exited: v.exited}
 	go w.run()
 	return nil
 }
 
 // prepare leaves the disk as the fault says.
-func (m *machine) prepare(e soak.Spawn) error {
+func (v *vm) prepare(e soak.Spawn) error {
 	if e.Wipe {
-		if err := os.RemoveAll(m.site.Data); err != nil {
+		if err := os.RemoveAll(v.site.Data); err != nil {
 			return err
 		}
 	}
 	if !e.Tear {
 		return nil
 	}
-	f, err := os.OpenFile(filepath.Join(m.site.Data, disk.LogFile), os.O_WRONLY|os.O_APPEND, textMode)
+	f, err := os.OpenFile(filepath.Join(v.site.Data, disk.LogFile), os.O_WRONLY|os.O_APPEND, textMode)
 	if errors.Is(err, os.ErrNotExist) {
 		return nil // the process was killed before it wrote anything
 	}
@@ -137,35 +137,35 @@
 }
 
 // signal sends a signal to the process, unless it has ended.
-func (m *machine) signal(e soak.Signal) error {
+func (v *vm) signal(e soak.Signal) error {
 	select {
-	case <-m.exited:
+	case <-v.exited:
 		return nil
 	default:
 	}
-	if err := m.cmd.Process.Signal(signals[e.Sign]); err != nil && !errors.Is(err, os.ErrProcessDone) {
+	if err := v.cmd.Process.Signal(signals[e.Sign]); err != nil && !errors.Is(err, os.ErrProcessDone) {
 		return err
 	}
 	return nil
 }
 
 // end kills the process and waits for its end.
-func (m *machine) end() error {
-	if m.cmd == nil || m.cmd.Process == nil {
+func (v *vm) end() error {
+	if v.cmd == nil || v.cmd.Process == nil {
 		return nil
 	}
-	err := m.signal(soak.Signal{Sign: soak.Kill})
-	if m.exited != nil {
-		<-m.exited
+	err := v.signal(soak.Signal{Sign: soak.Kill})
+	if v.exited != nil {
+		<-v.exited
 	}
 	return err
 }
 
 // waiter waits for the end of a process.
 type waiter struct {
-	machine *machine
-	cmd     *exec.Cmd
-	exited  chan struct{}
+	vm     *vm
+	cmd    *exec.Cmd
+	exited chan struct{}
 }
 
 func (w *waiter) run() {
@@ -174,5 +174,5 @@
 		cause = err.Error()
 	}
 	close(w.exited)
-	w.machine.soak.post(soak.Exited{VM: w.machine.number, Cause: cause})
+	w.vm.soak.post(soak.Exited{VM: w.vm.number, Cause: cause})
 }
--- a/io/spool/spool_test.go
+++ b/io/spool/spool_test.go
@@ -13,7 +13,7 @@
 
 const patience = 5 * time.Second // for what takes no time
 
-// writes writes lines and reports their end.
+// writes is a goroutine that logs lines.
 type writes struct {
 	to    io.Writer
 	n     int
