Tell entry VMs of each other only when something changed

A follower's digest now has the stamp of its list, and it is told at a change and when the stamps differ.

TestDaemonsLearnOfEachOther fails when the list is told without a change.

--- a/core/frame/frame.go
+++ b/core/frame/frame.go
@@ -127,6 +127,7 @@
 	Below    []Heard        // what the child heard of the VMs below it, changes only
 	Roster   uint64         // stamp of the list of upstreams that the child has, 0 for none
 	Gathers  netip.AddrPort // where the child takes portions; zero when it takes none
+	Daemons  uint64         // stamp of the entry VMs that the child knows, 0 for none
 }
 
 // Heard is what a parent knows of a VM below it.
--- a/core/plane/daemons.go
+++ b/core/plane/daemons.go
@@ -2,6 +2,7 @@
 
 import (
 	"cmp"
+	"hash/fnv"
 	"maps"
 	"slices"
 	"time"
@@ -12,10 +13,11 @@
 	"comfreypulley/core/model"
 )
 
-// Pace of telling which entry VMs there are. The whole list is told each time,
-// so that a lost message is made up for by the next one.
+// Pace of telling which entry VMs there are. An entry VM is told at a change, and
+// again when its digest shows that it has another list; the VMs with disks are
+// told of their followers all the time, which is short.
 const (
-	daemonsPeriod = 2 * time.Second // between two tellings without a change
+	daemonsPeriod = 2 * time.Second // between two tellings of a VM with a disk without a change
 	daemonsApart  = 300 * time.Millisecond
 	daemonsSettle = 300 * time.Millisecond // after a start, when this VM does not know yet who follows it
 	daemonsFade   = 6 * time.Second        // after which another VM's list is dropped
@@ -27,6 +29,7 @@
 	own    map[model.VMID]model.Daemon // those that follow this VM, and earlier ones
 	others map[model.VMID]followed
 	told   []model.Daemon // last told, ascending by id
+	stamp  uint64         // of told; 0 when none was
 	toldAt time.Time
 }
 
@@ -57,10 +60,11 @@
 	following := c.following(at)
 	maps.DeleteFunc(d.own, func(id model.VMID, _ model.Daemon) bool { return !slices.Contains(following, id) })
 	all := d.all(at)
-	if at.Sub(d.toldAt) < daemonsPeriod && slices.Equal(all, d.told) {
+	changed := !slices.Equal(all, d.told) || d.stamp == 0
+	if at.Sub(d.toldAt) < daemonsPeriod && !changed {
 		return out
 	}
-	d.told, d.toldAt = all, at
+	d.toldAt = at
 	own := slices.SortedFunc(maps.Values(d.own), byID)
 	from := len(out)
 	for _, id := range c.disks() {
@@ -68,8 +72,11 @@
 			out = append(out, effect.Tell{To: id, Message: frame.Daemons{Daemons: own}})
 		}
 	}
-	for _, id := range following {
-		out = append(out, effect.Tell{To: id, Message: frame.Daemons{Daemons: all}})
+	if changed {
+		d.told, d.stamp = all, stampOfDaemons(all)
+		for _, id := range following {
+			out = append(out, effect.Tell{To: id, Message: frame.Daemons{Daemons: all}})
+		}
 	}
 	return c.seal(from, out)
 }
@@ -90,6 +97,15 @@
 	return slices.SortedFunc(maps.Values(all), byID)
 }
 
+// stampOfDaemons identifies a list, which is sorted. It is never 0.
+func stampOfDaemons(list []model.Daemon) uint64 {
+	h := fnv.New64a()
+	for _, d := range list {
+		_, _ = h.Write([]byte(string(d.ID) + "\x00" + string(d.Zone) + "\x00" + d.Gathers.String() + "\n")) // never fails
+	}
+	return h.Sum64() | 1
+}
+
 func byID(a, b model.Daemon) int { return cmp.Compare(a.ID, b.ID) }
 
 // peerDaemons takes the entry VMs that another VM knows.
@@ -102,9 +118,9 @@
 		d.others[from] = followed{daemons: m.Daemons, at: at}
 		return out
 	}
-	if slices.Equal(m.Daemons, d.told) {
+	if d.stamp != 0 && slices.Equal(m.Daemons, d.told) {
 		return out
 	}
-	d.told = m.Daemons
+	d.told, d.stamp = m.Daemons, stampOfDaemons(m.Daemons)
 	return append(out, effect.ToTraffic{Loop: effect.AllLoops, Body: event.Daemons{Daemons: m.Daemons}})
 }
--- a/core/plane/daemons_test.go
+++ b/core/plane/daemons_test.go
@@ -46,6 +46,17 @@
 	if got := told(time.Second); len(got) > 0 {
 		t.Errorf("got %v again without a change", got)
 	}
+	follow()
+	if got := told(3 * time.Second); got[near.ID] != nil || len(got["10.0.0.2"]) != 1 {
+		t.Errorf("got %v after 3s without a change, want the followers for the VMs with disks alone", got)
+	}
+	again := all[effect.Tell](f.c.Peer(f.now, event.Peer{From: near.ID, Message: frame.Digest{Zone: near.Zone, Gathers: addr, Daemons: 1}}, nil))
+	if !slices.ContainsFunc(again, func(e effect.Tell) bool {
+		m, ok := e.Message.(frame.Daemons)
+		return ok && e.To == near.ID && len(m.Daemons) == 2
+	}) {
+		t.Errorf("got %v for an entry VM with another list, want the whole list", again)
+	}
 	f.now = f.now.Add(5 * time.Second)
 	if got, want := told(time.Second)["10.0.0.2"], []model.Daemon(nil); !slices.Equal(got, want) {
 		t.Errorf("after its silence the follower is told as %v, want none", got)
--- a/core/plane/history.go
+++ b/core/plane/history.go
@@ -39,7 +39,7 @@
 			if d, ok := e.Message.(frame.Digest); ok && c.start.Enrols {
 				d.Roster = c.roster.stamp
 				if c.start.Gathers.IsValid() {
-					d.Gathers, d.Zone = c.start.Gathers, c.start.VM.Zone
+					d.Gathers, d.Zone, d.Daemons = c.start.Gathers, c.start.VM.Zone, c.daemons.stamp
 				}
 				e.Message = d
 				out[from+i] = e
--- a/core/plane/roster.go
+++ b/core/plane/roster.go
@@ -188,6 +188,9 @@
 		c.roster.listeners[from] = at
 		c.daemons.follow(model.Daemon{ID: from, Zone: d.Zone, Gathers: d.Gathers})
 	}
+	if c.daemons.stamp != 0 && d.Gathers.IsValid() && d.Daemons != c.daemons.stamp {
+		out = append(out, effect.Tell{To: from, Message: frame.Daemons{Daemons: c.daemons.told}})
+	}
 	if c.roster.stamp == 0 {
 		return out
 	}
--- a/io/peer/codec.go
+++ b/io/peer/codec.go
@@ -173,7 +173,7 @@
 	case frame.Propose:
 		return wirePropose{N: m.N, Command: command{m.Command}}
 	case frame.Digest:
-		w := wireDigest{VM: m.VM, Zone: m.Zone, Revision: m.Revision, Sum: m.Sum, Below: m.Below, Roster: m.Roster, Gathers: m.Gathers}
+		w := wireDigest{VM: m.VM, Zone: m.Zone, Revision: m.Revision, Sum: m.Sum, Below: m.Below, Roster: m.Roster, Gathers: m.Gathers, Daemons: m.Daemons}
 		if !m.Start.IsZero() {
 			w.Start = m.Start.UnixNano()
 		}
@@ -230,10 +230,11 @@
 	Below    []frame.Heard
 	Roster   uint64
 	Gathers  netip.AddrPort
+	Daemons  uint64
 }
 
 func (w wireDigest) message() frame.Message {
-	m := frame.Digest{VM: w.VM, Zone: w.Zone, Revision: w.Revision, Sum: w.Sum, Below: w.Below, Roster: w.Roster, Gathers: w.Gathers}
+	m := frame.Digest{VM: w.VM, Zone: w.Zone, Revision: w.Revision, Sum: w.Sum, Below: w.Below, Roster: w.Roster, Gathers: w.Gathers, Daemons: w.Daemons}
 	if w.Start != 0 {
 		m.Start = time.Unix(0, w.Start)
 	}
--- a/io/peer/codec_test.go
+++ b/io/peer/codec_test.go
@@ -65,6 +65,7 @@
 		frame.Digest{
 			VM: "vm1", Zone: "a", Start: at, Revision: 4, Sum: 1 << 63,
 			Below: []frame.Heard{{VM: "vm2", Revision: 3, Age: time.Second, Suspect: true}},
+			Roster: 5, Gathers: netip.MustParseAddrPort("10.0.0.1:7741"), Daemons: 6,
 		},
 		frame.Delta{
 			From: 1, To: 2, Changes: []entry.Change{change}, Sum: 3, Leader: "vm1", Age: time.Second, Path: []model.VMID{"vm1"},
