--- a/core/proxy/rhythm.go
+++ b/core/proxy/rhythm.go
@@ -13,9 +13,11 @@
 	rhythmTolerance = 40 * time.Millisecond // by which the ends of pauses may differ from the rhythm
 	sameEnd         = 60 * time.Millisecond // within which held up answers come from the same pause
 	mostPause       = 400 * time.Millisecond
-	rhythmSure      = 2 // pauses that must fit before the rhythm is used
-	rhythmCap       = 6 // so that a change of the rhythm is learnt soon
-	rhythmMisses    = 3 // pauses off the rhythm, after which it is learnt anew
+	rhythmSure      = 2   // pauses that must fit before the rhythm is used
+	rhythmCap       = 6   // so that a change of the rhythm is learnt soon
+	rhythmMisses    = 3   // pauses off the rhythm, after which it is learnt anew
+	mostParts       = 3   // times that a learnt period may be too long, by pauses that were not noticed
+	lengthKept      = 0.9 // of the length of pauses, after one that was shorter
 	pauseGuard      = 12 * time.Millisecond
 )
 
@@ -54,7 +56,7 @@
 // fit compares the end of a pause with the rhythm, and corrects the rhythm. It
 // reports false for a pause that does not count.
 func (r *rhythm) fit(end time.Time, held time.Duration) bool {
-	for parts := 1; parts <= 3; parts++ {
+	for parts := 1; parts <= mostParts; parts++ {
 		// Missed pauses may have made the period two or three times too long.
 		period := r.period / time.Duration(parts)
 		if period < leastPeriod {
@@ -66,7 +68,7 @@
 			continue
 		}
 		r.period = time.Duration(float64(end.Sub(r.anchor)) / n)
-		r.length = max(r.length*9/10, held)
+		r.length = max(time.Duration(lengthKept*float64(r.length)), held)
 		r.fits, r.misses = min(r.fits+1, rhythmCap), 0
 		return true
 	}
--- a/io/disk/store.go
+++ b/io/disk/store.go
@@ -10,6 +10,7 @@
 	"sync"
 	"time"
 
+	"github.com/apex/log"
 	"github.com/vmihailenco/msgpack/v5"
 
 	"comfreypulley/core/effect"
@@ -21,6 +22,7 @@
 // Store owns a data folder. Open makes it.
 type Store struct {
 	Patience time.Duration // how long a failing disk is tried again; set before Run
+	Logger   log.Interface // of a disk that fails and works again; nil writes nothing
 
 	folder string
 	post   func(event.Body)
@@ -96,7 +98,14 @@
 // a later sync of the same file that succeeds would prove nothing: a new file
 // with the whole state takes its place.
 func (s *Store) again(problem error, write func() error) error {
-	end := time.Now().Add(s.Patience)
+	if problem == nil || s.Patience <= 0 {
+		return problem
+	}
+	began := time.Now()
+	end := began.Add(s.Patience)
+	if s.Logger != nil {
+		s.Logger.WithError(problem).Warn("disk fails; writes are tried again")
+	}
 	for problem != nil && time.Now().Before(end) {
 		timer := time.NewTimer(retryPause)
 		select {
@@ -107,6 +116,9 @@
 		}
 		problem = write()
 	}
+	if s.Logger != nil && problem == nil {
+		s.Logger.WithField("after", time.Since(began).Round(time.Millisecond).String()).Info("disk works again")
+	}
 	return problem
 }
 
--- a/io/disk/store_test.go
+++ b/io/disk/store_test.go
@@ -10,6 +10,8 @@
 	"testing"
 	"time"
 
+	"github.com/apex/log"
+	"github.com/apex/log/handlers/memory"
 	"pgregory.net/rapid"
 
 	"comfreypulley/core/effect"
@@ -326,7 +328,8 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	s.Patience = time.Minute
+	lines := memory.New()
+	s.Patience, s.Logger = time.Minute, &log.Logger{Handler: lines, Level: log.InfoLevel}
 	s.log.Close()
 	done := make(chan error)
 	go func() { done <- s.Run() }()
@@ -345,6 +348,9 @@
 		t.Fatal(err)
 	}
 	defer again.close()
+	if len(lines.Entries) != 2 || lines.Entries[0].Level != log.WarnLevel || lines.Entries[1].Message != "disk works again" {
+		t.Errorf("got log lines %+v, want one when the disk fails and one when it works again", lines.Entries)
+	}
 	if got := again.loaded.Term; got != vote.Term {
 		t.Errorf("got term %d after a restart, want %d", got, vote.Term)
 	}
--- a/io/peer/codec_test.go
+++ b/io/peer/codec_test.go
@@ -64,7 +64,7 @@
 		frame.Proposed{N: 1, Result: result},
 		frame.Digest{
 			VM: "vm1", Zone: "a", Start: at, Revision: 4, Sum: 1 << 63,
-			Below: []frame.Heard{{VM: "vm2", Revision: 3, Age: time.Second, Suspect: true}},
+			Below:  []frame.Heard{{VM: "vm2", Revision: 3, Age: time.Second, Suspect: true}},
 			Roster: 5, Gathers: netip.MustParseAddrPort("10.0.0.1:7741"), Daemons: 6,
 		},
 		frame.Delta{
