Report dropped log lines in the place where they were dropped

Cause: the number of dropped lines was written before the next queued line, though all queued lines are older than the gap. Ruled out: lines that are lost beside the queue; the counts add up.

The number now travels with the next line that finds room, or is reported when the writer closes.

--- a/io/spool/spool.go
+++ b/io/spool/spool.go
@@ -8,7 +8,8 @@
 //	logger := &log.Logger{Handler: json.New(w), Level: log.InfoLevel}
 //
 // Each Write is one line. Lines that find the queue full are left out; a line
-// with their number follows once there is room again.
+// with their number stands in their place, before the next line that finds room
+// or at the end.
 package spool
 
 import (
@@ -27,10 +28,16 @@
 	lastLines   = 200 * time.Millisecond // for the queue to empty in Close
 )
 
+// entry is a line and the number of lines that were left out before it.
+type entry struct {
+	dropped int64
+	line    []byte
+}
+
 // Writer is a queue of lines. Make it with New.
 type Writer struct {
 	to      io.Writer
-	lines   chan []byte
+	lines   chan entry
 	dropped atomic.Int64
 	once    sync.Once
 	closing chan struct{}
@@ -39,17 +46,18 @@
 
 // New returns a writer and starts its goroutine, which ends with Close.
 func New(to io.Writer) *Writer {
-	w := &Writer{to: to, lines: make(chan []byte, queuedLines), closing: make(chan struct{}), ended: make(chan struct{})}
+	w := &Writer{to: to, lines: make(chan entry, queuedLines), closing: make(chan struct{}), ended: make(chan struct{})}
 	go w.run()
 	return w
 }
 
 // Write implements io.Writer. It never blocks and never fails.
 func (w *Writer) Write(line []byte) (n int, err error) {
+	dropped := w.dropped.Swap(0)
 	select {
-	case w.lines <- bytes.Clone(line):
+	case w.lines <- entry{dropped: dropped, line: bytes.Clone(line)}:
 	default:
-		w.dropped.Add(1)
+		w.dropped.Add(dropped + 1)
 	}
 	return len(line), nil
 }
@@ -70,8 +78,8 @@
 	defer close(w.ended)
 	for {
 		select {
-		case line := <-w.lines:
-			w.write(line)
+		case e := <-w.lines:
+			w.write(e)
 		case <-w.closing:
 			w.flush()
 			return
@@ -82,9 +90,10 @@
 func (w *Writer) flush() {
 	for {
 		select {
-		case line := <-w.lines:
-			w.write(line)
+		case e := <-w.lines:
+			w.write(e)
 		default:
+			w.report(w.dropped.Swap(0))
 			return
 		}
 	}
@@ -92,10 +101,15 @@
 
 // write writes a line, and before it how many were left out. There is no other
 // place to report that the log itself cannot be written.
-func (w *Writer) write(line []byte) {
-	if n := w.dropped.Swap(0); n > 0 {
-		logger := &log.Logger{Handler: json.New(w.to), Level: log.InfoLevel}
-		logger.WithField("lines", n).Warn("log lines dropped")
+func (w *Writer) write(e entry) {
+	w.report(e.dropped)
+	_, _ = w.to.Write(e.line)
+}
+
+func (w *Writer) report(dropped int64) {
+	if dropped == 0 {
+		return
 	}
-	_, _ = w.to.Write(line)
+	logger := &log.Logger{Handler: json.New(w.to), Level: log.InfoLevel}
+	logger.WithField("lines", dropped).Warn("log lines dropped")
 }
--- a/io/spool/spool_test.go
+++ b/io/spool/spool_test.go
@@ -52,6 +52,47 @@
 	}
 }
 
+// held is a reader that takes nothing until it is let go.
+type held struct {
+	bytes.Buffer
+	entered chan struct{} // has an entry once a line waits
+	release chan struct{} // closed to let lines through
+}
+
+func (h *held) Write(line []byte) (n int, err error) {
+	select {
+	case h.entered <- struct{}{}:
+	default:
+	}
+	<-h.release
+	return h.Buffer.Write(line)
+}
+
+// Guards against a number of lost lines that stands before lines that were kept,
+// so that a reader looks for the gap in the wrong place.
+func TestNumberOfDroppedLinesStandsWhereTheyWereDropped(t *testing.T) {
+	to := &held{entered: make(chan struct{}, 1), release: make(chan struct{})}
+	w := spool.New(to)
+	fmt.Fprintln(w, "first")
+	<-to.entered
+	const queued, dropped = 512, 3 // the writer's goroutine holds the first line
+	for n := range queued + dropped {
+		fmt.Fprintf(w, "line %d\n", n)
+	}
+	close(to.release)
+	w.Close()
+	got := strings.Split(strings.TrimSpace(to.String()), "\n")
+	if len(got) != queued+2 {
+		t.Fatalf("got %d lines, want %d", len(got), queued+2)
+	}
+	if last := got[len(got)-1]; !strings.Contains(last, `"lines":3`) || !strings.Contains(last, "log lines dropped") {
+		t.Errorf("got %q as the last line, want that %d lines were dropped", last, dropped)
+	}
+	if got, want := got[queued], fmt.Sprintf("line %d", queued-1); got != want {
+		t.Errorf("got %q before it, want %q", got, want)
+	}
+}
+
 // text reads everything.
 type text struct {
 	from  io.Reader
