Keep connections of direct attempts among many shards open for 2 s only

Hedges go to any upstream from any of 102 VMs and their connections stayed idle for 20 s, so that an upstream held about as many as it accepts; those of the processes without power stayed open on top.

TestDirectAttemptsKeepConnectionsShortly and TestConnectionClosesAfterItsIdleTime failed before.

--- a/core/effect/call.go
+++ b/core/effect/call.go
@@ -16,6 +16,7 @@
 	Addr     netip.AddrPort
 	Timeout  time.Duration  // what is left of the caller's time
 	Part     bool           // only the receipt and the body of the answer are needed
+	Keep     time.Duration  // longest idle time of the connection afterwards; 0 for what the front end keeps by itself
 	Fresh    bool           // use no connection that was idle for long: the request must not run twice
 	Portion  *model.Portion // the upstream is another VM that gathers these shards; the end is event.Gathered or event.Failed
 }
--- a/core/proxy/delegate.go
+++ b/core/proxy/delegate.go
@@ -32,7 +32,7 @@
 // delegate gives portions of a new call to other VMs. Shards of which none takes
 // a portion are left to this VM.
 func (t *Table) delegate(at time.Time, c *call, out []effect.Effect) []effect.Effect {
-	if t.start.Spread <= 0 || len(c.legs) < t.start.Spread || !c.scatter() || c.event.Portion != nil || c.deadline.Sub(at) < delegateTime {
+	if !t.wide(c) || c.event.Portion != nil || c.deadline.Sub(at) < delegateTime {
 		return out
 	}
 	for _, p := range t.portionsOf(at, c.route) {
@@ -43,6 +43,11 @@
 	return out
 }
 
+// wide reports whether a request has enough shards to be spread over other VMs.
+func (t *Table) wide(c *call) bool {
+	return t.start.Spread > 0 && len(c.route.Shards) >= t.start.Spread
+}
+
 // give sends a portion to another VM.
 func (t *Table) give(at time.Time, c *call, legs []int, d *daemon, out []effect.Effect) []effect.Effect {
 	t.next++
--- a/core/proxy/spread_test.go
+++ b/core/proxy/spread_test.go
@@ -113,6 +113,28 @@
 	}
 }
 
+// Guards against upstreams whose connections are used up by VMs that each need
+// them once in a while: after a power loss those of the earlier processes count,
+// too, and new ones are reset.
+func TestDirectAttemptsKeepConnectionsShortly(t *testing.T) {
+	table := wide(t)
+	_, direct := forwards(ask(table, began, 1, nil))
+	for _, f := range direct {
+		if f.Keep <= 0 || f.Keep > 2*time.Second {
+			t.Fatalf("got a connection to %s that may stay idle for %s, want 2s at most", f.Upstream, f.Keep)
+		}
+	}
+	_, gathered := forwards(ask(table, began, 2, &model.Portion{Version: 1, Legs: []int{0, 1}}))
+	for _, f := range gathered {
+		if f.Keep != 0 {
+			t.Errorf("got a connection to %s that may stay idle for %s only, want no bound for the shards that this VM gathers", f.Upstream, f.Keep)
+		}
+	}
+	if len(direct) != wideShards || len(gathered) != 2 {
+		t.Errorf("got %d direct attempts and %d for a portion, want %d and 2", len(direct), len(gathered), wideShards)
+	}
+}
+
 // Guards against a call that waits for a VM which is silent, and against portions
 // that go on to it.
 func TestSilentHelper(t *testing.T) {
--- a/io/proxy/call.go
+++ b/io/proxy/call.go
@@ -175,7 +175,7 @@
 	if a.forward.Portion != nil {
 		end, err = a.gathered(response)
 		if !response.Close && c.reader.Buffered() == 0 {
-			keep = keepFor(response.Header)
+			keep = a.keepFor(response.Header)
 		}
 		return end, keep, err
 	}
@@ -184,7 +184,7 @@
 		return nil, 0, fmt.Errorf("body: %w", err)
 	}
 	if !response.Close && c.reader.Buffered() == 0 {
-		keep = keepFor(response.Header)
+		keep = a.keepFor(response.Header)
 	}
 	d := a.client.Dialect
 	tag := response.Header.Get(d.Tag)
@@ -276,13 +276,17 @@
 	}
 }
 
-// keepFor returns how long a connection may stay idle.
-func keepFor(h http.Header) time.Duration {
+// keepFor returns how long the connection may stay idle.
+func (a *call) keepFor(h http.Header) time.Duration {
+	longest := idleTimeout
+	if a.forward.Keep > 0 {
+		longest = min(longest, a.forward.Keep)
+	}
 	for part := range strings.SplitSeq(h.Get("Keep-Alive"), ",") {
 		name, value, _ := strings.Cut(strings.TrimSpace(part), "=")
 		if seconds, err := strconv.Atoi(value); err == nil && strings.EqualFold(name, "timeout") {
-			return min(idleTimeout, max(shortestIdle, time.Duration(seconds)*time.Second-idleMargin))
+			return min(longest, max(shortestIdle, time.Duration(seconds)*time.Second-idleMargin))
 		}
 	}
-	return idleTimeout
+	return longest
 }
--- a/io/proxy/client_test.go
+++ b/io/proxy/client_test.go
@@ -28,6 +28,7 @@
 	conns    chan int
 	requests chan string
 	script   chan string
+	ended    chan struct{} // has an entry for each connection that the client closed
 }
 
 func newUpstream(t *testing.T, script ...string) *upstream {
@@ -35,7 +36,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	u := &upstream{listener: l, conns: make(chan int, 100), requests: make(chan string, 100), script: make(chan string, 100)}
+	u := &upstream{listener: l, conns: make(chan int, 100), requests: make(chan string, 100), script: make(chan string, 100), ended: make(chan struct{}, 100)}
 	for _, s := range script {
 		u.script <- s
 	}
@@ -67,6 +68,7 @@
 	for {
 		request, err := http.ReadRequest(r)
 		if err != nil {
+			s.upstream.ended <- struct{}{}
 			return
 		}
 		s.upstream.requests <- fmt.Sprintf("%s %s %s %s", request.Method, request.RequestURI, request.Host, request.Header.Get("Expect-Upstream"))
@@ -92,7 +94,8 @@
 	next   model.AttemptID
 	tag    string
 
-	portion string // header of the caller that names a portion
+	portion string        // header of the caller that names a portion
+	keep    time.Duration // idle time of connections
 }
 
 func newSender(t *testing.T) *sender {
@@ -117,6 +120,7 @@
 	s.next++
 	s.client.Forward(effect.Forward{
 		Attempt: s.next, Request: 1, Upstream: "u1", Addr: u.listener.Addr().(*net.TCPAddr).AddrPort(), Timeout: timeout,
+		Keep: s.keep,
 	})
 	select {
 	case end := <-s.ends:
@@ -145,6 +149,20 @@
 	}
 }
 
+// Guards against connections that take up an upstream's limit while nobody uses
+// them: the upstream has to see their end.
+func TestConnectionClosesAfterItsIdleTime(t *testing.T) {
+	u := newUpstream(t, ok("t", "one"))
+	s := newSender(t)
+	s.keep = 50 * time.Millisecond
+	s.send(u, time.Second)
+	select {
+	case <-u.ended:
+	case <-time.After(5 * time.Second):
+		t.Error("the connection is open 5s after its idle time of 50ms")
+	}
+}
+
 // Guards against an answer that belongs to another request: one that comes late
 // on an idle connection, and one where the next answer is expected.
 func TestAnswerOfAnotherRequest(t *testing.T) {
