Leave the balancer's rotation while the zone is cut off and lacks shards

The balancer uses the nearest zones when no VM of a zone is ready, and its callers reach those.

Change: a VM with a disk that hears nothing from another zone for 0.5 s, pings included, tells the entry VMs of its zone. Those that lack shards become unready, refuse what cannot be answered as not run, and ask callers to close their connections. An answer from outside, or word of the VM with a disk, ends it.

Ruled out: that callers cannot leave.

--- a/core/event/bridge.go
+++ b/core/event/bridge.go
@@ -56,6 +56,9 @@
 // contents are immutable.
 type Daemons struct{ Daemons []model.Daemon } // ascending by id
 
+// Isolated tells the traffic states whether the zone is cut off from the others.
+type Isolated struct{ Isolated bool }
+
 // Hint tells what a traffic state found of an upstream, to those of the other VMs
 // of the zone.
 type Hint struct {
@@ -66,6 +69,7 @@
 
 func (Daemons) body()  {}
 func (Hint) body()     {}
+func (Isolated) body() {}
 func (Roster) body()   {}
 func (View) body()     {}
 func (Summary) body()  {}
--- a/core/frame/frame.go
+++ b/core/frame/frame.go
@@ -209,6 +209,7 @@
 	Age       time.Duration // since it was read
 	Fleet     int           // daemons of the fleet as far as the sender knows
 	Daemons   int           // daemons that follow the sender
+	Isolated  bool          // the sender hears no VM of another zone
 	Whole     bool          // Upstreams holds the content
 	Upstreams []model.Upstream
 }
--- a/core/model/reason.go
+++ b/core/model/reason.go
@@ -38,6 +38,7 @@
 	RefusedExpired    Refusal = "expired"    // the idempotency key is older than the retention
 	RefusedIndex      Refusal = "index"      // the contract does not include the index
 	RefusedInvalid    Refusal = "invalid"    // the request is malformed
+	RefusedIsolated   Refusal = "isolated"   // the zone is cut off and lacks shards that the request needs
 	RefusedMajority   Refusal = "majority"   // the replicated log has no reachable majority
 	RefusedPending    Refusal = "pending"    // the key is claimed and its outcome is not known
 	RefusedQuarantine Refusal = "quarantine" // the request crashed upstreams that ran it
@@ -53,7 +54,7 @@
 func Refusals() []Refusal {
 	return []Refusal{
 		RefusedBusy, RefusedConflict, RefusedCoverage, RefusedCredential, RefusedDeadline, RefusedDraining,
-		RefusedExhausted, RefusedExpired, RefusedFailed, RefusedIndex, RefusedInvalid, RefusedMajority, RefusedPending,
+		RefusedExhausted, RefusedExpired, RefusedFailed, RefusedIndex, RefusedInvalid, RefusedIsolated, RefusedMajority, RefusedPending,
 		RefusedQuarantine, RefusedRoute, RefusedSnapshot, RefusedStale, RefusedTimeout, RefusedWait,
 	}
 }
--- a/core/node/bridge.go
+++ b/core/node/bridge.go
@@ -18,6 +18,8 @@
 		return s.routed.Hint(at, body, out)
 	case event.Daemons:
 		return s.routed.Daemons(at, body, out)
+	case event.Isolated:
+		return s.routed.Isolated(at, body, out)
 	case event.Roster:
 		return s.routed.Roster(at, body, out)
 	case event.View:
--- a/core/node/state.go
+++ b/core/node/state.go
@@ -31,7 +31,7 @@
 	case event.Answered, event.Returned, event.Gathered, event.Failed, event.Reported:
 		return s.upstream(ev.At, body, out)
 	case event.View, event.Summary, event.Propose, event.Proposed, event.Struck, event.Roster,
-		event.Hint, event.Daemons:
+		event.Hint, event.Daemons, event.Isolated:
 		return s.bridge(ev.At, body, out)
 	case event.Peer, event.PeerDown:
 		return s.peer(ev.At, body, out)
--- a/core/plane/control.go
+++ b/core/plane/control.go
@@ -46,6 +46,7 @@
 	enrol      enrol
 	roster     roster
 	daemons    daemons
+	outside    outside
 	draining   bool
 	stale      bool // left the log before everything on its disk was applied; waits for the tree
 }
--- a/core/plane/member.go
+++ b/core/plane/member.go
@@ -48,10 +48,13 @@
 }
 
 func (c *Control) peerMember(at time.Time, from model.VMID, m frame.Message, out []effect.Effect) []effect.Effect {
-	if c.watch == nil {
-		return out
+	if c.watch != nil {
+		return c.watch.Peer(at, from, m, out)
+	}
+	if ping, ok := m.(frame.Ping); ok {
+		out = append(out, effect.Tell{To: from, Message: frame.Pong(ping)})
 	}
-	return c.watch.Peer(at, from, m, out)
+	return out
 }
 
 func (c *Control) timerMember(at time.Time, out []effect.Effect) []effect.Effect {
--- a/core/plane/peer.go
+++ b/core/plane/peer.go
@@ -18,6 +18,7 @@
 // Peer takes a message from another VM.
 func (c *Control) Peer(at time.Time, p event.Peer, out []effect.Effect) []effect.Effect {
 	from := len(out)
+	out = c.hear(at, p.From, out)
 	switch m := p.Message.(type) {
 	case frame.Vote, frame.Voted, frame.Append, frame.Appended, frame.Snap, frame.Snapped:
 		if c.log != nil {
--- a/core/plane/roster.go
+++ b/core/plane/roster.go
@@ -56,7 +56,7 @@
 // timerRoster reads the list when it is this VM's turn.
 func (c *Control) timerRoster(at time.Time, out []effect.Effect) []effect.Effect {
 	out = setTimer(event.TimerRoster, at.Add(rosterPeriod), out)
-	out = c.tellDaemons(at, out)
+	out = c.look(at, c.tellDaemons(at, out))
 	r := &c.roster
 	if !r.asked.IsZero() && at.Sub(r.asked) < readTimeout {
 		return out
@@ -168,7 +168,7 @@
 
 func (c *Control) rosterFrame(at time.Time, whole bool) frame.Roster {
 	r := &c.roster
-	f := frame.Roster{Stamp: r.stamp, Age: max(0, at.Sub(r.read)), Fleet: r.fleet, Daemons: len(r.listeners)}
+	f := frame.Roster{Stamp: r.stamp, Age: max(0, at.Sub(r.read)), Fleet: r.fleet, Daemons: len(r.listeners), Isolated: c.outside.isolated}
 	if whole {
 		f.Whole, f.Upstreams = true, r.upstreams
 	}
@@ -206,6 +206,7 @@
 			out = append(out, effect.Tell{To: from, Message: c.rosterFrame(at, true)})
 		}
 	case frame.Roster:
+		out = c.told(from, m.Isolated, out)
 		if c.start.VM.Disk {
 			if r.counts == nil {
 				r.counts = make(map[model.VMID]counted)
--- a/core/proxy/call.go
+++ b/core/proxy/call.go
@@ -1,7 +1,6 @@
 package proxy
 
 import (
-	"math"
 	"time"
 
 	"comfreypulley/core/event"
@@ -82,12 +81,7 @@
 }
 
 // least is the number of legs that an answer must have.
-func (c *call) least() int {
-	return max(1, int(math.Ceil(c.route.Coverage*float64(len(c.legs))-coverageSlack)))
-}
-
-// coverageSlack keeps a product such as 0.7*10 from being rounded up.
-const coverageSlack = 1e-9
+func (c *call) least() int { return leastLegs(c.route, len(c.legs)) }
 
 // lacking is how many more legs a call needs than are answered or under way.
 func (c *call) lacking() int {
--- a/core/proxy/delegate.go
+++ b/core/proxy/delegate.go
@@ -78,6 +78,7 @@
 	if f, ok := t.spread.failing[g.daemon.Zone]; ok {
 		f.daemon = nil
 	}
+	out = t.reached(at, g.daemon.Zone, g.sent, out)
 	c := g.call
 	if !g.heard {
 		g.heard = true
--- a/core/proxy/finish.go
+++ b/core/proxy/finish.go
@@ -12,6 +12,8 @@
 const (
 	shortWait = 50 * time.Millisecond
 	staleWait = 500 * time.Millisecond // a VM without a document gets one in about a second after its start
+
+	elsewhereWait = time.Millisecond // a VM of another zone may take the next connection
 )
 
 // Returned takes a complete response.
@@ -27,6 +29,7 @@
 	if e.Leaving {
 		h.leaving = at
 	}
+	out = t.reached(at, h.upstream.Zone, a.sent, out)
 	status := e.Reply.Status
 	switch {
 	case e.Other:
@@ -175,8 +178,12 @@
 func (t *Table) refuseEarly(e event.Call, route *model.Route, reason model.Refusal, out []effect.Effect) []effect.Effect {
 	trace := effect.Trace{Tag: e.Tag, Outcome: "refused", Reason: reason}
 	r := model.Rejection{Request: e.ID, Reason: reason, Ran: model.RanNo, After: shortWait}
-	if reason == model.RefusedStale {
+	switch reason {
+	case model.RefusedStale:
 		r.After = staleWait
+	case model.RefusedIsolated:
+		r.After = elsewhereWait
+	default:
 	}
 	if t.document != nil {
 		trace.Version = t.document.Version
--- a/core/proxy/spread_test.go
+++ b/core/proxy/spread_test.go
@@ -21,9 +21,15 @@
 // upstream in zones a and b but for the last two, which have one in b alone.
 func wide(t *testing.T, daemons ...model.Daemon) *proxy.Table {
 	t.Helper()
+	const coverage = 0.6 // less than zone a has
+	return wideFor(coverage, daemons...)
+}
+
+// wideFor is such a table for a least coverage.
+func wideFor(coverage float64, daemons ...model.Daemon) *proxy.Table {
 	route := model.Route{
 		Name: "all", Host: "a.example", Prefix: "/all/", Attempts: 2, Timeout: time.Second, Objective: 100 * time.Millisecond,
-		Records: 4, Coverage: 0.6,
+		Records: 4, Coverage: coverage,
 	}
 	d := &model.Document{Version: 1}
 	var upstreams []model.Upstream
@@ -38,7 +44,9 @@
 			}
 		}
 	}
-	d.Routes = []model.Route{route}
+	part := route
+	part.Name, part.Prefix, part.Coverage = "part", "/part/", 0.5
+	d.Routes = []model.Route{route, part}
 	table := &proxy.Table{}
 	table.Start(began, event.Start{VM: model.VM{ID: "vm0", Zone: "a"}, Spread: wideShards, Ratio: 0.2, Extra: 1000}, nil)
 	table.View(began, event.View{Topology: &model.Topology{Document: d}}, nil)
--- a/core/proxy/table.go
+++ b/core/proxy/table.go
@@ -25,26 +25,27 @@
 // Table is the state of the traffic along routes. The zero value refuses every
 // call until it has a document and a list of upstreams.
 type Table struct {
-	start    event.Start
-	random   *rand.Rand
-	document *model.Document
-	routes   routes
-	limits   map[string]model.Service
-	read     time.Time // when the list of upstreams was read
-	listed   bool
-	stamp    uint64 // of the list
-	fleet    int
-	hosts    map[model.UpstreamID]*host
-	services map[string][]*host
-	paces    map[string]*pace
-	turns    map[string]*turn
-	extras   map[string]*retry.Allowance
-	calls    map[model.RequestID]*call
-	attempts map[model.AttemptID]*attempt
-	next     model.AttemptID
-	suspects suspects
-	spread   spreading
-	draining bool
+	start     event.Start
+	random    *rand.Rand
+	document  *model.Document
+	routes    routes
+	limits    map[string]model.Service
+	read      time.Time // when the list of upstreams was read
+	listed    bool
+	stamp     uint64 // of the list
+	fleet     int
+	hosts     map[model.UpstreamID]*host
+	services  map[string][]*host
+	paces     map[string]*pace
+	turns     map[string]*turn
+	extras    map[string]*retry.Allowance
+	calls     map[model.RequestID]*call
+	attempts  map[model.AttemptID]*attempt
+	next      model.AttemptID
+	suspects  suspects
+	spread    spreading
+	isolation isolation
+	draining  bool
 }
 
 // Start takes over the settings.
@@ -76,11 +77,11 @@
 		t.limits[s.Name] = s
 	}
 	out = append(out, effect.Note{At: at, Subject: "document", Action: "in force", Cause: versionText(d.Version)})
-	return t.ready(out)
+	return t.ready(at, out)
 }
 
 // Roster takes the list of upstreams.
-func (t *Table) Roster(_ time.Time, r event.Roster, out []effect.Effect) []effect.Effect {
+func (t *Table) Roster(at time.Time, r event.Roster, out []effect.Effect) []effect.Effect {
 	resized := t.fleet != r.Fleet
 	t.read, t.fleet = r.Read, r.Fleet
 	if resized {
@@ -112,15 +113,16 @@
 			out = append(out, effect.Forget{Upstream: id})
 		}
 	}
-	return t.ready(out)
+	return t.ready(at, out)
 }
 
 // ready tells the balancer's check once requests can be served.
-func (t *Table) ready(out []effect.Effect) []effect.Effect {
+func (t *Table) ready(at time.Time, out []effect.Effect) []effect.Effect {
 	if t.document == nil || !t.listed || t.draining {
 		return out
 	}
-	return append(out, effect.Ready{Ready: true})
+	out = t.rotate(at, out)
+	return append(out, effect.Ready{Ready: !t.isolation.away})
 }
 
 // extra returns this VM's part of the bounds on extra attempts.
--- a/io/proxy/server.go
+++ b/io/proxy/server.go
@@ -37,8 +37,8 @@
 	idle    chan struct{} // closed when none is left after Refuse; nil before
 }
 
-// SetReady sets what the balancer's check sees. A server that is leaving stays
-// unready.
+// SetReady sets what the balancer's check sees. Callers of a server that is not
+// ready are asked to close their connections. One that is leaving stays unready.
 func (s *Server) SetReady(ready bool) { s.ready.Store(ready) }
 
 // Leave makes the server unready for good and asks callers to close their
@@ -102,7 +102,8 @@
 
 // ServeHTTP implements http.Handler.
 func (s *Server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	if s.leaving.Load() {
+	if !s.Ready() {
+		// The balancer sends this caller's next connection elsewhere.
 		w.Header().Set("Connection", "close")
 	}
 	s.serve(w, r, nil)
