Keep connections short where an upstream accepts few, and give portions of other zones to a third of the VMs

Cause: idle routes send single requests to one shard of 36 from every VM, and portions for other zones went to all VMs of a zone, each with lasting connections.

Which connections are kept long now follows from the limit: only those of a VM that gathers the shard for its zone when the limit divided by the fleet is under one. A portion whose VMs are all avoided goes to another VM of the zone.

--- a/core/proxy/delegate.go
+++ b/core/proxy/delegate.go
@@ -32,22 +32,17 @@
 // delegate gives portions of a new call to other VMs. Shards of which none takes
 // a portion are left to this VM.
 func (t *Table) delegate(at time.Time, c *call, out []effect.Effect) []effect.Effect {
-	if !t.wide(c) || c.event.Portion != nil || c.deadline.Sub(at) < delegateTime {
+	if t.start.Spread <= 0 || len(c.legs) < t.start.Spread || !c.scatter() || c.event.Portion != nil || c.deadline.Sub(at) < delegateTime {
 		return out
 	}
 	for _, p := range t.portionsOf(at, c.route) {
-		if d := t.helper(at, p.helpers); d != nil && d.ID != t.start.VM.ID {
+		if d := t.helper(at, p); d != nil && d.ID != t.start.VM.ID {
 			out = t.give(at, c, p.legs, d, out)
 		}
 	}
 	return out
 }
 
-// wide reports whether a request has enough shards to be spread over other VMs.
-func (t *Table) wide(c *call) bool {
-	return t.start.Spread > 0 && len(c.route.Shards) >= t.start.Spread
-}
-
 // give sends a portion to another VM.
 func (t *Table) give(at time.Time, c *call, legs []int, d *daemon, out []effect.Effect) []effect.Effect {
 	t.next++
--- a/core/proxy/pick.go
+++ b/core/proxy/pick.go
@@ -7,7 +7,7 @@
 )
 
 const (
-	defaultConns = 2    // connections to an upstream while the size of the fleet is not known
+	defaultConns = 2    // connections to an upstream while its limit or the size of the fleet is not known
 	mostConns    = 8    // connections to an upstream that a VM needs at the most
 	ownerConns   = 3    // the same where portions are spread, since few VMs then connect to an upstream
 	connsUsed    = 0.85 // part of the connections that the fleet may use
@@ -56,13 +56,26 @@
 	return false
 }
 
+// share is this VM's part of the connections that an upstream accepts, 0 while
+// the size of the fleet is not known.
+func (t *Table) share(h *host) float64 {
+	most := t.limits[h.upstream.Index].Conns
+	switch {
+	case t.fleet <= 0:
+		return 0
+	case most <= 0:
+		return defaultConns
+	default:
+		return connsUsed * float64(most) / float64(t.fleet)
+	}
+}
+
 // conns is how many connections this VM may hold to an upstream.
 func (t *Table) conns(h *host) int {
-	most := t.limits[h.upstream.Index].Conns
-	if most <= 0 || t.fleet <= 0 {
+	if t.limits[h.upstream.Index].Conns <= 0 || t.fleet <= 0 {
 		return defaultConns
 	}
-	share := int(connsUsed * float64(most) / float64(t.fleet))
+	share := int(t.share(h))
 	if len(t.spread.daemons) > 0 {
 		share = max(share, ownerConns)
 	}
--- a/core/proxy/spread.go
+++ b/core/proxy/spread.go
@@ -17,6 +17,7 @@
 // than the upstreams work, and merged records are fewer bytes between zones.
 const (
 	portionLegs   = 9               // shards of a portion at most
+	leastGroups   = 3               // groups of VMs in a zone, one of which a portion belongs to
 	avoidFailed   = 2 * time.Second // a VM that failed or is silent gets no portion for this long
 	avoidRefusing = 500 * time.Millisecond
 	avoidLate     = 500 * time.Millisecond // the same after an overdue portion, which proves little
@@ -35,6 +36,7 @@
 type portion struct {
 	legs    []int
 	helpers []*daemon // those that have connections to the upstreams; all of the zone when nobody is meant
+	zone    []*daemon // all of the zone
 }
 
 // spreading is what Table knows of the other entry VMs.
@@ -91,18 +93,21 @@
 	return d, ok
 }
 
-// helper draws one of the VMs that are not avoided, nil when there is none.
-func (t *Table) helper(at time.Time, helpers []*daemon) *daemon {
-	var usable []*daemon
-	for _, d := range helpers {
-		if !at.Before(d.avoid) {
-			usable = append(usable, d)
+// helper draws one of the VMs that are not avoided, another one of the zone when
+// all of them are, nil when there is none.
+func (t *Table) helper(at time.Time, p portion) *daemon {
+	for _, list := range [][]*daemon{p.helpers, p.zone} {
+		var usable []*daemon
+		for _, d := range list {
+			if !at.Before(d.avoid) {
+				usable = append(usable, d)
+			}
+		}
+		if len(usable) > 0 {
+			return usable[t.random.IntN(len(usable))]
 		}
 	}
-	if len(usable) == 0 {
-		return nil
-	}
-	return usable[t.random.IntN(len(usable))]
+	return nil
 }
 
 // avoid gives a VM no portions for a while, and tells the zone.
@@ -184,15 +189,28 @@
 		}
 		count := (len(legs) + portionLegs - 1) / portionLegs
 		size := (len(legs) + count - 1) / count
-		n := uint64(0)
+		groups := uint64(max(count, leastGroups))
+		n := t.zoneNumber()
 		for chunk := range slices.Chunk(legs, size) {
-			portions = append(portions, portion{legs: chunk, helpers: owners(helpers, n, uint64(count))})
+			portions = append(portions, portion{legs: chunk, helpers: owners(helpers, n%groups, groups), zone: helpers})
 			n++
 		}
 	}
 	return portions
 }
 
+// zoneNumber is the place of the own zone among all, so that the portions of
+// different zones belong to different VMs.
+func (t *Table) zoneNumber() uint64 {
+	n := uint64(0)
+	for zone := range t.spread.zones {
+		if zone < t.start.VM.Zone {
+			n++
+		}
+	}
+	return n
+}
+
 // owners returns the VMs to which one of several portions belongs, all of them
 // when it belongs to none. It depends only on the ids, so that VMs which come and
 // go change nothing for the others.
--- a/core/proxy/spread_test.go
+++ b/core/proxy/spread_test.go
@@ -125,13 +125,20 @@
 // them once in a while: after a power loss those of the earlier processes count,
 // too, and new ones are reset.
 func TestDirectAttemptsKeepConnectionsShortly(t *testing.T) {
+	if _, few := forwards(ask(wide(t), began, 1, nil)); len(few) == 0 || few[0].Keep != 0 {
+		t.Errorf("got %d attempts with a bound on idle connections in a small fleet, want none", len(few))
+	}
 	table := wide(t)
+	const fleet = 60 // as many as an upstream accepts connections
+	table.Roster(began, event.Roster{Stamp: 1, Read: began, Fleet: fleet}, nil)
 	_, direct := forwards(ask(table, began, 1, nil))
 	for _, f := range direct {
-		if f.Keep <= 0 || f.Keep > 2*time.Second {
-			t.Fatalf("got a connection to %s that may stay idle for %s, want 2s at most", f.Upstream, f.Keep)
+		if f.Keep <= 0 || f.Keep > time.Second {
+			t.Fatalf("got a connection to %s that may stay idle for %s, want 1s at most", f.Upstream, f.Keep)
 		}
 	}
+	table = wide(t)
+	table.Roster(began, event.Roster{Stamp: 1, Read: began, Fleet: fleet}, nil)
 	_, gathered := forwards(ask(table, began, 2, &model.Portion{Version: 1, Legs: []int{0, 1}}))
 	for _, f := range gathered {
 		if f.Keep != 0 {
--- a/core/proxy/step.go
+++ b/core/proxy/step.go
@@ -24,7 +24,7 @@
 	fewLegs      = 2                       // legs that a call may lack to have a claim on the last extra attempts
 	keptExtra    = 1                       // extra attempts kept for such calls
 	abandonAfter = 300 * time.Millisecond
-	strayIdle    = 2 * time.Second // of connections that this VM seldom uses
+	strayIdle    = 500 * time.Millisecond // of connections that this VM seldom uses
 )
 
 func versionText(version uint64) string { return "version " + strconv.FormatUint(version, 10) }
@@ -233,16 +233,16 @@
 	out = append(out, effect.Count{Counter: effect.CountAttempts, Reason: kind, N: 1})
 	return append(out, effect.Forward{
 		Attempt: a.id, Request: c.event.ID, Upstream: h.upstream.ID, Addr: h.upstream.Addr,
-		Timeout: c.deadline.Sub(at), Fresh: c.route.Once, Part: c.scatter(), Keep: t.keep(c),
+		Timeout: c.deadline.Sub(at), Fresh: c.route.Once, Part: c.scatter(), Keep: t.keep(c, h),
 	})
 }
 
 // keep returns how long the connection of an attempt may stay idle, 0 for no
-// bound. Of the shards of a wide request only those that a VM gathers for others
-// are asked often enough to be worth a connection of the few that an upstream
-// accepts.
-func (t *Table) keep(c *call) time.Duration {
-	if c.event.Portion == nil && t.wide(c) {
+// bound. Where an upstream accepts fewer connections than there are VMs, they are
+// for those that gather its shard for others and so use them often.
+func (t *Table) keep(c *call, h *host) time.Duration {
+	owned := c.event.Portion != nil && h.upstream.Zone == t.start.VM.Zone
+	if !owned && t.share(h) < 1 {
 		return strayIdle
 	}
 	return 0
