Count each entry VM once for its part of the extra attempts

Cause: each VM with a disk counted every entry VM that had sent it a digest, and the counts were added up. While VMs with disks were down the count was too low instead, 62 of 102, and parts too large for the bound.

The count is that of the distinct VMs in the lists that the VMs with disks tell each other. It is not known in the first 1.5 s after a start and shrinks after 15 s only. TestFleetCountsEachDaemonOnce (6 instead of 2) and TestFleetShrinksLate failed before.

--- a/core/frame/frame.go
+++ b/core/frame/frame.go
@@ -207,8 +207,7 @@
 type Roster struct {
 	Stamp     uint64        // of the content
 	Age       time.Duration // since it was read
-	Fleet     int           // daemons of the fleet as far as the sender knows
-	Daemons   int           // daemons that follow the sender
+	Fleet     int           // daemons of the fleet as far as the sender knows, 0 when it does not
 	Isolated  bool          // the sender hears no VM of another zone
 	Whole     bool          // Upstreams holds the content
 	Upstreams []model.Upstream
--- a/core/plane/daemons_test.go
+++ b/core/plane/daemons_test.go
@@ -1,6 +1,7 @@
 package plane_test
 
 import (
+	"fmt"
 	"net/netip"
 	"slices"
 	"testing"
@@ -79,3 +80,75 @@
 		t.Errorf("got %+v for the same list", again)
 	}
 }
+
+// fleetTold ticks until a second has passed and returns the size of the fleet that
+// a follower is told then.
+func fleetTold(f *enrolled, id model.VMID) int {
+	for range 5 {
+		f.tick(lookPeriod, event.TimerRoster)
+	}
+	f.c.Listed(f.now, event.Listed{Upstreams: []model.Upstream{{ID: "u"}}}, nil)
+	for _, tell := range all[effect.Tell](f.c.Peer(f.now, event.Peer{From: id, Message: frame.Digest{Gathers: netip.MustParseAddrPort("10.0.1.1:7741")}}, nil)) {
+		if m, ok := tell.Message.(frame.Roster); ok && tell.To == id {
+			return m.Fleet
+		}
+	}
+	return -1
+}
+
+// Guards against entry VMs that count twice because they ask several VMs with
+// disks, so that each gets less than its part of the extra attempts: 102 VMs
+// counted as 230 for seconds after a restart, and no late shard was asked again.
+func TestFleetCountsEachDaemonOnce(t *testing.T) {
+	f := newEnrolled(1)
+	found(f)
+	addr := netip.MustParseAddrPort("10.0.1.1:7741")
+	const id = model.VMID("10.0.1.1")
+	daemons := []model.Daemon{{ID: id, Zone: "a", Gathers: addr}, {ID: "10.0.1.2", Zone: "a", Gathers: addr}}
+	follow := func() {
+		for _, d := range daemons {
+			f.c.Peer(f.now, event.Peer{From: d.ID, Message: frame.Digest{Zone: d.Zone, Gathers: addr}}, nil)
+		}
+		for _, disk := range []model.VMID{"10.0.0.2", "10.0.0.3"} {
+			f.c.Peer(f.now, event.Peer{From: disk, Message: frame.Daemons{Daemons: daemons}}, nil)
+			f.c.Peer(f.now, event.Peer{From: disk, Message: frame.Roster{Fleet: 9}}, nil)
+		}
+	}
+	follow()
+	if got := fleetTold(f, id); got != 0 {
+		t.Errorf("got a fleet of %d in the first second, want none known", got)
+	}
+	for range 3 {
+		follow()
+		if got := fleetTold(f, id); f.now.Sub(began) > 2*time.Second && got != len(daemons) {
+			t.Errorf("got a fleet of %d, want %d", got, len(daemons))
+		}
+	}
+}
+
+// Guards against a part of the extra attempts that grows at once when daemons are
+// not heard for a moment, while they go on spending theirs.
+func TestFleetShrinksLate(t *testing.T) {
+	f := newEnrolled(1)
+	found(f)
+	addr := netip.MustParseAddrPort("10.0.1.1:7741")
+	const id = model.VMID("10.0.1.1")
+	f.now = f.now.Add(2 * time.Second)
+	for n := range 10 {
+		f.c.Peer(f.now, event.Peer{From: model.VMID(fmt.Sprintf("10.0.1.%d", n+1)), Message: frame.Digest{Zone: "a", Gathers: addr}}, nil)
+	}
+	if got := fleetTold(f, id); got != 10 {
+		t.Fatalf("got a fleet of %d, want 10", got)
+	}
+	for range 10 {
+		if got := fleetTold(f, id); got != 10 {
+			t.Errorf("got a fleet of %d after %s, want 10 still", got, f.now.Sub(began))
+		}
+	}
+	for range 10 {
+		fleetTold(f, id)
+	}
+	if got := fleetTold(f, id); got != 1 {
+		t.Errorf("got a fleet of %d after %s with one daemon, want 1", got, f.now.Sub(began))
+	}
+}
--- a/core/plane/roster.go
+++ b/core/plane/roster.go
@@ -21,8 +21,9 @@
 	othersRead    = 1600 * time.Millisecond
 	readsApart    = 150 * time.Millisecond // between the VMs that would read in the leader's place
 	readTimeout   = 2 * time.Second
-	listenerQuiet = 4 * time.Second // after which a VM no longer counts as a listener
-	maxFleetDelay = 5 * time.Second // after which another VM's count of listeners is dropped
+	listenerQuiet = 4 * time.Second         // after which a VM no longer counts as a listener
+	fleetSettle   = 1500 * time.Millisecond // after a start, when not all daemons are known yet
+	fleetHold     = 15 * time.Second        // for which a larger count of daemons stays in force
 )
 
 // roster is the list of upstreams as last read, by this VM or another one. The
@@ -36,14 +37,8 @@
 	failing   bool
 	ignored   int                      // entries left out of the last read
 	listeners map[model.VMID]time.Time // daemons that follow this VM, by their last digest
-	counts    map[model.VMID]counted
-	fleet     int // daemons as last published
-}
-
-// counted is how many daemons follow another VM.
-type counted struct {
-	daemons int
-	at      time.Time
+	fleet     int                      // daemons as last published, 0 when not known
+	counted   time.Time                // when there were last as many
 }
 
 func (c *Control) startRoster(at time.Time, out []effect.Effect) []effect.Effect {
@@ -119,14 +114,13 @@
 	}
 	r.read = read
 	stamp := stampOf(upstreams)
-	fleet := c.countFleet(at)
 	changed := stamp != r.stamp
 	if changed {
 		out = append(out, effect.Note{At: at, Subject: "roster", Action: "changed", Cause: rosterDifference(r.upstreams, upstreams)})
 	}
-	r.upstreams, r.stamp, r.fleet = upstreams, stamp, fleet
+	r.upstreams, r.stamp, r.fleet = upstreams, stamp, c.countFleet(at)
 	out = append(out, effect.ToTraffic{
-		Loop: effect.AllLoops, Body: event.Roster{Upstreams: upstreams, Stamp: stamp, Read: read, Fleet: fleet},
+		Loop: effect.AllLoops, Body: event.Roster{Upstreams: upstreams, Stamp: stamp, Read: read, Fleet: r.fleet},
 	})
 	if !changed {
 		return out
@@ -137,19 +131,24 @@
 	return out
 }
 
-// countFleet adds up the daemons that follow this VM and those that follow
-// others.
+// countFleet counts the daemons that follow this VM or another one. Each has a
+// part of fleet-wide bounds, so that it is worse to count too few: a VM that has
+// just started knows no number, and a lower one counts only after a while.
 func (c *Control) countFleet(at time.Time) int {
-	if !c.start.VM.Disk {
-		return c.roster.fleet
+	r := &c.roster
+	if !c.start.VM.Disk || at.Sub(c.start.Began) < fleetSettle {
+		return r.fleet
 	}
-	n := len(c.following(at))
-	for _, other := range c.roster.counts {
-		if at.Sub(other.at) < maxFleetDelay {
-			n += other.daemons
+	n := len(c.daemons.all(at))
+	for _, id := range c.following(at) {
+		if _, gathers := c.daemons.own[id]; !gathers {
+			n++
 		}
 	}
-	return n
+	if n >= r.fleet || at.Sub(r.counted) >= fleetHold {
+		r.fleet, r.counted = n, at
+	}
+	return r.fleet
 }
 
 // following lists the daemons that follow this VM, ascending by id.
@@ -168,7 +167,7 @@
 
 func (c *Control) rosterFrame(at time.Time, whole bool) frame.Roster {
 	r := &c.roster
-	f := frame.Roster{Stamp: r.stamp, Age: max(0, at.Sub(r.read)), Fleet: r.fleet, Daemons: len(r.listeners), Isolated: c.outside.isolated}
+	f := frame.Roster{Stamp: r.stamp, Age: max(0, at.Sub(r.read)), Fleet: r.fleet, Isolated: c.outside.isolated}
 	if whole {
 		f.Whole, f.Upstreams = true, r.upstreams
 	}
@@ -207,12 +206,7 @@
 		}
 	case frame.Roster:
 		out = c.told(from, m.Isolated, out)
-		if c.start.VM.Disk {
-			if r.counts == nil {
-				r.counts = make(map[model.VMID]counted)
-			}
-			r.counts[from] = counted{daemons: m.Daemons, at: at}
-		} else {
+		if !c.start.VM.Disk && m.Fleet > 0 {
 			r.fleet = m.Fleet
 		}
 		switch {
--- a/core/proxy/pace.go
+++ b/core/proxy/pace.go
@@ -14,8 +14,8 @@
 	firstTypical = 8    // part of the objective assumed before the first answer
 	lateHedge    = 0.92 // quantile of the latencies after which an attempt is hedged when few extra attempts are left
 	earlyHedge   = 0.8  // the same when the allowance is full, since it cannot be saved up
-	firstHedge   = 4    // part of the objective used before the quantile is known
-	latestHedge  = 2.5  // part of the objective after which a hedge comes too late
+	firstWait    = 4    // part of the objective after which the first frame of a portion leaves before the quantile is known
+	latestHedge  = 2.5  // part of the objective after which a hedge comes too late; also used before the quantile is known, when this VM itself is slow
 	singleHedge  = 0.95 // quantile for a request to one upstream
 )
 
@@ -71,11 +71,11 @@
 // hedge returns how long an attempt may take before it is hedged, when a share
 // of the allowance for extra attempts is left.
 func (p *pace) hedge(r *model.Route, left float64) time.Duration {
-	delay := objective(r) / firstHedge
-	if p.late > 0 {
-		delay = p.late - time.Duration(left*float64(p.late-p.early))
+	latest := time.Duration(float64(objective(r)) / latestHedge)
+	if p.late == 0 {
+		return latest
 	}
-	return min(delay, time.Duration(float64(objective(r))/latestHedge))
+	return min(latest, p.late-time.Duration(left*float64(p.late-p.early)))
 }
 
 // first returns how long the first frame of a portion waits for answers.
@@ -83,7 +83,7 @@
 	if p.most > 0 {
 		return p.most
 	}
-	return objective(r) / firstHedge
+	return objective(r) / firstWait
 }
 
 // objective returns the latency objective of a route, or a part of its timeout
