Use more of the bound on extra attempts, and hedge a little later

Parts were then used badly: a hedge needed two attempts left of 2.1, and one attempt in five was hedged early while the part was full.

Changes: 0.9 of the fixed number and 0.95 of the share (0.8, 0.9), a reserve of 0.4 instead of 1 attempt, hedges after the quantiles 0.87 to 0.95 (0.8 to 0.92), connections that are seldom used idle for 3 s.

--- a/core/proxy/pace.go
+++ b/core/proxy/pace.go
@@ -12,8 +12,8 @@
 	typicalGain  = 0.05
 	typicalCap   = 4    // a latency counts for at most this many typical ones
 	firstTypical = 8    // part of the objective assumed before the first answer
-	lateHedge    = 0.92 // quantile of the latencies after which an attempt is hedged when few extra attempts are left
-	earlyHedge   = 0.8  // the same when the allowance is full, since it cannot be saved up
+	lateHedge    = 0.95 // quantile of the latencies after which an attempt is hedged when few extra attempts are left
+	earlyHedge   = 0.87 // the same when the allowance is full, since it cannot be saved up
 	firstWait    = 4    // part of the objective after which the first frame of a portion leaves before the quantile is known
 	latestHedge  = 2.5  // part of the objective after which a hedge comes too late; also used before the quantile is known, when this VM itself is slow
 	singleHedge  = 0.95 // quantile for a request to one upstream
--- a/core/proxy/step.go
+++ b/core/proxy/step.go
@@ -22,9 +22,9 @@
 	recheck      = 8 * time.Millisecond    // until the allowance for extra attempts is looked at again
 	giveUpAfter  = 12 * time.Millisecond   // without an allowance, when the call cannot succeed without the leg
 	fewLegs      = 2                       // legs that a call may lack to have a claim on the last extra attempts
-	keptExtra    = 1                       // extra attempts kept for such calls
+	keptExtra    = 0.4                     // extra attempts kept for such calls, of the two or three that a VM of a large fleet has
 	abandonAfter = 300 * time.Millisecond
-	strayIdle    = 500 * time.Millisecond // of connections that this VM seldom uses
+	strayIdle    = 3 * time.Second // of connections that this VM seldom uses
 )
 
 func versionText(version uint64) string { return "version " + strconv.FormatUint(version, 10) }
--- a/core/proxy/table.go
+++ b/core/proxy/table.go
@@ -15,9 +15,9 @@
 // Parts of the bounds on extra attempts that are used, so that the sum over the
 // fleet stays below them.
 const (
-	ratioUsed    = 0.9
-	extraUsed    = 0.8
-	defaultExtra = 2 // attempts of one VM while the size of the fleet is not known
+	ratioUsed    = 0.95
+	extraUsed    = 0.9
+	defaultExtra = 2.5 // attempts of one VM while the size of the fleet is not known
 	mostExtra    = 8
 	sweepPeriod  = 100 * time.Millisecond
 )
--- /dev/null
+++ b/core/retry/allowance_test.go
@@ -0,0 +1,63 @@
+package retry_test
+
+import (
+	"testing"
+
+	"pgregory.net/rapid"
+
+	"comfreypulley/core/retry"
+)
+
+// Guards against a fleet whose VMs each keep to their part and together exceed
+// the bound on extra attempts in some span of time.
+func TestAllowancesOfAFleetKeepToItsBound(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		const ratio, most = 0.2, 40.0
+		vms := rapid.IntRange(1, 30).Draw(t, "vms")
+		fleet := make([]retry.Allowance, vms)
+		for i := range fleet {
+			fleet[i].Limit(ratio, most/float64(vms))
+		}
+		type count struct{ first, extra float64 }
+		var steps []count
+		for range rapid.IntRange(1, 40).Draw(t, "steps") {
+			var c count
+			for i := range fleet {
+				for range rapid.IntRange(0, 3).Draw(t, "first") {
+					fleet[i].Earn()
+					c.first++
+				}
+				for range rapid.IntRange(0, 3).Draw(t, "extra") {
+					if fleet[i].Spend() {
+						c.extra++
+					}
+				}
+			}
+			steps = append(steps, c)
+		}
+		for i := range steps {
+			var sum count
+			for _, c := range steps[i:] {
+				sum.first, sum.extra = sum.first+c.first, sum.extra+c.extra
+				if bound := ratio*sum.first + most; sum.extra > bound+1e-6 {
+					t.Fatalf("got %.0f extra attempts beside %.0f first ones, want %.1f at most", sum.extra, sum.first, bound)
+				}
+			}
+		}
+	})
+}
+
+// Guards against processes that restart and spend the whole of their part again
+// within the same span of time.
+func TestAllowanceBeginsWithAPart(t *testing.T) {
+	const most = 10.0
+	var a retry.Allowance
+	a.Limit(0.2, most)
+	n := 0
+	for a.Spend() {
+		n++
+	}
+	if n == 0 || n > 0.7*most {
+		t.Errorf("got %d extra attempts at the start, want some and at most 0.7 of %.0f", n, most)
+	}
+}
