Let a process that has run for a window have all its extra attempts

The part is held back only in the first window after the start of the process, which the settings state.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -50,6 +50,7 @@
 	Ratio   float64         // extra attempts as a share of the requests for a service, over the fleet
 	Speed   float64         // processor of the VM, in cores; 0 when not known
 	Extra   int             // extra attempts for a service beyond that, over the fleet
+	Window  time.Duration   // span of time in which extra attempts are counted
 	Gathers netip.AddrPort  // where this VM takes portions of other VMs' requests; zero when it takes none
 	Spread  int             // shards of a request from which other VMs gather portions of it; 0 means never
 	Losses  int             // disks that may be lost at once in a fleet that enrols
--- a/core/proxy/step.go
+++ b/core/proxy/step.go
@@ -61,7 +61,7 @@
 	}
 	for _, service := range t.target(route) {
 		c.legs = append(c.legs, &leg{service: service, ran: model.RanNo})
-		t.allowance(service).Earn()
+		t.allowance(at, service).Earn()
 	}
 	t.calls[e.ID] = c
 	out = t.delegate(at, c, out)
@@ -152,7 +152,7 @@
 		}
 		return out
 	}
-	if l.arrivals() > 0 && !t.spend(c, l) {
+	if l.arrivals() > 0 && !t.spend(at, c, l) {
 		if l.pending == 0 && l.blocked.IsZero() {
 			l.blocked = at
 		}
@@ -165,8 +165,8 @@
 
 // spend takes an extra attempt from the allowance of the leg's service. The
 // last ones are kept for calls that fail without them and need few.
-func (t *Table) spend(c *call, l *leg) bool {
-	a := t.allowance(l.service)
+func (t *Table) spend(at time.Time, c *call, l *leg) bool {
+	a := t.allowance(at, l.service)
 	least := 1.0
 	if lacking := c.lacking(); l.pending > 0 || lacking <= 0 || lacking > fewLegs {
 		least += keptExtra
@@ -190,19 +190,19 @@
 	if l.pending == 0 {
 		return true
 	}
-	return !at.Before(t.hedgeDue(c, l))
+	return !at.Before(t.hedgeDue(at, c, l))
 }
 
 // hedgeDue returns when the last attempt of a leg is hedged: when it takes
 // longer than most, and no other part of the call has come for a while. As long
 // as parts come one after the other, the missing ones wait for this VM's own
 // link or processor, which a hedge would load further.
-func (t *Table) hedgeDue(c *call, l *leg) time.Time {
+func (t *Table) hedgeDue(at time.Time, c *call, l *leg) time.Time {
 	last := l.tries[len(l.tries)-1]
 	if g := last.delegation; g != nil && !g.heard && last.outcome == "" {
 		return t.delegationDue(g)
 	}
-	due := last.sent.Add(c.pace.hedge(c.route, t.allowance(l.service).Share()))
+	due := last.sent.Add(c.pace.hedge(c.route, t.allowance(at, l.service).Share()))
 	if flow := c.flow.Add(flowGap); c.scatter() && flow.After(due) {
 		return flow
 	}
@@ -263,7 +263,7 @@
 			if c.route.Once {
 				continue
 			}
-			if hedge := t.hedgeDue(c, l); hedge.After(next) {
+			if hedge := t.hedgeDue(at, c, l); hedge.After(next) {
 				next = hedge
 			}
 		}
--- a/core/proxy/table.go
+++ b/core/proxy/table.go
@@ -19,6 +19,7 @@
 	extraUsed    = 0.9
 	defaultExtra = 2.5 // attempts of one VM while the size of the fleet is not known
 	mostExtra    = 8
+	firstExtra   = 0.6 // part of its extra attempts with which a process starts
 	sweepPeriod  = 100 * time.Millisecond
 )
 
@@ -134,12 +135,17 @@
 	return ratioUsed * t.start.Ratio, most
 }
 
-// allowance returns the extra attempts of a service.
-func (t *Table) allowance(service string) *retry.Allowance {
+// allowance returns the extra attempts of a service. A process that has just
+// started begins with a part of them, because the one before it may have spent
+// the whole in the same span of time.
+func (t *Table) allowance(at time.Time, service string) *retry.Allowance {
 	a, ok := t.extras[service]
 	if !ok {
 		a = &retry.Allowance{}
 		a.Limit(t.extra())
+		if at.Sub(t.start.Began) < t.start.Window {
+			a.Begin(firstExtra)
+		}
 		t.extras[service] = a
 	}
 	return a
--- a/core/retry/allowance.go
+++ b/core/retry/allowance.go
@@ -3,9 +3,7 @@
 // Allowance bounds the extra attempts of one service in every span of time: to
 // a share of the first attempts in it and a fixed number more. Unlike a Budget
 // it saves nothing up, so that the sum over a fleet keeps to a fleet-wide bound
-// when each VM has a part of the fixed number. It begins with a part of that,
-// because a process that starts does not know what the one before it spent. The
-// zero value allows none.
+// when each VM has a part of the fixed number. The zero value allows none.
 type Allowance struct {
 	ratio  float64
 	most   float64
@@ -13,18 +11,18 @@
 	set    bool
 }
 
-// firstPart of the fixed number is there at the beginning.
-const firstPart = 0.6
-
 // Limit sets the share of first attempts, 0 to 1, and the fixed number.
 func (a *Allowance) Limit(ratio, most float64) {
 	if !a.set {
-		a.tokens, a.set = firstPart*most, true
+		a.tokens, a.set = most, true
 	}
 	a.ratio, a.most = ratio, most
 	a.tokens = min(a.tokens, most)
 }
 
+// Begin leaves a part of the fixed number, 0 to 1.
+func (a *Allowance) Begin(part float64) { a.tokens = min(a.tokens, part*a.most) }
+
 // Earn adds the share of a first attempt.
 func (a *Allowance) Earn() {
 	a.tokens = min(a.tokens+a.ratio, a.most)
--- a/core/soak/config.go
+++ b/core/soak/config.go
@@ -14,8 +14,9 @@
 	Zones    int // VMs and upstreams alternate between the zones
 	Grace    time.Duration
 	Ratio    float64 // extra attempts as a share of the requests for a service
-	Extra    int     // extra attempts for a service beyond that, in a budget window
-	Hosts    []Host  // upstreams
+	Extra    int     // extra attempts for a service beyond that, in a window
+	Window   time.Duration
+	Hosts    []Host // upstreams
 }
 
 // Host is an upstream.
@@ -32,7 +33,6 @@
 	goneSlack     = 500 * time.Millisecond // from a caller's end to that of the work for it
 	lossSlack     = 200 * time.Millisecond // from a request's last byte until it counts as read
 	timeoutSlack  = 500 * time.Millisecond // from a route's timeout to the last answer
-	budgetWindow  = 10 * time.Second
 	recoverWithin = 12 * time.Second
 )
 
--- a/core/soak/end.go
+++ b/core/soak/end.go
@@ -50,16 +50,16 @@
 		within := func(times []time.Time, from time.Time) int {
 			n := 0
 			for _, at := range times {
-				if !at.Before(from) && at.Before(from.Add(budgetWindow)) {
+				if !at.Before(from) && at.Before(from.Add(s.cfg.Window)) {
 					n++
 				}
 			}
 			return n
 		}
 		for _, from := range extra {
-			requests := max(within(sent, from), within(sent, from.Add(-budgetWindow)), within(sent, from.Add(-budgetWindow/2)))
+			requests := max(within(sent, from), within(sent, from.Add(-s.cfg.Window)), within(sent, from.Add(-s.cfg.Window/2)))
 			if n, bound := within(extra, from), s.cfg.Ratio*float64(requests)+float64(s.cfg.Extra); float64(n) > bound {
-				s.find("BUDGET", "service %s got %d further attempts in %v, more than %.1f", service, n, budgetWindow, bound)
+				s.find("BUDGET", "service %s got %d further attempts in %v, more than %.1f", service, n, s.cfg.Window, bound)
 				break
 			}
 		}
--- a/io/serve/resident.go
+++ b/io/serve/resident.go
@@ -187,7 +187,7 @@
 	now := time.Now()
 	start := event.Start{
 		VM: r.site.VM, Seed: uint64(now.UnixNano()), Began: now, Loops: 1, Enrols: true, Losses: r.site.Losses,
-		Ratio: r.site.Ratio, Extra: r.site.Extra, Speed: r.site.Speed, Peers: r.site.Seeds,
+		Ratio: r.site.Ratio, Extra: r.site.Extra, Window: r.site.Window, Speed: r.site.Speed, Peers: r.site.Seeds,
 		Gathers: r.site.Gathers, Spread: r.site.Spread,
 	}
 	if r.site.Founding {
--- a/io/serve/site.go
+++ b/io/serve/site.go
@@ -30,6 +30,7 @@
 	Grace    time.Duration // from the request to stop until the process is killed
 	Ratio    float64       // extra attempts as a share of the requests for a service
 	Extra    int           // extra attempts for a service beyond that
+	Window   time.Duration // in which the extra attempts are counted
 	Ignored  []string      // settings that make no sense and are left out
 	Dialect  *proxy.Dialect
 	Lister   Lister
--- a/io/soak/soak.go
+++ b/io/soak/soak.go
@@ -35,7 +35,8 @@
 	grace    = 3 * time.Second
 	ratio    = 0.2
 	extra    = 40
-	spread   = 3 // shards from which portions go to other entry VMs
+	window   = 10 * time.Second // in which extra attempts are counted
+	spread   = 3                // shards from which portions go to other entry VMs
 )
 
 // Upstreams.
@@ -127,7 +128,7 @@
 	now := time.Now()
 	s.state = soak.New(soak.Config{
 		Seed: s.Seed, Period: s.Period, Began: now, Controls: controls, Entries: entries, Zones: zones,
-		Grace: grace, Ratio: ratio, Extra: extra, Hosts: soak.Services(),
+		Grace: grace, Ratio: ratio, Extra: extra, Window: window, Hosts: soak.Services(),
 	})
 	if err := s.carry(s.state.Start(now)); err != nil {
 		return report, err
--- a/io/soak/vm.go
+++ b/io/soak/vm.go
@@ -70,7 +70,7 @@
 		soak: s, number: n, file: filepath.Join(s.Folder, name+".conf"), log: filepath.Join(s.Folder, name+".log"),
 		site: serve.Site{
 			VM:      model.VM{ID: model.VMID(ip.String()), Zone: model.Zone(fmt.Sprintf("z%d", zone)), Peer: at(peerPort), Disk: control},
-			Peering: at(listenPort), Metrics: at(metricsPort), Losses: losses, Grace: grace, Ratio: ratio, Extra: extra,
+			Peering: at(listenPort), Metrics: at(metricsPort), Losses: losses, Grace: grace, Ratio: ratio, Extra: extra, Window: window,
 		},
 	}
 	if v.peers, err = s.open(at(peerPort), v.site.Peering); err != nil {
