Avoid an upstream longer each time that it is found slow again

Change: within ten seconds one slow answer is enough, and the reports fade over twice the time, up to eight times.

Ruled out: hedges of overdue portions that go to the upstream which the other VM asked. An overdue portion tells of that VM rather than of its upstreams.

--- a/core/proxy/choice_test.go
+++ b/core/proxy/choice_test.go
@@ -243,3 +243,40 @@
 		t.Errorf("got %d hedges in the first second and %d after the window, want fewer at first, but some", early, late)
 	}
 }
+
+// Guards against an upstream that stays slow and is tried again by all VMs of the
+// zone each time that its last reports fade: it was in use for a third of the time.
+func TestSlowUpstreamIsAvoidedLonger(t *testing.T) {
+	const usual = 15 * time.Millisecond
+	b := newBench(model.Route{
+		Name: "r", Host: "h", Prefix: "/", Attempts: 1, Timeout: time.Second, Objective: 100 * time.Millisecond,
+		Targets: []model.Target{{Service: "s", Weight: 1}},
+	}, "s")
+	for range 20 {
+		b.answer(b.call()[0], usual)
+	}
+	report := func() { b.table.Hint(b.now, event.Hint{Upstream: "s/a", Held: 150 * time.Millisecond}, nil) }
+	// avoided returns for how long the upstream is not chosen.
+	avoided := func() time.Duration {
+		began := b.now
+		for b.now.Sub(began) < 20*time.Second {
+			b.now = b.now.Add(200 * time.Millisecond)
+			f := b.call()[0]
+			if f.Upstream == "s/a" {
+				b.table.Failed(b.now, event.Failed{Attempt: f.Attempt, Reason: model.FailedCancelled}, nil)
+				break
+			}
+			b.answer(f, usual)
+		}
+		return b.now.Sub(began)
+	}
+	report()
+	b.now = b.now.Add(300 * time.Millisecond)
+	report()
+	first := avoided()
+	report() // one VM has tried it again
+	second := avoided()
+	if first < 500*time.Millisecond || second < 3*first/2 {
+		t.Errorf("got it avoided for %s after two reports and for %s after a third, want longer", first, second)
+	}
+}
--- a/core/proxy/hint.go
+++ b/core/proxy/hint.go
@@ -17,7 +17,9 @@
 	hintPause  = 500 * time.Millisecond // between two hints of this VM about one upstream
 	apartLeast = 200 * time.Millisecond // between two hints about slow answers; a pause is shorter
 	apartMost  = 2 * time.Second        // and less than the time between two pauses
-	hintFade   = 1500 * time.Millisecond
+	hintFade   = 1500 * time.Millisecond // doubles each time that the upstream is bad again
+	hintAgain  = 10 * time.Second        // within which it is
+	mostAgain  = 3
 	hintCost   = 25 * time.Millisecond
 )
 
@@ -26,6 +28,7 @@
 	told  time.Time // last hint of this VM
 	first time.Time // hint that a second one would confirm
 	bad   time.Time // when the upstream was last reported as slow or silent
+	again int       // how often it was once the report before had faded
 }
 
 // cost is the expected loss of time by the reports.
@@ -33,19 +36,42 @@
 	if r.bad.IsZero() {
 		return 0
 	}
-	return time.Duration(float64(hintCost) * math.Exp(-float64(at.Sub(r.bad))/float64(hintFade)))
+	return time.Duration(float64(hintCost) * math.Exp(-float64(at.Sub(r.bad))/float64(r.fade())))
 }
 
-// hear takes a hint. A single slow answer proves nothing: it may end a pause.
+// fade is the time in which a report loses most of its weight.
+func (r *reports) fade() time.Duration { return hintFade << r.again }
+
+// relapsed reports whether a slow answer now is one of an upstream that was bad
+// some time ago and is used again.
+func (r *reports) relapsed(at time.Time) bool {
+	since := at.Sub(r.bad)
+	return !r.bad.IsZero() && since >= r.fade()/2 && since < r.fade()+hintAgain
+}
+
+// confirm notes that the upstream is bad.
+func (r *reports) confirm(at time.Time) {
+	switch {
+	case r.relapsed(at):
+		r.again = min(r.again+1, mostAgain)
+	case r.bad.IsZero() || at.Sub(r.bad) >= r.fade():
+		r.again = 0
+	}
+	r.bad = at
+}
+
+// hear takes a hint. A single slow answer proves nothing, unless the upstream was
+// bad before: it may end a pause.
 func (r *reports) hear(at time.Time, sure bool) {
 	apart := at.Sub(r.first)
 	switch {
-	case sure:
-		r.bad = at
+	case sure || r.relapsed(at):
+		r.confirm(at)
 	case apart > apartMost:
 		r.first = at
 	case apart >= apartLeast:
-		r.bad, r.first = at, at
+		r.confirm(at)
+		r.first = at
 	}
 }
 
