Take portions while draining and just after a change of the document

A VM that drains refused them for seconds while the others went on asking it, and a VM that had a new document refused those of VMs 25 ms behind it.

Changes: a draining VM takes portions until it refuses requests, and tells the VMs with disks at once that it leaves; a portion of a document that was replaced within 150 ms is taken. The bound keeps a VM from going back behind a version that upstreams have seen of it.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -61,6 +61,10 @@
 // report effect.Drained.
 type Drain struct{}
 
+// Leave tells the control state that this process is about to end, so that other
+// VMs give it no more portions.
+type Leave struct{}
+
 // Timer tells that a timer set by effect.SetTimer is due.
 type Timer struct{ ID TimerID }
 
@@ -91,4 +95,5 @@
 
 func (Start) body() {}
 func (Drain) body() {}
+func (Leave) body() {}
 func (Timer) body() {}
--- a/core/node/state.go
+++ b/core/node/state.go
@@ -24,6 +24,8 @@
 		return s.begin(ev.At, body, out)
 	case event.Drain:
 		return s.drain(ev.At, out)
+	case event.Leave:
+		return s.control.Leave(ev.At, out)
 	case event.Timer:
 		return s.timer(ev.At, body.ID, out)
 	case event.Request, event.Call, event.Gone:
--- a/core/plane/daemons.go
+++ b/core/plane/daemons.go
@@ -4,6 +4,7 @@
 	"cmp"
 	"hash/fnv"
 	"maps"
+	"net/netip"
 	"slices"
 	"time"
 
@@ -39,9 +40,19 @@
 	at      time.Time
 }
 
-// follow notes an entry VM that follows this one.
+// Leave takes this VM out of the list of those that take portions.
+func (c *Control) Leave(at time.Time, out []effect.Effect) []effect.Effect {
+	c.start.Gathers = netip.AddrPort{}
+	if c.tree == nil {
+		return out
+	}
+	return c.seal(len(out), c.tree.Timer(at, out)) // the digests say so
+}
+
+// follow notes an entry VM that follows this one, unless it takes no portions.
 func (d *daemons) follow(daemon model.Daemon) {
 	if !daemon.Gathers.IsValid() {
+		delete(d.own, daemon.ID)
 		return
 	}
 	if d.own == nil {
--- a/core/plane/daemons_test.go
+++ b/core/plane/daemons_test.go
@@ -152,3 +152,37 @@
 		t.Errorf("got a fleet of %d after %s with one daemon, want 1", got, f.now.Sub(began))
 	}
 }
+
+// Guards against portions for a VM that is about to end: it says so at once, and
+// the others are told.
+func TestLeavingDaemonIsTakenOut(t *testing.T) {
+	f := newEnrolled(1)
+	found(f)
+	f.now = f.now.Add(2 * time.Second)
+	addr := netip.MustParseAddrPort("10.0.1.1:7741")
+	for _, id := range []model.VMID{"10.0.1.1", "10.0.1.2"} {
+		f.c.Peer(f.now, event.Peer{From: id, Message: frame.Digest{Zone: "a", Gathers: addr}}, nil)
+	}
+	f.tick(lookPeriod, event.TimerRoster)
+	f.c.Peer(f.now, event.Peer{From: "10.0.1.1", Message: frame.Digest{}}, nil)
+	var told []model.Daemon
+	for range 3 {
+		for _, tell := range all[effect.Tell](f.tick(lookPeriod, event.TimerRoster)) {
+			if m, ok := tell.Message.(frame.Daemons); ok && tell.To == "10.0.1.2" {
+				told = m.Daemons
+			}
+		}
+	}
+	if len(told) != 1 || told[0].ID != "10.0.1.2" {
+		t.Errorf("the other VM is told %v, want itself alone", told)
+	}
+
+	var c plane.Control
+	tree := &fakeTree{}
+	c.Distribute(tree)
+	c.Start(began, event.Start{Role: event.RoleControl, VM: model.VM{ID: "10.0.1.1", Zone: "a"}, Began: began, Enrols: true, Gathers: addr}, nil)
+	c.Leave(began, nil)
+	if tree.timers != 1 {
+		t.Errorf("got %d rounds of digests when the VM leaves, want 1 at once", tree.timers)
+	}
+}
--- a/core/proxy/gather.go
+++ b/core/proxy/gather.go
@@ -26,10 +26,10 @@
 
 // narrow turns a call for another VM's portion into one over its shards, with a
 // single attempt for each: the other VM makes the second one. It reports false
-// when the portion is not one of the document in force.
+// when the portion is not one of the document.
 func (t *Table) narrow(c *call) bool {
 	p := c.event.Portion
-	if p.Version != t.document.Version || !c.scatter() {
+	if !c.scatter() {
 		return false
 	}
 	route := *c.route
--- a/core/proxy/hint.go
+++ b/core/proxy/hint.go
@@ -12,11 +12,11 @@
 // What VMs of a zone tell each other of upstreams. One VM sees an upstream
 // about once a second, all together see it many times.
 const (
-	slowFactor = 3                      // times the expected latency, after which an answer is told
-	slowLeast  = 30 * time.Millisecond  // beyond the expected latency, below which nothing is told
-	hintPause  = 500 * time.Millisecond // between two hints of this VM about one upstream
-	apartLeast = 200 * time.Millisecond // between two hints about slow answers; a pause is shorter
-	apartMost  = 2 * time.Second        // and less than the time between two pauses
+	slowFactor = 3                       // times the expected latency, after which an answer is told
+	slowLeast  = 30 * time.Millisecond   // beyond the expected latency, below which nothing is told
+	hintPause  = 500 * time.Millisecond  // between two hints of this VM about one upstream
+	apartLeast = 200 * time.Millisecond  // between two hints about slow answers; a pause is shorter
+	apartMost  = 2 * time.Second         // and less than the time between two pauses
 	hintFade   = 1500 * time.Millisecond // doubles each time that the upstream is bad again
 	hintAgain  = 10 * time.Second        // within which it is
 	mostAgain  = 3
--- a/core/proxy/spread_test.go
+++ b/core/proxy/spread_test.go
@@ -362,6 +362,21 @@
 	}
 }
 
+// Guards against portions that are refused after each change because the other VM
+// does not have the document yet.
+func TestPortionOfAnEarlierDocumentIsTaken(t *testing.T) {
+	table := wide(t)
+	table.View(began, event.View{Topology: &model.Topology{Document: &model.Document{Version: 2}}}, nil)
+	out := ask(table, began, 1, &model.Portion{Version: 1, Legs: []int{3}})
+	if _, direct := forwards(out); len(direct) != 1 {
+		t.Errorf("got %d attempts and %+v for a portion of the document before, want 1", len(direct), refusal(out))
+	}
+	const late = 200 * time.Millisecond // upstreams have seen the new version for so long
+	if _, direct := forwards(ask(table, began.Add(late), 2, &model.Portion{Version: 1, Legs: []int{3}})); len(direct) != 0 {
+		t.Errorf("got %d attempts for a portion of a document replaced %s ago", len(direct), late)
+	}
+}
+
 // Guards against a helper that stays with an upstream which sheds, since bytes
 // from another zone are charged.
 func TestFailingUpstreamIsNotPreferredForItsZone(t *testing.T) {
--- a/core/proxy/step.go
+++ b/core/proxy/step.go
@@ -34,7 +34,14 @@
 	if t.document == nil || !t.listed {
 		return t.refuseEarly(e, nil, model.RefusedStale, out)
 	}
-	route := t.routes.find(e.Host, e.Path)
+	version, known := t.document.Version, &t.routes
+	if e.Portion != nil {
+		version = e.Portion.Version
+		if known = t.routesOf(at, version); known == nil {
+			return t.refuseEarly(e, nil, model.RefusedStale, out)
+		}
+	}
+	route := known.find(e.Host, e.Path)
 	switch {
 	case route == nil:
 		return t.refuseEarly(e, nil, model.RefusedRoute, out)
@@ -44,7 +51,7 @@
 		return t.refuseEarly(e, route, model.RefusedQuarantine, out)
 	}
 	c := &call{
-		event: e, route: route, pace: t.pace(route), version: t.document.Version, arrived: at, flow: at, roster: at.Sub(t.read),
+		event: e, route: route, pace: t.pace(route), version: version, arrived: at, flow: at, roster: at.Sub(t.read),
 	}
 	wait := route.Timeout
 	if e.Wait > 0 {
--- a/core/proxy/table.go
+++ b/core/proxy/table.go
@@ -23,6 +23,21 @@
 	sweepPeriod  = 100 * time.Millisecond
 )
 
+// Documents that were in force are kept for the portions of VMs that do not have
+// the present one yet, which they get within some 50 ms. Later, a portion would
+// have this VM go back behind a version that upstreams have seen of it.
+const (
+	earlierFor  = 150 * time.Millisecond
+	mostEarlier = 3
+)
+
+// generation is a document that was in force.
+type generation struct {
+	version uint64
+	routes  routes
+	until   time.Time // no portion of it after
+}
+
 // Table is the state of the traffic along routes. The zero value refuses every
 // call until it has a document and a list of upstreams.
 type Table struct {
@@ -30,6 +45,7 @@
 	random    *rand.Rand
 	document  *model.Document
 	routes    routes
+	earlier   []generation // oldest first
 	limits    map[string]model.Service
 	read      time.Time // when the list of upstreams was read
 	listed    bool
@@ -72,6 +88,10 @@
 	if d == nil || t.document != nil && d.Version <= t.document.Version {
 		return out
 	}
+	if t.document != nil {
+		t.earlier = append(t.earlier, generation{version: t.document.Version, routes: t.routes, until: at.Add(earlierFor)})
+		t.earlier = t.earlier[max(0, len(t.earlier)-mostEarlier):]
+	}
 	t.document, t.routes, t.spread.portions = d, newRoutes(d), nil
 	t.limits = make(map[string]model.Service, len(d.Services))
 	for _, s := range d.Services {
@@ -117,6 +137,20 @@
 	return t.ready(at, out)
 }
 
+// routesOf returns the routes of a document, nil when it is not known here or was
+// replaced a while ago.
+func (t *Table) routesOf(at time.Time, version uint64) *routes {
+	if version == t.document.Version {
+		return &t.routes
+	}
+	for i := range t.earlier {
+		if t.earlier[i].version == version && !at.After(t.earlier[i].until) {
+			return &t.earlier[i].routes
+		}
+	}
+	return nil
+}
+
 // ready tells the balancer's check once requests can be served.
 func (t *Table) ready(at time.Time, out []effect.Effect) []effect.Effect {
 	if t.document == nil || !t.listed || t.draining {
--- a/io/proxy/portion.go
+++ b/io/proxy/portion.go
@@ -73,9 +73,8 @@
 	}
 	r.Header.Del(portionHeader)
 	if s.leaving.Load() {
+		// The other VM does not know yet. Portions end long before this process does.
 		w.Header().Set("Connection", "close")
-		s.refuse(w, model.Rejection{Reason: model.RefusedDraining, Ran: model.RanNo, After: drainPause})
-		return
 	}
 	s.serve(w, r, p)
 }
--- a/io/serve/leaver.go
+++ b/io/serve/leaver.go
@@ -25,8 +25,11 @@
 	r := l.resident
 	began := time.Now()
 	r.logger.WithField("grace", r.site.Grace.String()).Info("draining")
-	if r.routed != nil && !l.drainRouted(began) {
-		return nil
+	if r.routed != nil {
+		r.control.Post(event.Leave{})
+		if !l.drainRouted(began) {
+			return nil
+		}
 	}
 	r.control.Post(event.Drain{})
 	l.wait(r.executor.drained, time.Now().Add(lastAnswers))
