Hold requests that come before a VM that starts has a document

Change: such a request waits for up to 0.4 of its caller's time, so that a refused one can still try another VM.

--- a/core/proxy/finish.go
+++ b/core/proxy/finish.go
@@ -118,6 +118,12 @@
 // Gone takes a caller's leaving. Upstreams stop working on the request, unless
 // it must not be broken off midway.
 func (t *Table) Gone(at time.Time, e event.Gone, out []effect.Effect) []effect.Effect {
+	if w, ok := t.early[e.Request]; ok {
+		delete(t.early, e.Request)
+		return append(out,
+			effect.StopTimer{ID: event.TimerID{Kind: event.TimerCall, N: uint64(e.Request)}},
+			effect.Trace{Tag: w.event.Tag, Outcome: "left", Took: at.Sub(w.arrived)})
+	}
 	c, ok := t.calls[e.Request]
 	if !ok {
 		return out
--- a/core/proxy/step.go
+++ b/core/proxy/step.go
@@ -32,7 +32,7 @@
 // Call takes a request.
 func (t *Table) Call(at time.Time, e event.Call, out []effect.Effect) []effect.Effect {
 	if t.document == nil || !t.listed {
-		return t.refuseEarly(e, nil, model.RefusedStale, out)
+		return t.await(at, e, out)
 	}
 	version, known := t.document.Version, &t.routes
 	if e.Portion != nil {
--- a/core/proxy/table.go
+++ b/core/proxy/table.go
@@ -57,6 +57,7 @@
 	turns     map[string]*turn
 	extras    map[string]*retry.Allowance
 	calls     map[model.RequestID]*call
+	early     map[model.RequestID]early // requests that came before the first document or list
 	attempts  map[model.AttemptID]*attempt
 	next      model.AttemptID
 	suspects  suspects
@@ -157,7 +158,8 @@
 		return out
 	}
 	out = t.rotate(at, out)
-	return append(out, effect.Ready{Ready: !t.isolation.away})
+	out = append(out, effect.Ready{Ready: !t.isolation.away})
+	return t.admit(at, out)
 }
 
 // extra returns this VM's part of the bounds on extra attempts.
@@ -194,6 +196,9 @@
 // Drain reports effect.Drained once no call is left.
 func (t *Table) Drain(_ time.Time, out []effect.Effect) []effect.Effect {
 	t.draining = true
+	for _, w := range t.waiting() {
+		out = t.expire(w, out)
+	}
 	return t.drained(out)
 }
 
@@ -212,6 +217,9 @@
 			c.timer = time.Time{}
 			return t.step(at, c, out)
 		}
+		if w, ok := t.early[model.RequestID(id.N)]; ok {
+			return t.expire(w, out)
+		}
 	case event.TimerSweep:
 		t.suspects.sweep(at)
 		out = t.sweep(at, out)
