Give up the first dials of another VM after 0.25 s

Cause: after a restart of all machines the entry VMs start up to 0.4 s before those with disks.

Ruled out: the election, won 0.21 s after the start of the last VM with a disk; a trial of sooner campaigns changed nothing.

The first dials end after 0.25 s; the timeout doubles after four of them up to 2 s as before. TestVMIsReachedSoonAfterItsStart drops opening packets by a full queue of connections; it failed before (0.88 s, three times).

--- a/io/peer/link.go
+++ b/io/peer/link.go
@@ -16,7 +16,9 @@
 
 // Times of an outgoing connection.
 const (
+	firstDial    = 250 * time.Millisecond // a lost opening packet is sent again by the system only after a second
 	dialTimeout  = 2 * time.Second
+	quickDials   = 4 // dials with that timeout; it doubles with each further one
 	writeTimeout = 5 * time.Second
 	idleTimeout  = time.Minute
 	minBackoff   = 50 * time.Millisecond
@@ -76,6 +78,7 @@
 	broken  chan struct{} // closed when the other side closed conn
 	backoff time.Duration
 	retry   time.Time // no dial before
+	tries   int       // dials that failed in a row
 }
 
 // wait lets the backoff pass. It reports false when the transport closed.
@@ -115,13 +118,15 @@
 func (c *outgoing) dial(ctx context.Context) (err error) {
 	t := c.link.transport
 	t.count(dials, 1)
-	ctx, cancel := context.WithTimeout(ctx, dialTimeout)
+	ctx, cancel := context.WithTimeout(ctx, min(dialTimeout, firstDial<<max(0, c.tries-quickDials)))
 	defer cancel()
 	c.addr = c.link.target()
 	conn, err := t.dial(ctx, c.addr)
 	if err != nil {
+		c.tries = min(c.tries+1, 2*quickDials) // so that the timeout does not overflow
 		return err
 	}
+	c.tries = 0
 	c.conn, c.broken = conn, make(chan struct{})
 	t.wg.Add(1)
 	w := &watcher{transport: t, conn: conn, broken: c.broken}
