--- a/io/check/platform_test.go
+++ b/io/check/platform_test.go
@@ -2,11 +2,14 @@
 
 import (
 	"bufio"
+	"encoding/json"
 	"errors"
+	"net/http"
 	"net/netip"
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"syscall"
 	"testing"
@@ -46,11 +49,15 @@
 	}
 }
 
-// readyPort is free: portions are taken on the port after the peers'.
-const readyPort = 2 * portsPerVM
+// Free ports: portions are taken on the port after the peers'.
+const (
+	readyPort   = 2 * portsPerVM
+	metricsPort = 2*portsPerVM + 1
+)
 
 // Guards against logs that go elsewhere than to standard output, where the
-// platform collects them.
+// platform collects them, and against counters that are not at the address which
+// the deploy file states.
 func TestPlatformLogsToStandardOutput(t *testing.T) {
 	w := &world{number: int(worlds.Add(1))}
 	at := func(port int) netip.AddrPort { return w.address(0, port) }
@@ -63,7 +70,8 @@
 	if err := os.WriteFile(settings, []byte(text), 0o600); err != nil {
 		t.Fatal(err)
 	}
-	cmd := exec.Command(program, "platform", "entry")
+	metrics := at(metricsPort)
+	cmd := exec.Command(program, "platform", "entry", "--metrics", strconv.Itoa(int(metrics.Port())))
 	cmd.Env = append(os.Environ(), platform.Rig{}.Environment(settings))
 	out, err := cmd.StdoutPipe()
 	if err != nil {
@@ -81,6 +89,15 @@
 	if !strings.Contains(got, `"message":"started"`) {
 		t.Errorf("got %q on standard output, want a line of the start", got)
 	}
+	if r, err := http.Get("http://" + metrics.String() + "/debug/vars"); err != nil {
+		t.Errorf("got no counters: %v", err)
+	} else {
+		var counters map[string]any
+		if err := json.NewDecoder(r.Body).Decode(&counters); err != nil || counters["comfreypulley"] == nil {
+			t.Errorf("got %d groups of counters, %v, want those of the program among them", len(counters), err)
+		}
+		r.Body.Close()
+	}
 	if err := cmd.Process.Kill(); err != nil && !errors.Is(err, os.ErrProcessDone) {
 		t.Error(err)
 	}
--- a/io/cmds/platform.go
+++ b/io/cmds/platform.go
@@ -1,6 +1,7 @@
 package cmds
 
 import (
+	"net/netip"
 	"os"
 	"os/signal"
 	"sync"
@@ -18,7 +19,8 @@
 // platformCommand runs a process on the users' platform, whose settings file
 // says where and with which limits.
 type platformCommand struct {
-	Role platform.Role `arg:"" enum:"entry,control" help:"What the process does: entry takes requests, control keeps the configuration."`
+	Role    platform.Role `arg:"" enum:"entry,control" help:"What the process does: entry takes requests, control keeps the configuration."`
+	Metrics uint16        `help:"Port on which counters are served; the tenth internal port when it is 0."`
 }
 
 // Run implements the subcommand.
@@ -43,6 +45,9 @@
 	if err != nil {
 		return err
 	}
+	if c.Metrics > 0 {
+		site.Metrics = netip.AddrPortFrom(site.VM.Peer.Addr(), c.Metrics)
+	}
 	logger := h.logger.WithFields(log.Fields{"vm": string(site.VM.ID), "zone": string(site.VM.Zone)})
 	resident, err := serve.NewResident(site, logger)
 	if err != nil {
