--- a/core/proxy/table.go
+++ b/core/proxy/table.go
@@ -12,31 +12,8 @@
 	"comfreypulley/core/retry"
 )
 
-// Parts of the bounds on extra attempts that are used, so that the sum over the
-// fleet stays below them.
-const (
-	ratioUsed    = 0.95
-	extraUsed    = 0.9
-	defaultExtra = 2.5 // attempts of one VM while the size of the fleet is not known
-	mostExtra    = 8
-	firstExtra   = 0.6 // part of its extra attempts with which a process starts
-	sweepPeriod  = 100 * time.Millisecond
-)
-
-// Documents that were in force are kept for the portions of VMs that do not have
-// the present one yet, which they get within some 50 ms. Later, a portion would
-// have this VM go back behind a version that upstreams have seen of it.
-const (
-	earlierFor  = 150 * time.Millisecond
-	mostEarlier = 3
-)
-
-// generation is a document that was in force.
-type generation struct {
-	version uint64
-	routes  routes
-	until   time.Time // no portion of it after
-}
+// sweepPeriod is the time between two looks at attempts that outlived their call.
+const sweepPeriod = 100 * time.Millisecond
 
 // Table is the state of the traffic along routes. The zero value refuses every
 // call until it has a document and a list of upstreams.
@@ -89,10 +66,7 @@
 	if d == nil || t.document != nil && d.Version <= t.document.Version {
 		return out
 	}
-	if t.document != nil {
-		t.earlier = append(t.earlier, generation{version: t.document.Version, routes: t.routes, until: at.Add(earlierFor)})
-		t.earlier = t.earlier[max(0, len(t.earlier)-mostEarlier):]
-	}
+	t.keepEarlier(at)
 	t.document, t.routes, t.spread.portions = d, newRoutes(d), nil
 	t.limits = make(map[string]model.Service, len(d.Services))
 	for _, s := range d.Services {
@@ -138,20 +112,6 @@
 	return t.ready(at, out)
 }
 
-// routesOf returns the routes of a document, nil when it is not known here or was
-// replaced a while ago.
-func (t *Table) routesOf(at time.Time, version uint64) *routes {
-	if version == t.document.Version {
-		return &t.routes
-	}
-	for i := range t.earlier {
-		if t.earlier[i].version == version && !at.After(t.earlier[i].until) {
-			return &t.earlier[i].routes
-		}
-	}
-	return nil
-}
-
 // ready tells the balancer's check once requests can be served.
 func (t *Table) ready(at time.Time, out []effect.Effect) []effect.Effect {
 	if t.document == nil || !t.listed || t.draining {
@@ -162,31 +122,6 @@
 	return t.admit(at, out)
 }
 
-// extra returns this VM's part of the bounds on extra attempts.
-func (t *Table) extra() (ratio, most float64) {
-	most = defaultExtra
-	if t.fleet > 0 {
-		most = max(1, min(mostExtra, extraUsed*float64(t.start.Extra)/float64(t.fleet)))
-	}
-	return ratioUsed * t.start.Ratio, most
-}
-
-// allowance returns the extra attempts of a service. A process that has just
-// started begins with a part of them, because the one before it may have spent
-// the whole in the same span of time.
-func (t *Table) allowance(at time.Time, service string) *retry.Allowance {
-	a, ok := t.extras[service]
-	if !ok {
-		a = &retry.Allowance{}
-		a.Limit(t.extra())
-		if at.Sub(t.start.Began) < t.start.Window {
-			a.Begin(firstExtra)
-		}
-		t.extras[service] = a
-	}
-	return a
-}
-
 // Struck takes what other VMs hold against a request.
 func (t *Table) Struck(at time.Time, s event.Struck, out []effect.Effect) []effect.Effect {
 	_, _ = t.suspects.add(at, s.Fingerprint, s.Upstreams...)
