Answer the first request of a connection sooner

The cutoff of the first request of a connection is 8 ms earlier.

TestCallerThatConnectedIsAnsweredSooner and TestFirstRequestOfAConnection are new.

--- a/core/event/call.go
+++ b/core/event/call.go
@@ -16,6 +16,7 @@
 	Wait        time.Duration // how long the caller waits; 0 when not stated
 	Fingerprint model.Fingerprint
 	Portion     *model.Portion // of another VM's request; nil for a caller's
+	Fresh       bool           // the first request of its connection, which the caller has just made
 }
 
 // Gathered is a VM's answer to an attempt at a portion, or a part of it.
--- a/core/proxy/choice_test.go
+++ b/core/proxy/choice_test.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"slices"
 	"testing"
 	"time"
 
@@ -280,3 +281,28 @@
 		t.Errorf("got it avoided for %s after two reports and for %s after a third, want longer", first, second)
 	}
 }
+
+// Guards against answers that leave in time for a caller on an open connection
+// and come late for one that had to connect first.
+func TestCallerThatConnectedIsAnsweredSooner(t *testing.T) {
+	cutoff := func(fresh bool) time.Duration {
+		b := newBench(model.Route{
+			Name: "r", Host: "h", Prefix: "/", Attempts: 1, Timeout: time.Second, Objective: 50 * time.Millisecond,
+			Shards: []string{"s1", "s2"}, Records: 1, Coverage: 0.5,
+		}, "s1", "s2")
+		out := b.table.Call(b.now, event.Call{ID: 1, Host: "h", Path: "/x", Fingerprint: 1, Fresh: fresh}, nil)
+		at := b.now
+		out = b.answer(sent(out)[0], 0)
+		for range 10 {
+			if slices.ContainsFunc(out, func(e effect.Effect) bool { _, ok := e.(effect.Merge); return ok }) {
+				return at.Sub(began)
+			}
+			at, out = wake(&b.table, at, out)
+		}
+		t.Fatal("got no answer at the cutoff")
+		return 0
+	}
+	if open, fresh := cutoff(false), cutoff(true); open-fresh < 4*time.Millisecond {
+		t.Errorf("got an answer after %s on an open connection and %s on a new one, want it sooner by the ways of connecting", open, fresh)
+	}
+}
--- a/core/proxy/step.go
+++ b/core/proxy/step.go
@@ -12,6 +12,7 @@
 // Times of one call.
 const (
 	wayMargin    = 5 * time.Millisecond    // before the objective, for the ways from and to the caller
+	dialMargin   = 8 * time.Millisecond    // the same for the ways of a caller that has just connected
 	workMargin   = 1100 * time.Microsecond // the same for the work on request and answer, at the speed of a whole core
 	flowGap      = 4 * time.Millisecond    // without a part of a call, after which the missing ones count as overdue
 	lastMargin   = 15 * time.Millisecond   // before the caller's deadline
@@ -59,6 +60,9 @@
 	}
 	c.deadline = at.Add(wait - min(lastMargin, wait/lastPart))
 	c.cutoff = at.Add(objective(route) - t.margin())
+	if e.Fresh {
+		c.cutoff = c.cutoff.Add(-dialMargin)
+	}
 	if e.Portion != nil {
 		if !t.narrow(c) {
 			return t.refuseEarly(e, route, model.RefusedStale, out)
--- a/io/proxy/client_test.go
+++ b/io/proxy/client_test.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/http/httptest"
@@ -273,3 +274,34 @@
 	defer close(r.done)
 	r.server.ServeHTTP(r.w, httptest.NewRequest(http.MethodGet, "/x/1", http.NoBody))
 }
+
+// Guards against a first request of a connection that is taken for a later one,
+// or the other way round.
+func TestFirstRequestOfAConnection(t *testing.T) {
+	calls := make(chan event.Call, 10)
+	s := &proxy.Server{Dialect: dialect}
+	s.Post = func(b event.Body) {
+		if c, ok := b.(event.Call); ok {
+			calls <- c
+			s.Finish(c.ID, effect.Deliver{Request: c.ID, Reply: model.Reply{Status: http.StatusOK}})
+		}
+	}
+	s.SetReady(true)
+	web := httptest.NewUnstartedServer(s)
+	web.Config.ConnContext = proxy.ConnContext
+	web.Start()
+	defer web.Close()
+	for _, want := range []bool{true, false} {
+		r, err := http.Get(web.URL)
+		if err != nil {
+			t.Fatal(err)
+		}
+		if _, err := io.Copy(io.Discard, r.Body); err != nil {
+			t.Fatal(err)
+		}
+		r.Body.Close()
+		if got := (<-calls).Fresh; got != want {
+			t.Errorf("got first request %t, want %t", got, want)
+		}
+	}
+}
--- a/io/proxy/server.go
+++ b/io/proxy/server.go
@@ -142,7 +142,7 @@
 	path, _, _ := strings.Cut(x.URI, "?")
 	s.Post(event.Call{
 		ID: id, Tag: x.Tag, Host: r.Host, Path: path, Wait: s.Dialect.wait(r.Header), Fingerprint: x.fingerprint(),
-		Portion: portion,
+		Portion: portion, Fresh: first(r),
 	})
 	if portion != nil {
 		if !s.stream(w, r, x) {
--- a/io/serve/resident.go
+++ b/io/serve/resident.go
@@ -94,6 +94,7 @@
 			return nil, err
 		}
 		r.callers = newWeb(r.routed.server, l, lastAnswers)
+		r.callers.server.ConnContext = proxy.ConnContext
 		if err = r.openGatherer(); err != nil {
 			return nil, err
 		}
