Order lists of upstreams by the number of their read, not by their age

The control VM of the zone had been frozen. Its clock had stood still, too, so that it passed its list on as 0.1 s old, newer than the others'. Such a list may also show upstreams that drain as active.

Ruled out: the reader of the list, which was another VM; lost messages, as all seven entry VMs got the old list within 4 ms.

Each read has a number above all that the reader knows, and by the time of day otherwise. TestOldListDoesNotReplaceNewer failed before.

--- a/core/frame/frame.go
+++ b/core/frame/frame.go
@@ -206,7 +206,8 @@
 // Roster tells the list of upstreams, or only that it is unchanged.
 type Roster struct {
 	Stamp     uint64        // of the content
-	Age       time.Duration // since it was read
+	Serial    uint64        // of the read; a list of a higher one is newer
+	Age       time.Duration // since it was read, by the sender's clock
 	Fleet     int           // daemons of the fleet as far as the sender knows, 0 when it does not
 	Isolated  bool          // the sender hears no VM of another zone
 	Whole     bool          // Upstreams holds the content
--- a/core/plane/enrol_test.go
+++ b/core/plane/enrol_test.go
@@ -237,3 +237,44 @@
 		t.Errorf("got %d reads by a VM without news, want 1", got)
 	}
 }
+
+// Guards against a VM that stood still and, as its clock did, too, passes an old
+// list on as a new one: upstreams that came are lost and those that left are back.
+func TestOldListDoesNotReplaceNewer(t *testing.T) {
+	var c plane.Control
+	c.Start(began, event.Start{Role: event.RoleControl, VM: model.VM{ID: "10.0.1.1", Zone: "a"}, Began: began, Loops: 1, Enrols: true}, nil)
+	lists := func(at time.Time, from model.VMID, m frame.Roster) (n int) {
+		for _, e := range all[effect.ToTraffic](c.Peer(at, event.Peer{From: from, Message: m}, nil)) {
+			if r, ok := e.Body.(event.Roster); ok {
+				n = len(r.Upstreams)
+			}
+		}
+		return n
+	}
+	// Both VMs read the list, the second one six seconds later.
+	read := func(at time.Time, upstreams ...model.Upstream) frame.Roster {
+		f := newEnrolled(1)
+		found(f)
+		f.now = at
+		f.c.Listed(f.now, event.Listed{Upstreams: upstreams}, nil)
+		for _, tell := range all[effect.Tell](f.c.Peer(f.now, event.Peer{From: "10.0.1.1", Message: frame.Digest{}}, nil)) {
+			if m, ok := tell.Message.(frame.Roster); ok {
+				return m
+			}
+		}
+		t.Fatal("got no list from a VM that has read it")
+		return frame.Roster{}
+	}
+	old, current := read(began.Add(time.Second), model.Upstream{ID: "u1"}), read(began.Add(7*time.Second), model.Upstream{ID: "u1"}, model.Upstream{ID: "u2"})
+	at := began.Add(8 * time.Second)
+	current.Age = time.Second
+	if got := lists(at, "10.0.0.2", current); got != 2 {
+		t.Fatalf("got a list of %d upstreams, want 2", got)
+	}
+	if got := lists(at, "10.0.0.1", old); got != 0 {
+		t.Errorf("got a list of %d upstreams that was read 6s earlier, want it left alone", got)
+	}
+	if got := lists(at, "10.0.0.2", read(at, model.Upstream{ID: "u3"})); got != 1 {
+		t.Errorf("got a list of %d upstreams, want the one of the next read", got)
+	}
+}
--- a/core/plane/roster.go
+++ b/core/plane/roster.go
@@ -31,6 +31,7 @@
 type roster struct {
 	upstreams []model.Upstream
 	stamp     uint64    // of the content; 0 when none is known
+	serial    uint64    // of the read; a list of a higher one is newer
 	read      time.Time // when it was read
 	asked     time.Time // when a read by this VM began; zero when none is under way
 	tried     time.Time // when the last read by this VM began
@@ -97,7 +98,7 @@
 	if began.IsZero() {
 		began = at
 	}
-	out = c.takeRoster(at, began, l.Upstreams, out)
+	out = c.takeRoster(at, began, c.nextSerial(began), l.Upstreams, out)
 	for _, id := range c.disks() {
 		if id != c.start.VM.ID {
 			out = append(out, effect.Tell{To: id, Message: c.rosterFrame(at, false)})
@@ -106,13 +107,21 @@
 	return c.seal(from, out)
 }
 
-// takeRoster puts a list in force that was read at a time.
-func (c *Control) takeRoster(at, read time.Time, upstreams []model.Upstream, out []effect.Effect) []effect.Effect {
+// nextSerial numbers a read: above all that are known here, and otherwise by the
+// time of day, so that the numbers go on after a restart. The age of a list would
+// not do for their order, since the clock of a VM that stands still may do so, too.
+func (c *Control) nextSerial(read time.Time) uint64 {
+	return max(c.roster.serial+1, uint64(max(0, read.UnixMilli())))
+}
+
+// takeRoster puts a list in force that was read at a time, unless a newer one is
+// known.
+func (c *Control) takeRoster(at, read time.Time, serial uint64, upstreams []model.Upstream, out []effect.Effect) []effect.Effect {
 	r := &c.roster
-	if read.Before(r.read) {
+	if serial < r.serial {
 		return out
 	}
-	r.read = read
+	r.serial, r.read = serial, read
 	stamp := stampOf(upstreams)
 	changed := stamp != r.stamp
 	if changed {
@@ -167,7 +176,7 @@
 
 func (c *Control) rosterFrame(at time.Time, whole bool) frame.Roster {
 	r := &c.roster
-	f := frame.Roster{Stamp: r.stamp, Age: max(0, at.Sub(r.read)), Fleet: r.fleet, Isolated: c.outside.isolated}
+	f := frame.Roster{Stamp: r.stamp, Serial: r.serial, Age: max(0, at.Sub(r.read)), Fleet: r.fleet, Isolated: c.outside.isolated}
 	if whole {
 		f.Whole, f.Upstreams = true, r.upstreams
 	}
@@ -211,10 +220,10 @@
 		}
 		switch {
 		case m.Whole:
-			return c.takeRoster(at, at.Add(-m.Age), m.Upstreams, out)
+			return c.takeRoster(at, at.Add(-m.Age), m.Serial, m.Upstreams, out)
 		case m.Stamp == r.stamp:
-			return c.takeRoster(at, at.Add(-m.Age), r.upstreams, out)
-		default:
+			return c.takeRoster(at, at.Add(-m.Age), m.Serial, r.upstreams, out)
+		case m.Serial > r.serial:
 			return append(out, effect.Tell{To: from, Message: frame.Lack{}})
 		}
 	}
--- a/io/peer/codec_test.go
+++ b/io/peer/codec_test.go
@@ -78,7 +78,7 @@
 		frame.Ask{N: 1, Start: at, Revision: 2, Demand: map[string]int{"c": 1}},
 		frame.Grant{N: 1, Shares: map[string]int{"c": 1}, Length: time.Second},
 		frame.Roster{
-			Stamp: 9, Age: time.Second, Fleet: 17, Isolated: true, Whole: true, Upstreams: []model.Upstream{{
+			Stamp: 9, Serial: 8, Age: time.Second, Fleet: 17, Isolated: true, Whole: true, Upstreams: []model.Upstream{{
 				ID: "u1", Addr: netip.MustParseAddrPort("10.0.0.1:80"), Zone: "a", Index: "s", Slots: 2, Cold: time.Second,
 			}},
 		},
