Take portions of the own zone while it is cut off

Cause: found on reading the change: a portion was refused when the route as a whole was out of reach, though it asks only for shards that the zone has. The case stands in TestIsolatedZoneLeavesTheRotation.

--- a/core/proxy/delegate.go
+++ b/core/proxy/delegate.go
@@ -14,7 +14,7 @@
 const (
 	delegateTime  = 2 * leastTime // a portion with less time left is not given away
 	portionFactor = 1.5           // of the hedge delay of first frames, after which the shards of a portion are tried directly
-	portionWays   = 1.4           // margins before the objective, beyond the latest first frame, after which they are in any case
+	portionWays   = 1.4           // in margins before the objective: the time beyond the latest first frame, after which they are in any case
 )
 
 // delegation is a portion at another VM.
--- a/core/proxy/isolation_test.go
+++ b/core/proxy/isolation_test.go
@@ -48,6 +48,9 @@
 	if portions, direct := forwards(out); len(portions)+len(direct) > 0 {
 		t.Errorf("got %d portions and %d attempts of a request that cannot be answered", len(portions), len(direct))
 	}
+	if _, direct := forwards(ask(table, began, 4, &model.Portion{Version: 1, Legs: []int{0}})); len(direct) != 1 {
+		t.Errorf("got %d attempts for the portion of another VM, which answers only for its own shards, want 1", len(direct))
+	}
 	part := askPart(table, began, 2)
 	if _, direct := forwards(part); len(direct) != wideShards || refusal(part).Reason != "" {
 		t.Errorf("got %d attempts and %+v, want a request that can be answered to be tried", len(direct), refusal(part))
--- a/core/proxy/step.go
+++ b/core/proxy/step.go
@@ -46,7 +46,7 @@
 	switch {
 	case route == nil:
 		return t.refuseEarly(e, nil, model.RefusedRoute, out)
-	case t.outOfReach(route):
+	case e.Portion == nil && t.outOfReach(route):
 		return t.refuseEarly(e, route, model.RefusedIsolated, out)
 	case t.suspects.quarantined(at, e.Fingerprint):
 		return t.refuseEarly(e, route, model.RefusedQuarantine, out)
