--- a/core/plane/daemons_test.go
+++ b/core/plane/daemons_test.go
@@ -82,8 +82,9 @@
 }
 
 // fleetTold ticks until a second has passed and returns the size of the fleet that
-// a follower is told then.
-func fleetTold(f *enrolled, id model.VMID) int {
+// the follower 10.0.1.1 is told then.
+func fleetTold(f *enrolled) int {
+	const id = model.VMID("10.0.1.1")
 	for range 5 {
 		f.tick(lookPeriod, event.TimerRoster)
 	}
@@ -115,12 +116,12 @@
 		}
 	}
 	follow()
-	if got := fleetTold(f, id); got != 0 {
+	if got := fleetTold(f); got != 0 {
 		t.Errorf("got a fleet of %d in the first second, want none known", got)
 	}
 	for range 3 {
 		follow()
-		if got := fleetTold(f, id); f.now.Sub(began) > 2*time.Second && got != len(daemons) {
+		if got := fleetTold(f); f.now.Sub(began) > 2*time.Second && got != len(daemons) {
 			t.Errorf("got a fleet of %d, want %d", got, len(daemons))
 		}
 	}
@@ -132,23 +133,22 @@
 	f := newEnrolled(1)
 	found(f)
 	addr := netip.MustParseAddrPort("10.0.1.1:7741")
-	const id = model.VMID("10.0.1.1")
 	f.now = f.now.Add(2 * time.Second)
 	for n := range 10 {
 		f.c.Peer(f.now, event.Peer{From: model.VMID(fmt.Sprintf("10.0.1.%d", n+1)), Message: frame.Digest{Zone: "a", Gathers: addr}}, nil)
 	}
-	if got := fleetTold(f, id); got != 10 {
+	if got := fleetTold(f); got != 10 {
 		t.Fatalf("got a fleet of %d, want 10", got)
 	}
 	for range 10 {
-		if got := fleetTold(f, id); got != 10 {
+		if got := fleetTold(f); got != 10 {
 			t.Errorf("got a fleet of %d after %s, want 10 still", got, f.now.Sub(began))
 		}
 	}
 	for range 10 {
-		fleetTold(f, id)
+		fleetTold(f)
 	}
-	if got := fleetTold(f, id); got != 1 {
+	if got := fleetTold(f); got != 1 {
 		t.Errorf("got a fleet of %d after %s with one daemon, want 1", got, f.now.Sub(began))
 	}
 }
--- a/io/peer/redial_linux_test.go
+++ b/io/peer/redial_linux_test.go
@@ -44,7 +44,10 @@
 	stop, ended := make(chan struct{}), make(chan struct{})
 	teller := &teller{side: a, to: addr, stop: stop, ended: ended}
 	go teller.run()
-	defer func() { close(stop); <-ended }()
+	defer func() {
+		close(stop)
+		<-ended
+	}()
 	timer := time.NewTimer(150 * time.Millisecond)
 	<-timer.C
 
@@ -54,7 +57,12 @@
 	}
 	served := make(chan error, 1)
 	go func() { served <- b.Serve(l) }()
-	defer func() { b.Close(); <-served }()
+	defer func() {
+		b.Close()
+		if err := <-served; err != nil {
+			t.Error(err)
+		}
+	}()
 	<-teller.arrived()
 	if took := time.Since(began); took > 700*time.Millisecond {
 		t.Errorf("got the first message %s after the start, want it well before the system's second try after a second", took)
