Judge a zone only after its pings could be answered

Change: at least 0.1 s pass between the first pings and the judgement. TestPingsAreWaitedFor failed before.

--- a/core/plane/outside.go
+++ b/core/plane/outside.go
@@ -15,6 +15,7 @@
 const (
 	outsidePing   = 150 * time.Millisecond // without a message from another zone, after which VMs there are pinged
 	isolatedAfter = 300 * time.Millisecond // without one, after which the zone counts as cut off
+	pongAfter     = 100 * time.Millisecond // within which pings are answered
 	outsideSettle = 2 * time.Second        // after a start, when the other zones may not have started
 	missedLooks   = 3                      // periods between two looks, after which it was this VM that stood still
 )
@@ -23,6 +24,7 @@
 // what it was told. The zero value is not isolated.
 type outside struct {
 	heard    time.Time // last message from another zone
+	pinged   time.Time // when the first pings since then were sent; zero when none were
 	looked   time.Time
 	turn     int // selects the VMs that are pinged
 	isolated bool
@@ -36,7 +38,7 @@
 	if zone := c.zoneOf(from); zone == "" || zone == c.start.VM.Zone {
 		return out
 	}
-	c.outside.heard = at
+	c.outside.heard, c.outside.pinged = at, time.Time{}
 	return c.isolate(at, false, "heard "+string(from), out)
 }
 
@@ -47,7 +49,7 @@
 	still := !o.looked.IsZero() && at.Sub(o.looked) >= missedLooks*rosterPeriod
 	o.looked = at
 	if earliest := c.start.Began.Add(outsideSettle); still || o.heard.Before(earliest) && at.Before(earliest) {
-		o.heard = at
+		o.heard, o.pinged = at, time.Time{}
 	}
 	quiet := at.Sub(o.heard)
 	if quiet < outsidePing {
@@ -57,7 +59,10 @@
 	for _, id := range others {
 		out = append(out, effect.Tell{To: id, Message: frame.Ping{}})
 	}
-	if quiet < isolatedAfter || len(others) == 0 {
+	if o.pinged.IsZero() {
+		o.pinged = at
+	}
+	if quiet < isolatedAfter || at.Sub(o.pinged) < pongAfter || len(others) == 0 {
 		return out
 	}
 	return c.isolate(at, true, "nothing heard from another zone for "+quiet.Truncate(time.Millisecond).String(), out)
--- a/core/plane/outside_test.go
+++ b/core/plane/outside_test.go
@@ -82,6 +82,21 @@
 	}
 }
 
+// Guards against a zone that counts as cut off before the pings of its VM can be
+// answered: all entry VMs of a zone left the rotation for two milliseconds.
+func TestPingsAreWaitedFor(t *testing.T) {
+	b := newBordered()
+	b.c.Peer(b.now.Add(90*time.Millisecond), event.Peer{From: "10.0.0.3", Message: frame.Pong{}}, nil)
+	for range 2 { // looks 110 and 310 ms after that message
+		if told := isolations(b.pass(lookPeriod, false)); slices.Contains(told, true) {
+			t.Errorf("the zone counts as cut off at the look that sends the first pings")
+		}
+	}
+	if told := isolations(b.pass(lookPeriod, false)); !slices.Contains(told, true) {
+		t.Error("the zone does not count as cut off when the pings are not answered")
+	}
+}
+
 // Guards against a zone that takes itself for cut off because its VM stood still.
 func TestStandingStillIsNoIsolation(t *testing.T) {
 	b := newBordered()
