Bound the bytes that a response may make a VM read

Closing a response after an error read the rest of its body until the timeout. Interim responses were skipped without a limit.

Portion frames are read value by value with codec.ReadValue, which allocates only for bytes that arrived, and their number is limited. After an error the connection is closed without reading on, and a malformed body counts as an invalid response instead of a reset, which made its request a suspect of crashing upstreams.

Attempts of one request no longer share a connection: a late second copy of a refusal, with the same request id, could pass for the answer to the second attempt, and an at-most-once request would have run twice.

--- a/io/codec/validate.go
+++ b/io/codec/validate.go
@@ -108,11 +108,16 @@
 // is always cut off.
 const invalidSize = 1 << 40
 
+// layoutOf returns the layout of a value from its code.
+func layoutOf(code byte) layout {
+	i, _ := slices.BinarySearchFunc(layouts, code, func(f layout, c byte) int { return cmp.Compare(f.lastCode, c) })
+	return layouts[i]
+}
+
 // measure returns the size of a value's header and of its data, and the number of
 // values nested in it. The headerSize is 0 when the header is invalid or cut off.
 func measure(b []byte) (headerSize, dataSize, elements int) {
-	i, _ := slices.BinarySearchFunc(layouts, b[0], func(f layout, c byte) int { return cmp.Compare(f.lastCode, c) })
-	f := layouts[i]
+	f := layoutOf(b[0])
 	if len(b)-1 < f.lengthSize {
 		return 0, 0, 0
 	}
--- a/io/dialer/attempt.go
+++ b/io/dialer/attempt.go
@@ -6,7 +6,6 @@
 	"encoding/json"
 	"errors"
 	"fmt"
-	"io"
 	"net"
 	"net/http"
 	"net/http/httptrace"
@@ -16,6 +15,7 @@
 	"comfreypulley/core/effect"
 	"comfreypulley/core/event"
 	"comfreypulley/core/model"
+	"comfreypulley/io/body"
 	"comfreypulley/io/heads"
 )
 
@@ -58,7 +58,7 @@
 		return a.transportFailure(ctx, err)
 	}
 	defer response.Body.Close()
-	body, err := io.ReadAll(io.LimitReader(response.Body, maxAnswerBytes+1))
+	raw, err := a.dialer.bodies.ReadAll(response)
 	if err != nil {
 		return a.transportFailure(ctx, err)
 	}
@@ -66,7 +66,7 @@
 		return a.statusFailure(response)
 	}
 	var answer answerBody
-	if err := json.Unmarshal(body, &answer); err != nil || len(body) > maxAnswerBytes || answer.Shards < 1 {
+	if err := json.Unmarshal(raw, &answer); err != nil || answer.Shards < 1 {
 		return event.AttemptFailed{
 			Attempt: a.send.Attempt, Reason: model.FailedInvalid, Ran: parseRan(response, model.RanUnknown),
 			Load: heads.ParseLoad(response.Header.Get("Load")), NewConn: a.isNewConn(),
@@ -139,6 +139,7 @@
 func (a *attempt) transportFailure(ctx context.Context, err error) event.AttemptFailed {
 	f := event.AttemptFailed{Attempt: a.send.Attempt, Reason: model.FailedReset, Ran: a.ran(), NewConn: a.isNewConn()}
 	var op *net.OpError
+	var size *body.SizeError
 	switch {
 	case errors.Is(ctx.Err(), context.DeadlineExceeded):
 		f.Reason = model.FailedTimeout
@@ -146,6 +147,8 @@
 		f.Reason = model.FailedCancelled
 	case errors.As(err, &op) && op.Op == "dial":
 		f.Reason = model.FailedRefused
+	case errors.As(err, &size):
+		f.Reason = model.FailedInvalid
 	}
 	return f
 }
--- a/io/dialer/dialer.go
+++ b/io/dialer/dialer.go
@@ -12,13 +12,13 @@
 	"comfreypulley/core/effect"
 	"comfreypulley/core/event"
 	"comfreypulley/core/model"
+	"comfreypulley/io/body"
 )
 
 // Limits of connections and answers.
 const (
 	dialTimeout    = 2 * time.Second
 	idleTimeout    = 90 * time.Second
-	maxAnswerBytes = 8 << 20 // of one response body
 	maxHeaderBytes = 64 << 10
 )
 
@@ -35,6 +35,7 @@
 	cancels  map[model.AttemptID]context.CancelFunc
 	closed   bool
 	wg       sync.WaitGroup
+	bodies   body.Budget
 }
 
 // pool holds the connections to one upstream.
--- a/io/dialer/probe.go
+++ b/io/dialer/probe.go
@@ -4,7 +4,6 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"io"
 	"net/http"
 
 	"comfreypulley/core/effect"
@@ -65,8 +64,11 @@
 	if response.StatusCode != http.StatusOK {
 		return body, fmt.Errorf("status %d", response.StatusCode)
 	}
-	err = json.NewDecoder(io.LimitReader(response.Body, maxAnswerBytes)).Decode(&body)
-	return body, err
+	raw, err := p.dialer.bodies.ReadAll(response)
+	if err != nil {
+		return body, err
+	}
+	return body, json.Unmarshal(raw, &body)
 }
 
 func (b *reportBody) event(id model.UpstreamID) event.ProbeResult {
--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -5,6 +5,7 @@
 	"errors"
 	"fmt"
 	"io"
+	"net"
 	"net/http"
 	"os"
 	"strconv"
@@ -12,8 +13,6 @@
 	"sync"
 	"time"
 
-	"github.com/vmihailenco/msgpack/v5"
-
 	"comfreypulley/core/effect"
 	"comfreypulley/core/event"
 	"comfreypulley/core/model"
@@ -151,19 +150,25 @@
 func (a *attempt) failureReason(err error) model.FailureReason {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	var invalid *ResponseError
 	switch {
 	case a.cancelled:
 		return model.FailedCancelled
-	case errors.As(err, &invalid):
-		return model.FailedInvalid
 	case errors.Is(err, os.ErrDeadlineExceeded):
 		return model.FailedTimeout
-	default:
+	case isConnError(err):
 		return model.FailedReset
+	default:
+		return model.FailedInvalid
 	}
 }
 
+// isConnError reports whether an error is one of the connection, and not of the
+// bytes that were read from it.
+func isConnError(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) || errors.Is(err, io.EOF) || errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, net.ErrClosed)
+}
+
 // ResponseError reports a response that is malformed or does not belong to the
 // request.
 type ResponseError struct{ Problem string }
@@ -179,7 +184,8 @@
 	if err != nil {
 		return nil, 0, err
 	}
-	defer response.Body.Close()
+	// The body is never closed: that would read the rest of a long one. After a
+	// failure the connection is closed instead.
 	if a.forward.Portion != nil {
 		result, err = a.readPortionResults(response)
 		if !response.Close && c.reader.Buffered() == 0 {
@@ -187,7 +193,7 @@
 		}
 		return result, idleTimeout, err
 	}
-	body, err := readBody(response)
+	body, err := a.client.bodies.ReadAll(response)
 	if err != nil {
 		return nil, 0, fmt.Errorf("read the response body: %w", err)
 	}
@@ -197,8 +203,6 @@
 	names := a.client.HeaderNames
 	requestID := response.Header.Get(names.RequestID)
 	switch {
-	case len(body) > maxResponseBytes:
-		return nil, 0, &ResponseError{Problem: "is too long"}
 	case requestID != "" && requestID != a.request.ID:
 		return nil, 0, &ResponseError{Problem: "belongs to another request"}
 	case response.Header.Get("Content-Encoding") != "":
@@ -221,15 +225,16 @@
 // than 200 is a refusal: the other VM has sent nothing to upstreams.
 func (a *attempt) readPortionResults(response *http.Response) (result event.Body, err error) {
 	if response.StatusCode != http.StatusOK {
-		_, err = readBody(response)
+		_, err = a.client.bodies.ReadAll(response)
 		return event.AttemptFailed{Attempt: a.forward.Attempt, Reason: model.FailedShed, Ran: model.RanNo, NewConn: a.newConn}, err
 	}
-	body := bufio.NewReader(io.LimitReader(response.Body, maxResponseBytes))
-	decoder := msgpack.NewDecoder(body)
-	for {
-		var frame portionFrame
-		if err := decoder.Decode(&frame); err != nil {
-			return nil, fmt.Errorf("decode a frame of a portion: %w", err)
+	limited := a.client.bodies.NewReader(response.Body)
+	defer limited.Release()
+	body := bufio.NewReader(limited)
+	for range maxPortionFrames(len(a.forward.Portion.Shards)) {
+		frame, err := readPortionFrame(body)
+		if err != nil {
+			return nil, fmt.Errorf("read a frame of a portion: %w", err)
 		}
 		r := event.PortionResult{Attempt: a.forward.Attempt, Results: frame.Results, Records: frame.Records, More: frame.More}
 		if !frame.More {
@@ -243,17 +248,7 @@
 			a.client.Post(r)
 		}
 	}
-}
-
-// readBody reads a response body. Of a body that is too long it returns
-// maxResponseBytes and one more.
-func readBody(response *http.Response) (body []byte, err error) {
-	if n := response.ContentLength; n >= 0 && n <= maxResponseBytes {
-		body = make([]byte, n)
-		_, err = io.ReadFull(response.Body, body)
-		return body, err
-	}
-	return io.ReadAll(io.LimitReader(response.Body, maxResponseBytes+1))
+	return nil, &ResponseError{Problem: "has too many frames of a portion"}
 }
 
 // responseHeaders returns the headers that are passed to the caller. The server
@@ -273,11 +268,12 @@
 // readHeader reads the header of the response and skips interim (1xx) responses.
 func (a *attempt) readHeader(c *conn) (*http.Response, error) {
 	request := &http.Request{Method: a.request.Method}
-	for {
+	c.head.begin()
+	defer c.head.end()
+	for range maxInterimResponses + 1 {
 		response, err := http.ReadResponse(c.reader, request)
-		var netErr interface{ Timeout() bool }
 		switch {
-		case err != nil && (errors.Is(err, io.ErrUnexpectedEOF) || errors.Is(err, io.EOF) || errors.As(err, &netErr)):
+		case err != nil && isConnError(err):
 			return nil, err
 		case err != nil:
 			return nil, &ResponseError{Problem: err.Error()}
@@ -285,6 +281,7 @@
 			return response, nil
 		}
 	}
+	return nil, &ResponseError{Problem: fmt.Sprintf("follows more than %d interim responses", maxInterimResponses)}
 }
 
 // idleTimeoutFor returns how long the connection may stay idle after a response
--- a/io/proxy/client.go
+++ b/io/proxy/client.go
@@ -9,6 +9,7 @@
 	"comfreypulley/core/effect"
 	"comfreypulley/core/event"
 	"comfreypulley/core/model"
+	"comfreypulley/io/body"
 )
 
 // Limits of connections to upstreams.
@@ -17,7 +18,6 @@
 	defaultIdleTimeout = 20 * time.Second       // unless the upstream or the attempt requests a shorter one
 	staleAfter         = 250 * time.Millisecond // idle time after which a connection is not used for a request that must not be repeated
 	timeoutGrace       = 30 * time.Millisecond  // by which an attempt may exceed its timeout
-	maxResponseBytes   = 8 << 20                // of one response body
 	maxIdleConns       = 8                      // per upstream
 	maxInlineBody      = 4096                   // bytes of a request body up to which no goroutine is started to send it
 	idleTimeoutMargin  = time.Second            // by which a connection is closed before the upstream would close it
@@ -37,6 +37,7 @@
 	attempts map[model.AttemptID]*attempt
 	closed   bool
 	wg       sync.WaitGroup // open connections
+	bodies   body.Budget
 }
 
 // Forward starts an attempt and posts its result later.
--- a/io/proxy/client_test.go
+++ b/io/proxy/client_test.go
@@ -96,6 +96,7 @@
 	client    *proxy.Client
 	results   chan event.Body
 	lastID    model.AttemptID
+	request   model.RequestID // of the next attempt; 0 for a request of its own
 	requestID string
 
 	portionHeader string        // value of a portion header in the caller's request; empty for none
@@ -122,8 +123,12 @@
 
 func (s *sender) send(u *scriptedUpstream, timeout time.Duration) event.Body {
 	s.lastID++
+	request := s.request
+	if request == 0 {
+		request = model.RequestID(s.lastID)
+	}
 	s.client.Forward(effect.Forward{
-		Attempt: s.lastID, Request: 1, Upstream: "u1", Addr: u.listener.Addr().(*net.TCPAddr).AddrPort(), Timeout: timeout,
+		Attempt: s.lastID, Request: request, Upstream: "u1", Addr: u.listener.Addr().(*net.TCPAddr).AddrPort(), Timeout: timeout,
 		IdleTimeout: s.idleTimeout,
 	})
 	select {
@@ -187,6 +192,26 @@
 	}
 }
 
+// Guards against a late second copy of the response to one attempt that passes for
+// the response to another attempt of the same request: after a copy that says the
+// request was not run, an at-most-once request would run twice.
+func TestAttemptsOfOneRequestUseDifferentConnections(t *testing.T) {
+	refusal := "HTTP/1.1 503 Service Unavailable\r\nTag: t\r\nNot-Run: 1\r\nContent-Length: 0\r\n\r\n"
+	u := newScriptedUpstream(t, refusal, okResponse("t", "a"), okResponse("t", "b"))
+	s := newSender(t)
+	s.request = 1
+	s.send(u, time.Second)
+	s.send(u, time.Second)
+	if got, want := len(u.conns), 2; got != want {
+		t.Errorf("got %d connections for two attempts of one request, want %d", got, want)
+	}
+	s.request = 2
+	s.send(u, time.Second)
+	if got, want := len(u.conns), 2; got != want {
+		t.Errorf("got %d connections after an attempt of another request, want %d", got, want)
+	}
+}
+
 // Guards against accepting an incomplete, malformed or encoded response.
 func TestBrokenAnswers(t *testing.T) {
 	for name, text := range map[string]string{
--- a/io/proxy/conn.go
+++ b/io/proxy/conn.go
@@ -5,6 +5,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"comfreypulley/core/model"
 )
 
 // conn is a connection to an upstream. One goroutine reads from it until it is
@@ -14,17 +16,21 @@
 	net.Conn
 	client *Client
 	pool   *pool
-	reader *bufio.Reader
+	head   *headLimiter
+	reader *bufio.Reader // reads from head
 
 	mu        sync.Mutex
 	current   *attempt // waits for a response; nil while idle
 	closed    bool
 	idleSince time.Time
 	idleUntil time.Time // the idle timeout; the connection is not used after it
+
+	lastRequest model.RequestID // of the last response; owned by the pool while idle
 }
 
 func newConn(raw net.Conn, client *Client, p *pool) *conn {
-	return &conn{Conn: raw, client: client, pool: p, reader: bufio.NewReaderSize(raw, readBufferSize)}
+	head := &headLimiter{Conn: raw}
+	return &conn{Conn: raw, client: client, pool: p, head: head, reader: bufio.NewReaderSize(head, readBufferSize)}
 }
 
 // readBufferSize is enough to read a typical response with one system call.
@@ -94,6 +100,7 @@
 			a.finish(result)
 			return
 		}
+		c.lastRequest = a.forward.Request
 		c.pool.put(c)
 		a.finish(result)
 	}
--- a/io/proxy/pool.go
+++ b/io/proxy/pool.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 )
@@ -16,16 +17,21 @@
 
 // take removes an idle connection from the pool and assigns it to an attempt,
 // with a deadline for the response. It returns nil when there is none.
-// Connections idle for longer than maxIdle stay in the pool.
+// Connections idle for longer than maxIdle stay in the pool, and so do those of an
+// earlier attempt of the same request: a late second copy of its response would
+// carry the same request id and pass for the response to the later attempt.
 func (p *pool) take(a *attempt, now, deadline time.Time, maxIdle time.Duration) *conn {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	for n := len(p.idle); n > 0; n = len(p.idle) {
-		c := p.idle[n-1]
+	for n := len(p.idle) - 1; n >= 0; n-- {
+		c := p.idle[n]
 		if now.Sub(c.idleSince) > maxIdle && now.Before(c.idleUntil) {
 			return nil
 		}
-		p.idle = p.idle[:n-1]
+		if c.lastRequest == a.forward.Request && now.Before(c.idleUntil) {
+			continue
+		}
+		p.idle = slices.Delete(p.idle, n, n+1)
 		if now.Before(c.idleUntil) && c.assign(a, deadline) {
 			return c
 		}
--- a/io/proxy/portion.go
+++ b/io/proxy/portion.go
@@ -1,6 +1,8 @@
 package proxy
 
 import (
+	"bufio"
+	"errors"
 	"fmt"
 	"net/http"
 	"strconv"
@@ -10,6 +12,7 @@
 
 	"comfreypulley/core/effect"
 	"comfreypulley/core/model"
+	"comfreypulley/io/codec"
 )
 
 // portionHeader is the name of the header that states a portion: the version of
@@ -24,6 +27,29 @@
 	More    bool // another frame follows
 }
 
+// maxFrameBytes is the limit of one encoded portionFrame.
+const maxFrameBytes = 1 << 20
+
+// maxPortionFrames is the largest number of frames of a portion: the answer and
+// the failure of a shard may come in a frame of its own, and a last frame follows.
+func maxPortionFrames(shards int) int { return 2*shards + 1 }
+
+// readPortionFrame reads the next frame. An invalid one gives a *ResponseError.
+func readPortionFrame(r *bufio.Reader) (frame portionFrame, err error) {
+	defer func() {
+		var syntax *codec.SyntaxError
+		if errors.As(err, &syntax) {
+			err = &ResponseError{Problem: syntax.Error()}
+		}
+	}()
+	raw, err := codec.ReadValue(r, maxFrameBytes)
+	if err != nil {
+		return frame, err
+	}
+	err = codec.Unmarshal(raw, func(d *msgpack.Decoder) error { return d.Decode(&frame) })
+	return frame, err
+}
+
 // PortionError reports an invalid value of the portion header.
 type PortionError struct{ Text string }
 
--- a/io/proxy/portion_test.go
+++ b/io/proxy/portion_test.go
@@ -43,7 +43,7 @@
 	s.lastID++
 	addr := netip.MustParseAddrPort(peer.httpServer.Listener.Addr().String())
 	s.client.Forward(effect.Forward{
-		Attempt: s.lastID, Request: 1, Upstream: "vm b", Addr: addr, Timeout: 2 * time.Second, BodyOnly: true, Portion: p,
+		Attempt: s.lastID, Request: model.RequestID(s.lastID), Upstream: "vm b", Addr: addr, Timeout: 2 * time.Second, BodyOnly: true, Portion: p,
 	})
 }
 
--- a/io/proxy/server.go
+++ b/io/proxy/server.go
@@ -134,7 +134,7 @@
 	}
 	capacity := 1
 	if portion != nil {
-		capacity = 2*len(portion.Shards) + 1 // room for every frame: a shard's answer or failure may come in one of its own
+		capacity = maxPortionFrames(len(portion.Shards))
 	}
 	request.responses = make(chan effect.Effect, capacity)
 	id := model.RequestID(s.lastID.Add(1))
