Plan a shutdown so that its last step ends within the grace period

Cause: the steps of a stop took fractions of the grace period up to 0.92 of it, and then fixed times on top: 30 ms to flush, up to 300 ms for the control loop and up to 300 ms for each server, one after the other. Requests still in flight at the cut-off lost their connection without a response.

At the cut-off event.CutOff makes the router answer each request with what was received, or refuse it. The listener is closed once no connection waits to be accepted; idle connections are closed early, as soon as requests are refused, unless a request has arrived on them.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -62,6 +62,10 @@
 // then to emit effect.Drained.
 type Drain struct{}
 
+// CutOff asks a traffic state to answer or refuse every request in flight at once,
+// because the process is about to exit. It follows Drain.
+type CutOff struct{}
+
 // Leave announces to the control state that this process is about to exit, so
 // that other VMs stop sending it portions.
 type Leave struct{}
@@ -95,7 +99,8 @@
 	TimerProxyRequest                  // next step of a ProxyRequest; N is its id
 )
 
-func (Start) body() {}
-func (Drain) body() {}
-func (Leave) body() {}
-func (Timer) body() {}
+func (Start) body()  {}
+func (Drain) body()  {}
+func (CutOff) body() {}
+func (Leave) body()  {}
+func (Timer) body()  {}
--- a/core/node/state.go
+++ b/core/node/state.go
@@ -24,6 +24,8 @@
 		return s.handleStart(ev.At, body, out)
 	case event.Drain:
 		return s.handleDrain(ev.At, out)
+	case event.CutOff:
+		return s.proxy.CutOff(ev.At, out)
 	case event.Leave:
 		return s.control.Leave(ev.At, out)
 	case event.Timer:
--- a/core/proxy/invariants_test.go
+++ b/core/proxy/invariants_test.go
@@ -37,7 +37,7 @@
 			case 11:
 				s.updateEntryVMs()
 			case 4:
-				s.change(rapid.IntRange(0, 3).Draw(t, "change"))
+				s.change(rapid.IntRange(0, 4).Draw(t, "change"))
 			default:
 				s.endAttempt(rapid.IntRange(0, 8).Draw(t, "outcome"))
 			}
@@ -51,7 +51,8 @@
 	})
 }
 
-// change updates the document or the upstream list, or disconnects a caller.
+// change updates the document or the upstream list, disconnects a caller, or ends
+// every request.
 func (s *simulation) change(kind int) {
 	switch kind {
 	case 0:
@@ -64,6 +65,8 @@
 			req.disconnected = true
 			s.apply(s.router.HandleCallerDisconnected(s.now, event.CallerDisconnected{Request: id}, nil))
 		}
+	case 3:
+		s.apply(s.router.CutOff(s.now, nil))
 	default:
 		for _, u := range s.upstreams {
 			if u.spec.Index != "single" && u.spec.State == model.StateActive {
--- a/core/proxy/portion.go
+++ b/core/proxy/portion.go
@@ -57,12 +57,7 @@
 	}
 	switch {
 	case len(open) == 0 || !at.Before(end):
-		out = r.sendFrame(req, slices.Concat(answered, failed, open), false, out)
-		outcome := "gathered"
-		if req.answered() < len(req.subrequests) {
-			outcome = "incomplete"
-		}
-		return r.close(at, req, outcome, "", out)
+		return r.endPortion(at, req, out)
 	case !req.reply.firstFrameSent && !at.Before(firstFrame):
 		req.reply.firstFrameSent, req.reply.failuresDue = true, time.Time{}
 		out = r.sendFrame(req, slices.Concat(answered, failed, open), true, out)
@@ -84,6 +79,17 @@
 	return r.setTimer(at, req, end, out)
 }
 
+// endPortion sends the last frame of a portion with the results not sent yet.
+func (r *Router) endPortion(at time.Time, req *request, out []effect.Effect) []effect.Effect {
+	answered, failed, open := req.unreported()
+	out = r.sendFrame(req, slices.Concat(answered, failed, open), false, out)
+	outcome := "gathered"
+	if req.answered() < len(req.subrequests) {
+		outcome = "incomplete"
+	}
+	return r.close(at, req, outcome, "", out)
+}
+
 // attemptShards makes the attempt of each shard. A failed connection does not
 // count as the attempt, so another upstream is tried after it.
 func (r *Router) attemptShards(at time.Time, req *request, out []effect.Effect) []effect.Effect {
--- a/core/proxy/router.go
+++ b/core/proxy/router.go
@@ -142,6 +142,20 @@
 	return r.reportDrained(out)
 }
 
+// CutOff ends the requests that are still in flight: each is answered with what was
+// received, or refused.
+func (r *Router) CutOff(at time.Time, out []effect.Effect) []effect.Effect {
+	for _, id := range slices.Sorted(maps.Keys(r.requests)) {
+		req := r.requests[id]
+		if req.event.Portion != nil {
+			out = r.endPortion(at, req, out)
+		} else {
+			out = r.finish(at, req, out)
+		}
+	}
+	return out
+}
+
 func (r *Router) reportDrained(out []effect.Effect) []effect.Effect {
 	if r.draining && len(r.requests) == 0 {
 		out = append(out, effect.Drained{})
--- a/io/serve/http_actor.go
+++ b/io/serve/http_actor.go
@@ -6,22 +6,35 @@
 	"net"
 	"net/http"
 	"sync"
+	"syscall"
 	"time"
 )
 
+// Times of an httpActor.
+const (
+	lastResponseTime = 300 * time.Millisecond // for the responses being written when the server stops without a deadline
+	pendingInterval  = time.Millisecond       // between two looks at the connections that wait to be accepted
+	closeInterval    = 10 * time.Millisecond  // between two searches for idle connections
+)
+
 // httpActor runs an HTTP server in a run.Group.
 type httpActor struct {
-	server          *http.Server
-	listener        net.Listener
-	shutdownTimeout time.Duration // for the responses being written when it stops
-	stopOnce        sync.Once
-	stopped         chan struct{}
+	server   *http.Server
+	listener net.Listener
+	stopped  chan struct{}
+
+	mu       sync.Mutex
+	stopOnce sync.Once
+	deadline time.Time             // when connections that remain are closed; zero for lastResponseTime after stop
+	waiting  map[net.Conn]struct{} // connections without a request in progress
+	closing  bool                  // connections are closed as soon as they wait
 }
 
-func newHTTPActor(handler http.Handler, listener net.Listener, shutdownTimeout time.Duration) *httpActor {
-	server := newServer(handler)
-	server.IdleTimeout = callerIdleTimeout
-	return &httpActor{server: server, listener: listener, shutdownTimeout: shutdownTimeout, stopped: make(chan struct{})}
+func newHTTPActor(handler http.Handler, listener net.Listener) *httpActor {
+	a := &httpActor{server: newServer(handler), listener: listener, stopped: make(chan struct{}), waiting: make(map[net.Conn]struct{})}
+	a.server.IdleTimeout = callerIdleTimeout
+	a.server.ConnState = a.recordState
+	return a
 }
 
 // run serves until stop. After closeListener it continues to serve the open
@@ -35,14 +48,98 @@
 	return nil
 }
 
-// closeListener makes the server accept no new connections.
-func (a *httpActor) closeListener() { _ = a.listener.Close() } // run returns any error of the listener other than its close
+// setDeadline sets when stop closes the connections that remain.
+func (a *httpActor) setDeadline(deadline time.Time) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	a.deadline = deadline
+}
+
+// recordState is the server's ConnState hook.
+func (a *httpActor) recordState(c net.Conn, state http.ConnState) {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if state == http.StateNew || state == http.StateIdle {
+		a.waiting[c] = struct{}{}
+		return
+	}
+	delete(a.waiting, c)
+}
+
+// closeListener makes the server accept no new connections. Closing a listener
+// resets the connections that wait to be accepted, so those are accepted first,
+// until the deadline at the latest.
+func (a *httpActor) closeListener(deadline time.Time) {
+	for hasPendingInput(a.listener) && time.Now().Before(deadline) {
+		time.Sleep(pendingInterval)
+	}
+	_ = a.listener.Close() // run returns any error of the listener other than its close
+}
+
+// closeIdleConns closes the connections without a request in progress, also those
+// that become idle later. It returns at once.
+func (a *httpActor) closeIdleConns() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if !a.closing {
+		a.closing = true
+		go a.loop()
+	}
+}
+
+// loop closes idle connections until the server stops. A connection on which a
+// request has arrived is left to the server, which reads and refuses it: closing
+// it would leave the request without a response.
+func (a *httpActor) loop() {
+	ticker := time.NewTicker(closeInterval)
+	defer ticker.Stop()
+	for {
+		a.mu.Lock()
+		for c := range a.waiting {
+			if !hasPendingInput(c) {
+				delete(a.waiting, c)
+				_ = c.Close() // the server reads the error and forgets the connection
+			}
+		}
+		a.mu.Unlock()
+		select {
+		case <-ticker.C:
+		case <-a.stopped:
+			return
+		}
+	}
+}
 
 func (a *httpActor) stop(error) {
 	a.stopOnce.Do(func() { close(a.stopped) })
-	ctx, cancel := context.WithTimeout(context.Background(), a.shutdownTimeout)
+	a.mu.Lock()
+	deadline := a.deadline
+	a.mu.Unlock()
+	if deadline.IsZero() {
+		deadline = time.Now().Add(lastResponseTime)
+	}
+	a.closeIdleConns()
+	ctx, cancel := context.WithDeadline(context.Background(), deadline)
 	defer cancel()
 	if err := a.server.Shutdown(ctx); err != nil {
 		_ = a.server.Close() // connections that remain are closed when the process exits
 	}
 }
+
+// hasPendingInput reports whether a connection has bytes that were not read yet, or
+// a listener has connections that were not accepted yet. It reports false for what
+// is not a socket.
+func hasPendingInput(socket any) bool {
+	conn, ok := socket.(syscall.Conn)
+	if !ok {
+		return false
+	}
+	raw, err := conn.SyscallConn()
+	if err != nil {
+		return false
+	}
+	pending := false
+	// After an error the socket is closed, and nothing is pending.
+	_ = raw.Control(func(fd uintptr) { pending = isReadable(fd) })
+	return pending
+}
--- a/io/serve/platform_shutdown.go
+++ b/io/serve/platform_shutdown.go
@@ -24,47 +24,56 @@
 		return nil
 	}
 	vm := s.vm
-	start := time.Now()
-	vm.logger.WithField("grace", vm.settings.ShutdownGrace.String()).Info("draining")
+	plan := shutdownPlan{start: time.Now(), grace: vm.settings.ShutdownGrace}
+	vm.logger.WithField("grace", plan.grace.String()).Info("draining")
+	for _, a := range vm.httpActors() {
+		a.setDeadline(plan.at(exitAt))
+	}
+	idle := make(<-chan struct{})
 	if vm.proxy != nil {
 		vm.control.Post(event.Leave{})
-		if !s.drainTraffic(start) {
+		if idle = s.drainTraffic(plan); idle == nil {
 			return nil
 		}
 	}
 	vm.control.Post(event.Drain{})
-	s.wait(vm.executor.drained, time.Now().Add(finalResponseTimeout))
+	if !s.wait(vm.executor.drained, plan.at(stopServersAt)) {
+		return nil
+	}
+	if vm.proxy != nil && !s.wait(idle, plan.at(stopServersAt)) {
+		return nil
+	}
 	vm.logger.Info("drained")
 	return nil
 }
 
 // drainTraffic ends the traffic in steps. Callers may use open connections until
 // the process exits, and no request may be read and then left without a response,
-// so requests are refused before connections are closed. It returns false when
-// the group stops meanwhile.
-func (s *platformVMShutdown) drainTraffic(start time.Time) bool {
+// so requests are refused before connections are closed. The returned channel is
+// closed once no request is in flight. It is nil when the group stops meanwhile.
+func (s *platformVMShutdown) drainTraffic(plan shutdownPlan) <-chan struct{} {
 	vm := s.vm
-	at := func(fraction float64) time.Time {
-		return start.Add(time.Duration(fraction * float64(vm.settings.ShutdownGrace)))
-	}
 	vm.proxy.server.StartDraining()
-	if !s.wait(nil, at(closeListenerAt)) {
-		return false
+	if !s.wait(nil, plan.at(closeListenerAt)) {
+		return nil
 	}
-	vm.callerServer.closeListener()
-	if !s.wait(nil, at(refuseRequestsAt)) {
-		return false
+	vm.callerServer.closeListener(plan.at(refuseRequestsAt))
+	if !s.wait(nil, plan.at(refuseRequestsAt)) {
+		return nil
 	}
 	idle := vm.proxy.server.RefuseRequests()
-	if !s.wait(idle, at(cutOffAt)) || !s.wait(nil, time.Now().Add(flushTime)) {
-		return false
+	vm.proxy.loop.Post(event.Drain{})
+	vm.callerServer.closeIdleConns()
+	if !s.wait(idle, plan.at(cutOffAt)) {
+		return nil
 	}
 	select {
 	case <-idle:
 	default:
 		vm.logger.Warn("grace period is over; requests in flight are cut off")
 	}
-	return true
+	vm.proxy.loop.Post(event.CutOff{})
+	return idle
 }
 
 // wait returns true at a given time or when done is closed, and false when the
--- a/io/serve/platform_vm.go
+++ b/io/serve/platform_vm.go
@@ -23,15 +23,10 @@
 
 // Parameters of a PlatformVM.
 const (
-	callerIdleTimeout    = 2 * time.Minute        // callers on the platform close idle connections earlier
-	memoryLimitFraction  = 0.7                    // of the VM's memory; near this limit the Go runtime collects garbage more often
-	gcPercent            = 200                    // more than the default of 100, because the heap is small and collections cost CPU time
-	maxDiskWait          = time.Hour              // for retries of writes to a full or stalled disk; the replica does not respond meanwhile
-	finalResponseTimeout = 300 * time.Millisecond // for a server to write its last responses, and for the control loop to drain
-	closeListenerAt      = 0.5                    // fraction of the grace period after which no new connections are accepted
-	refuseRequestsAt     = 0.75                   // fraction of the grace period after which requests on open connections are refused
-	cutOffAt             = 0.92                   // fraction of the grace period after which requests in flight are cut off
-	flushTime            = 30 * time.Millisecond  // for the last responses to be sent
+	callerIdleTimeout   = 2 * time.Minute // callers on the platform close idle connections earlier
+	memoryLimitFraction = 0.7             // of the VM's memory; near this limit the Go runtime collects garbage more often
+	gcPercent           = 200             // more than the default of 100, because the heap is small and collections cost CPU time
+	maxDiskWait         = time.Hour       // for retries of writes to a full or stalled disk; the replica does not respond meanwhile
 )
 
 // PlatformVM is the process of a VM that receives its settings from the
@@ -94,7 +89,7 @@
 		if err != nil {
 			return nil, err
 		}
-		p.callerServer = newHTTPActor(p.proxy.server, l, finalResponseTimeout)
+		p.callerServer = newHTTPActor(p.proxy.server, l)
 		p.callerServer.server.ConnContext = proxy.ConnContext
 		if err = p.openPortionServer(); err != nil {
 			return nil, err
@@ -143,10 +138,18 @@
 	if err != nil {
 		return err
 	}
-	p.otherServers = append(p.otherServers, newHTTPActor(handler, l, finalResponseTimeout))
+	p.otherServers = append(p.otherServers, newHTTPActor(handler, l))
 	return nil
 }
 
+// httpActors returns the HTTP servers of the VM.
+func (p *PlatformVM) httpActors() []*httpActor {
+	if p.callerServer == nil {
+		return p.otherServers
+	}
+	return append([]*httpActor{p.callerServer}, p.otherServers...)
+}
+
 // Run serves until ctx is done, then drains and stops.
 func (p *PlatformVM) Run(ctx context.Context) (err error) {
 	defer func() {
@@ -168,10 +171,7 @@
 	}
 	start.Role = event.RoleControl
 	group.Add(func() error { return p.control.Run(start) }, p.control.Stop)
-	if p.callerServer != nil {
-		group.Add(p.callerServer.run, p.callerServer.stop)
-	}
-	for _, a := range p.otherServers {
+	for _, a := range p.httpActors() {
 		group.Add(a.run, a.stop)
 	}
 	if p.store != nil {
