Derive the margins before an answer from the caller's round-trip time

Cause: a partial answer left the VM 5 ms, plus the processing time, before the target latency, wherever the caller is. With a round trip of 6 ms it arrived a few milliseconds after the target.

Ruled out: a larger constant, which would cost callers nearby coverage.

Change: the server reads the round-trip time of the caller's connection from the kernel (TCP_INFO: the smoothed time, at most twice the lowest), for each request, so that a caller that moved or whose link turned slow counts with its present time. core/proxy/margins.go computes the margins before the target latency and the deadline from it; a caller that had to connect counts one round trip more. While the time is unknown the margins are as before.

--- a/core/event/proxy.go
+++ b/core/event/proxy.go
@@ -18,6 +18,7 @@
 	Fingerprint     model.Fingerprint
 	Portion         *model.Portion // the shards that another VM requests; nil for a caller's request
 	NewConn         bool           // the caller has just opened the connection; this is the first request on it
+	RoundTrip       time.Duration  // between this VM and the caller, on the network; 0 when unknown
 }
 
 // PortionResult is another VM's answer to an attempt to have it query a
--- a/core/proxy/delegate.go
+++ b/core/proxy/delegate.go
@@ -13,9 +13,10 @@
 // Parameters of delegation: when a portion is sent to another VM, and when this
 // VM sends its own attempts to the shards of a portion that is late.
 const (
-	minDelegationTime    = 2 * minAttemptTime // a portion with less time left is not delegated
-	directAttemptFactor  = 1.5                // direct attempts start after this many hedge delays of first frames
-	directAttemptMargins = 1.4                // but at the latest this many target margins after firstFrameDeadline
+	minDelegationTime    = 2 * minAttemptTime   // a portion with less time left is not delegated
+	directAttemptFactor  = 1.5                  // direct attempts start after this many hedge delays of first frames
+	directAttemptMargins = 1.4                  // but at the latest this many times the margin for the other VM after firstFrameDeadline
+	peerMargin           = 5 * time.Millisecond // margin for the network between two VMs
 )
 
 // delegation is a portion that was sent to another VM.
@@ -221,6 +222,6 @@
 func (r *Router) directAttemptAt(d *delegation) time.Time {
 	route := d.request.route
 	delay := time.Duration(directAttemptFactor * float64(r.firstFrameLatency(route).hedgeDelay(route, 0)))
-	latest := time.Duration(firstFrameDeadline*float64(targetLatency(route)) + directAttemptMargins*float64(r.targetMargin()))
+	latest := time.Duration(firstFrameDeadline*float64(targetLatency(route)) + directAttemptMargins*float64(peerMargin+r.processingTime()))
 	return d.sent.Add(min(delay, latest))
 }
--- a/core/proxy/step.go
+++ b/core/proxy/step.go
@@ -11,21 +11,16 @@
 
 // Times and limits of one request.
 const (
-	networkMargin         = 5 * time.Millisecond    // before the target latency, for the network between the caller and this VM
-	connectMargin         = 8 * time.Millisecond    // further margin for a caller that has just opened its connection
-	processingMargin      = 1100 * time.Microsecond // further margin for the work on request and answer, on a whole core
-	answerGap             = 4 * time.Millisecond    // without an answer to any subrequest, after which the missing ones count as overdue
-	deadlineMargin        = 15 * time.Millisecond   // before the caller's deadline
-	deadlineMarginDivisor = 8                       // the caller's time over this is the largest margin before its deadline
-	maxExpectedRatio      = 2                       // the expected latency of an attempt is at most this many typical ones
-	minAttemptTime        = 4 * time.Millisecond    // no attempt is made with less time left
-	pickRetryInterval     = 3 * time.Millisecond    // until another search for an upstream
-	retryBudgetInterval   = 8 * time.Millisecond    // until the retry budget is checked again
-	giveUpAfter           = 12 * time.Millisecond   // without retry budget, when the request cannot succeed without the subrequest
-	maxReservedShortfall  = 2                       // largest shortfall of a request that may use the reserved extra attempts
-	reservedExtra         = 0.4                     // extra attempts reserved for them; with many entry VMs, each VM has two or three
-	cancelAfter           = 300 * time.Millisecond  // age at which an attempt is cancelled once its request has ended
-	rareConnIdle          = 3 * time.Second         // idle time of a connection that this VM seldom uses
+	answerGap            = 4 * time.Millisecond   // without an answer to any subrequest, after which the missing ones count as overdue
+	maxExpectedRatio     = 2                      // the expected latency of an attempt is at most this many typical ones
+	minAttemptTime       = 4 * time.Millisecond   // no attempt is made with less time left
+	pickRetryInterval    = 3 * time.Millisecond   // until another search for an upstream
+	retryBudgetInterval  = 8 * time.Millisecond   // until the retry budget is checked again
+	giveUpAfter          = 12 * time.Millisecond  // without retry budget, when the request cannot succeed without the subrequest
+	maxReservedShortfall = 2                      // largest shortfall of a request that may use the reserved extra attempts
+	reservedExtra        = 0.4                    // extra attempts reserved for them; with many entry VMs, each VM has two or three
+	cancelAfter          = 300 * time.Millisecond // age at which an attempt is cancelled once its request has ended
+	rareConnIdle         = 3 * time.Second        // idle time of a connection that this VM seldom uses
 )
 
 func versionText(version uint64) string { return "version " + strconv.FormatUint(version, 10) }
@@ -59,11 +54,9 @@
 	if e.Wait > 0 {
 		wait = min(wait, e.Wait)
 	}
-	req.deadline = at.Add(wait - min(deadlineMargin, wait/deadlineMarginDivisor))
-	req.partialAfter = at.Add(targetLatency(route) - r.targetMargin())
-	if e.NewConn {
-		req.partialAfter = req.partialAfter.Add(-connectMargin)
-	}
+	margins := callerMargins{roundTrip: e.RoundTrip, newConn: e.NewConn, processing: r.processingTime()}
+	req.deadline = at.Add(wait - margins.beforeDeadline(wait))
+	req.partialAfter = at.Add(targetLatency(route) - margins.beforeTarget(targetLatency(route)))
 	if e.Portion != nil {
 		if !r.selectShards(req) {
 			return r.refuseUnsent(e, route, model.RefusedStale, out)
@@ -80,14 +73,6 @@
 	return r.step(at, req, out)
 }
 
-// targetMargin is how long before the target latency an answer must be sent.
-func (r *Router) targetMargin() time.Duration {
-	if r.settings.CPUCores <= 0 {
-		return networkMargin + processingMargin
-	}
-	return networkMargin + time.Duration(float64(processingMargin)/r.settings.CPUCores)
-}
-
 // servicesOf returns the services that a request of the route goes to: all
 // shards, or one target.
 func (r *Router) servicesOf(route *model.Route) []string {
--- a/io/proxy/client_test.go
+++ b/io/proxy/client_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -308,7 +309,8 @@
 	r.server.ServeHTTP(r.w, httptest.NewRequest(http.MethodGet, "/x/1", http.NoBody))
 }
 
-// Guards against confusing the first request on a connection with a later one.
+// Guards against confusing the first request on a connection with a later one, and
+// against a round-trip time that is not read from the connection.
 func TestFirstRequestOfAConnection(t *testing.T) {
 	requests := make(chan event.ProxyRequest, 10)
 	s := &proxy.Server{HeaderNames: headerNames}
@@ -332,8 +334,12 @@
 			t.Fatal(err)
 		}
 		r.Body.Close()
-		if got := (<-requests).NewConn; got != want {
+		request := <-requests
+		if got := request.NewConn; got != want {
 			t.Errorf("got NewConn %t, want %t", got, want)
 		}
+		if got := request.RoundTrip; runtime.GOOS == "linux" && (got <= 0 || got > time.Second) {
+			t.Errorf("got round-trip time %v, want that of a loopback connection", got)
+		}
 	}
 }
--- a/io/proxy/server.go
+++ b/io/proxy/server.go
@@ -145,7 +145,7 @@
 	path, _, _ := strings.Cut(request.URI, "?")
 	s.Post(event.ProxyRequest{
 		ID: id, CallerRequestID: request.ID, Host: r.Host, Path: path, Wait: s.HeaderNames.parseWait(r.Header),
-		Fingerprint: request.fingerprint(), Portion: portion, NewConn: isFirstRequest(r),
+		Fingerprint: request.fingerprint(), Portion: portion, NewConn: isFirstRequest(r), RoundTrip: roundTripOf(r),
 	})
 	if portion != nil {
 		if !s.streamPortionResults(w, r, request) {
