Count a misdirected attempt of the soak for the service that was meant

Cause: when two upstreams of different services exchange their addresses, an attempt reaches the wrong one and is refused with 421.

Change: stub.Arrival names the upstream that a request is intended for, and the soak counts the attempt for that one's service, as strictly as before.

--- a/core/soak/event.go
+++ b/core/soak/event.go
@@ -35,8 +35,8 @@
 type Run struct {
 	Receipt   string // identifies the run
 	Upstream  int
-	Service   string
-	RequestID string
+	Service   string        // of the upstream that the request was intended for
+	RequestID string        // as in Request
 	Digest    uint64        // as in Request
 	Wait      time.Duration // time left, as stated to the upstream
 	Accepted  bool          // false when the upstream states that it does not run the request
--- a/io/soak/upstream.go
+++ b/io/soak/upstream.go
@@ -65,7 +65,7 @@
 // Arrived implements stub.Watcher.
 func (u *upstream) Arrived(a stub.Arrival) {
 	u.soak.post(soak.RequestArrived{Run: soak.Run{
-		Receipt: a.Receipt, Upstream: u.number, Service: u.soak.serviceOf(a.Upstream), RequestID: a.CallerRequestID, Digest: a.RequestHash,
+		Receipt: a.Receipt, Upstream: u.number, Service: u.soak.serviceOf(a.Intended), RequestID: a.CallerRequestID, Digest: a.RequestHash,
 		Wait: a.Wait, Accepted: a.Accepted, Records: a.Records,
 	}})
 }
--- a/io/stub/forwarded.go
+++ b/io/stub/forwarded.go
@@ -1,6 +1,7 @@
 package stub
 
 import (
+	"cmp"
 	"encoding/binary"
 	"io"
 	"net/http"
@@ -37,6 +38,7 @@
 // Arrival is a forwarded request that reached a stub.
 type Arrival struct {
 	Upstream        string        // the stub's upstream id when the request arrived
+	Intended        string        // id of the upstream that the request is intended for; as Upstream when it names none
 	Receipt         string        // sent in the answer as proof that this stub answered; empty when the request is not run
 	CallerRequestID string        // request id chosen by the caller
 	RequestHash     uint64        // hash of its method, URI and body
@@ -74,14 +76,14 @@
 	}
 	id := *s.upstreamID.Load()
 	a := Arrival{
-		Upstream: id, CallerRequestID: tag, RequestHash: HashRequest(r.Method, r.RequestURI, body), Wait: time.Duration(ms) * time.Millisecond,
+		Upstream: id, Intended: cmp.Or(r.Header.Get(d.ExpectedUpstream), id), CallerRequestID: tag, RequestHash: HashRequest(r.Method, r.RequestURI, body), Wait: time.Duration(ms) * time.Millisecond,
 	}
 	refuse := func(status int) {
 		s.forwarding.Watcher.Arrived(a)
 		w.Header().Set(d.NotRun, "1")
 		w.WriteHeader(status)
 	}
-	if expected := r.Header.Get(d.ExpectedUpstream); expected != "" && expected != id {
+	if a.Intended != id {
 		refuse(http.StatusMisdirectedRequest)
 		return
 	}
--- a/io/stub/stub_test.go
+++ b/io/stub/stub_test.go
@@ -393,14 +393,14 @@
 	}
 	ran := watcher.arrivals[0]
 	want := Arrival{
-		Upstream: "u", Receipt: answered.Get("R"), CallerRequestID: "tag", RequestHash: HashRequest(http.MethodGet, "/a?b", nil),
+		Upstream: "u", Intended: "u", Receipt: answered.Get("R"), CallerRequestID: "tag", RequestHash: HashRequest(http.MethodGet, "/a?b", nil),
 		Wait: 70 * time.Millisecond, Accepted: true, Records: []byte(body),
 	}
 	if ran.Receipt == "" || !reflect.DeepEqual(ran, want) {
 		t.Errorf("got %+v, want %+v", ran, want)
 	}
-	if watcher.arrivals[1].Accepted {
-		t.Error("the refused request counts as accepted")
+	if other := watcher.arrivals[1]; other.Accepted || other.Upstream != "u" || other.Intended != "v" {
+		t.Errorf("got arrival %+v of the refused request, want it not accepted by u and intended for v", other)
 	}
 }
 
