Send the handover of a resigning leader to its successor

Cause: the encoding of AppendRequest had no field for Handover, so that a leader which resigned asked nobody: its successor was elected only after an election timeout. The codec test could not see it, because its sample left the field at false.

Change: the field is encoded when set; older builds skip it. The codec test now requires a sample that sets each field of every message, and found three more that no sample set; these were encoded rightly.

Result: TestCodecKeepsMessages fails before the change and passes after it.

--- a/io/peer/codec.go
+++ b/io/peer/codec.go
@@ -168,6 +168,7 @@
 	case frame.AppendRequest:
 		w := wireAppendRequest{
 			Term: m.Term, Replica: m.Replica, PrevIndex: m.PrevIndex, PrevTerm: m.PrevTerm, CommitIndex: m.CommitIndex, Round: m.Round,
+			Handover: m.Handover,
 		}
 		for _, e := range m.Entries {
 			w.Entries = append(w.Entries, wireEntry{Index: e.Index, Term: e.Term, At: e.At, Command: wireCommand{e.Command}})
@@ -197,6 +198,7 @@
 	Entries     []wireEntry
 	CommitIndex uint64 `msgpack:"Commit"`
 	Round       uint64
+	Handover    bool `msgpack:",omitempty"` // rarely set
 }
 
 type wireEntry struct {
@@ -209,6 +211,7 @@
 func (w wireAppendRequest) message() frame.Message {
 	m := frame.AppendRequest{
 		Term: w.Term, Replica: w.Replica, PrevIndex: w.PrevIndex, PrevTerm: w.PrevTerm, CommitIndex: w.CommitIndex, Round: w.Round,
+		Handover: w.Handover,
 	}
 	for _, e := range w.Entries {
 		m.Entries = append(m.Entries, entry.Entry{Index: e.Index, Term: e.Term, At: e.At, Command: e.Command.Command})
--- a/io/peer/codec_test.go
+++ b/io/peer/codec_test.go
@@ -59,7 +59,7 @@
 		messages,
 		frame.VoteRequest{Term: 1, Replica: replica, LastIndex: 2, LastTerm: 3, PreVote: true},
 		frame.VoteResponse{Term: 1, Replica: replica, PreVote: true, Granted: true},
-		frame.AppendRequest{Term: 1, Replica: replica, PrevIndex: 2, PrevTerm: 3, Entries: entries, CommitIndex: 4, Round: 5},
+		frame.AppendRequest{Term: 1, Replica: replica, PrevIndex: 2, PrevTerm: 3, Entries: entries, CommitIndex: 4, Round: 5, Handover: true},
 		frame.AppendResponse{Term: 1, Replica: replica, OK: true, MatchIndex: 2, NextIndex: 3, Round: 4},
 		frame.InstallImage{Term: 1, Replica: replica, Image: image},
 		frame.InstallImageResponse{Term: 1, Replica: replica, Index: 2},
@@ -76,14 +76,14 @@
 		frame.Ping{Seq: 1}, frame.Pong{Seq: 1},
 		frame.IndirectPing{Seq: 1, Target: "vm1"}, frame.IndirectPong{Seq: 1, Target: "vm1", Alive: true},
 		frame.LeaseRequest{Seq: 1, ProcessStart: at, Revision: 2, Demand: map[string]int{"c": 1}},
-		frame.LeaseResponse{Seq: 1, ExtraConcurrency: map[string]int{"c": 1}, Duration: time.Second},
+		frame.LeaseResponse{Seq: 1, ExtraConcurrency: map[string]int{"c": 1}, Duration: time.Second, LimitsAge: time.Minute, LimitsRevision: 3},
 		frame.UpstreamList{
 			Checksum: 9, ReadSeq: 8, Age: time.Second, EntryVMCount: 17, Isolated: true, Complete: true, Upstreams: []model.Upstream{{
 				ID: "u1", Addr: netip.MustParseAddrPort("10.0.0.1:80"), Zone: "a", Index: "s", Slots: 2, WarmUpLeft: time.Second,
 			}},
 		},
 		frame.UpstreamListRequest{},
-		frame.UpstreamWarning{Upstream: "u", Unreachable: true},
+		frame.UpstreamWarning{Upstream: "u", Unreachable: true, ExtraLatency: time.Second},
 		frame.EntryVMs{VMs: []model.EntryVM{{ID: "vm1", Zone: "a", PortionAddr: netip.MustParseAddrPort("10.0.0.1:7741")}}},
 		frame.CrashReport{Fingerprint: 3, Upstreams: []model.UpstreamID{"u"}, Quarantine: time.Second, Relay: true},
 	)
@@ -93,8 +93,14 @@
 // against a kind without a sample.
 func TestCodecKeepsMessages(t *testing.T) {
 	seen := map[frame.Kind]bool{}
+	unset := map[string]bool{} // fields that are zero in every sample of their type so far
 	for _, want := range sampleMessages() {
 		seen[want.Kind()] = true
+		for value, i := reflect.ValueOf(want), 0; i < value.NumField(); i++ {
+			name := value.Type().String() + "." + value.Type().Field(i).Name
+			zeroBefore, known := unset[name]
+			unset[name] = value.Field(i).IsZero() && (zeroBefore || !known)
+		}
 		b, err := Encode(want)
 		if err != nil {
 			t.Fatal(err)
@@ -109,6 +115,11 @@
 			t.Errorf("no sample of kind %d", kind)
 		}
 	}
+	for name, zero := range unset {
+		if zero {
+			t.Errorf("no sample sets %s, so that its loss would not show", name)
+		}
+	}
 }
 
 // Guards against parts that are joined wrongly, and against frames above the limit
