Remove a limit of the pause predictor that had no effect

Cause: the count of matching pauses was capped at 6 and only ever compared with 2; the period is learnt again after three pauses off it, whatever the count.

Change: the cap is gone. Behaviour is unchanged.

--- a/core/proxy/pause_predictor.go
+++ b/core/proxy/pause_predictor.go
@@ -14,7 +14,6 @@
 	samePauseWindow  = 60 * time.Millisecond  // slow answers within this time of a pause's end are of that pause
 	maxPauseLength   = 400 * time.Millisecond // caps the length learnt from one answer
 	minMatches       = 2                      // pauses that must match the period before it is used
-	maxMatches       = 6                      // caps the count, so that a changed period is learnt soon
 	maxMisses        = 3                      // pauses in a row off the period, after which the period is learnt again
 	maxPeriodDivisor = 3                      // the learnt period may be up to this many real ones long, since some pauses go unnoticed
 	lengthDecay      = 0.9                    // factor on the learnt length for each pause that was shorter
@@ -69,7 +68,7 @@
 		}
 		p.period = time.Duration(float64(end.Sub(p.anchor)) / n)
 		p.length = max(time.Duration(lengthDecay*float64(p.length)), delay)
-		p.matches, p.misses = min(p.matches+1, maxMatches), 0
+		p.matches, p.misses = p.matches+1, 0
 		return true
 	}
 	if p.misses++; p.misses >= maxMisses {
