Apply changes of the settings file to running processes

Cause: on SIGHUP a process only checked that the settings file could be read, and a change without a signal went unnoticed: a process kept the seeds, the retry budget and the limits of its start until it was restarted.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -58,6 +58,23 @@
 	InitialConfig       *model.Topology // configuration from the settings: the log's first one, or the only one in a fleet without disk VMs
 }
 
+// SettingsChanged carries the settings of a running process that may change. The
+// fields are those of [Start].
+type SettingsChanged struct {
+	Peers               []model.VM
+	ToleratedDiskLosses int
+	CPUCores            float64
+	RetryBudgetRatio    float64
+	RetryBudgetExtra    int
+	RetryBudgetWindow   time.Duration
+}
+
+// Apply changes the settings of a state.
+func (c SettingsChanged) Apply(s *Start) {
+	s.Peers, s.ToleratedDiskLosses, s.CPUCores = c.Peers, c.ToleratedDiskLosses, c.CPUCores
+	s.RetryBudgetRatio, s.RetryBudgetExtra, s.RetryBudgetWindow = c.RetryBudgetRatio, c.RetryBudgetExtra, c.RetryBudgetWindow
+}
+
 // Drain asks the state to accept no new requests, to finish those in flight and
 // then to emit effect.Drained.
 type Drain struct{}
@@ -99,8 +116,9 @@
 	TimerProxyRequest                  // next step of a ProxyRequest; N is its id
 )
 
-func (Start) body()  {}
-func (Drain) body()  {}
-func (CutOff) body() {}
-func (Leave) body()  {}
-func (Timer) body()  {}
+func (Start) body()           {}
+func (Drain) body()           {}
+func (SettingsChanged) body() {}
+func (CutOff) body()          {}
+func (Leave) body()           {}
+func (Timer) body()           {}
--- a/core/node/lifecycle.go
+++ b/core/node/lifecycle.go
@@ -23,6 +23,17 @@
 	return s.query.Start(at, start, out)
 }
 
+func (s *State) handleSettings(at time.Time, e event.SettingsChanged, out []effect.Effect) []effect.Effect {
+	switch s.role {
+	case event.RoleControl:
+		return s.control.HandleSettings(at, e, out)
+	case event.RoleProxy:
+		return s.proxy.HandleSettings(at, e, out)
+	default:
+		return out // the settings of other roles do not change
+	}
+}
+
 func (s *State) handleDrain(at time.Time, out []effect.Effect) []effect.Effect {
 	if s.role == event.RoleControl {
 		return s.control.Drain(at, out)
--- a/core/node/state.go
+++ b/core/node/state.go
@@ -22,6 +22,8 @@
 	switch body := ev.Body.(type) {
 	case event.Start:
 		return s.handleStart(ev.At, body, out)
+	case event.SettingsChanged:
+		return s.handleSettings(ev.At, body, out)
 	case event.Drain:
 		return s.handleDrain(ev.At, out)
 	case event.CutOff:
--- a/core/plane/components_test.go
+++ b/core/plane/components_test.go
@@ -21,6 +21,7 @@
 	suspected  []model.VMID
 	changes    int
 	timerCalls int
+	peers      []model.VM
 }
 
 func (f *fakeTree) Start(_ time.Time, _ model.VM, _ time.Time, out []effect.Effect) []effect.Effect {
@@ -56,6 +57,8 @@
 func (f *fakeTree) Leader() model.VMID                     { return "vm1" }
 func (f *fakeTree) MajorityAge(time.Time) time.Duration    { return 3 * time.Second }
 func (f *fakeTree) Descendants(time.Time) []frame.VMStatus { return []frame.VMStatus{{VM: "vm9"}} }
+func (f *fakeTree) SetPeers(vms []model.VM)                { f.peers = vms }
+
 func (f *fakeTree) SetSuspected(vm model.VMID, on bool) {
 	f.suspected = slices.DeleteFunc(f.suspected, func(id model.VMID) bool { return id == vm })
 	if on {
--- a/core/plane/control.go
+++ b/core/plane/control.go
@@ -73,6 +73,21 @@
 	return c.complete(first, c.publish(at, out))
 }
 
+// HandleSettings applies changed settings.
+func (c *Control) HandleSettings(_ time.Time, e event.SettingsChanged, out []effect.Effect) []effect.Effect {
+	e.Apply(&c.settings)
+	if c.tree != nil {
+		known := c.settingsVMs()
+		known[c.settings.VM.ID] = c.settings.VM
+		vms := make([]model.VM, 0, len(known))
+		for _, id := range slices.Sorted(maps.Keys(known)) {
+			vms = append(vms, known[id])
+		}
+		c.tree.SetPeers(vms)
+	}
+	return out
+}
+
 // Drain hands over leadership and reports effect.Drained once every command has
 // an answer.
 func (c *Control) Drain(at time.Time, out []effect.Effect) []effect.Effect {
--- a/core/plane/tree.go
+++ b/core/plane/tree.go
@@ -29,6 +29,8 @@
 	// MajorityAge returns the time since the last contact with a majority.
 	MajorityAge(at time.Time) time.Duration
 	SetSuspected(vm model.VMID, suspected bool)
+	// SetPeers replaces the VMs that are known without a configuration.
+	SetPeers(vms []model.VM)
 	// Descendants returns what is known about the VMs below this one.
 	Descendants(at time.Time) []frame.VMStatus
 }
--- a/core/proxy/retry_budget.go
+++ b/core/proxy/retry_budget.go
@@ -27,6 +27,13 @@
 	return extraRatioUsed * r.settings.RetryBudgetRatio, count
 }
 
+// updateRetryBudgets applies changed limits to the retry budgets.
+func (r *Router) updateRetryBudgets() {
+	for _, b := range r.retryBudgets {
+		b.SetLimits(r.retryBudgetLimits())
+	}
+}
+
 // retryBudget returns this VM's retry budget for a service. In a new process it
 // is not full, because the process before it may have spent a whole budget in the
 // same window.
--- a/core/proxy/router.go
+++ b/core/proxy/router.go
@@ -60,6 +60,13 @@
 	return append(out, effect.SetTimer{ID: event.TimerID{Kind: event.TimerSweep}, At: at.Add(sweepInterval)})
 }
 
+// HandleSettings applies changed settings.
+func (r *Router) HandleSettings(_ time.Time, e event.SettingsChanged, out []effect.Effect) []effect.Effect {
+	e.Apply(&r.settings)
+	r.updateRetryBudgets()
+	return out
+}
+
 // HandleView applies the current routing document. A version that is not newer
 // is ignored.
 func (r *Router) HandleView(at time.Time, v event.View, out []effect.Effect) []effect.Effect {
@@ -83,9 +90,7 @@
 	resized := r.entryVMCount != list.EntryVMCount
 	r.upstreamListReadAt, r.entryVMCount = list.ReadAt, list.EntryVMCount
 	if resized {
-		for _, a := range r.retryBudgets {
-			a.SetLimits(r.retryBudgetLimits())
-		}
+		r.updateRetryBudgets()
 	}
 	if r.hasUpstreamList && list.Checksum == r.upstreamListChecksum {
 		return out
--- a/core/proxy/router_test.go
+++ b/core/proxy/router_test.go
@@ -316,3 +316,26 @@
 		t.Errorf("got an answer after %s on an open connection and %s on a new one, want it at least 4ms sooner to make up for connecting", open, fresh)
 	}
 }
+
+// Guards against a retry budget that changes in the settings file and takes effect
+// only when the process starts again.
+func TestChangedRetryBudget(t *testing.T) {
+	hedges := func(extra int) (n int) {
+		tr := newTestRouter(unshardedRoute(false), "s")
+		tr.router.HandleSettings(tr.now, event.SettingsChanged{RetryBudgetExtra: extra, RetryBudgetWindow: 10 * time.Second, CPUCores: 1}, nil)
+		for range 20 {
+			tr.lastID++
+			out := tr.router.HandleProxyRequest(tr.now, event.ProxyRequest{ID: tr.lastID, Host: "h", Path: "/x", Fingerprint: model.Fingerprint(tr.lastID)}, nil)
+			due, again := fireTimer(&tr.router, tr.now, out)
+			tr.now = due
+			n += len(forwardsOf(again))
+			for _, f := range append(forwardsOf(out), forwardsOf(again)...) {
+				tr.respond(f, 0)
+			}
+		}
+		return n
+	}
+	if few, many := hedges(2), hedges(8); few >= many {
+		t.Errorf("got %d hedges with a small budget and %d with a larger one, want more", few, many)
+	}
+}
--- a/core/relay/tree.go
+++ b/core/relay/tree.go
@@ -453,6 +453,16 @@
 	return ok
 }
 
+// SetPeers replaces the VMs known from the settings. Without a configuration the
+// next parent is chosen among them.
+func (t *Tree) SetPeers(vms []model.VM) {
+	t.Peers = vms
+	if !t.placementKnown {
+		t.placement.vms = nil
+		t.updatePlacement()
+	}
+}
+
 // updatePlacement recomputes the placement when the configuration has changed.
 func (t *Tree) updatePlacement() {
 	topology := t.Store.Topology()
--- a/io/serve/platform_shutdown.go
+++ b/io/serve/platform_shutdown.go
@@ -24,7 +24,7 @@
 		return nil
 	}
 	vm := s.vm
-	plan := shutdownPlan{start: time.Now(), grace: vm.settings.ShutdownGrace}
+	plan := shutdownPlan{start: time.Now(), grace: time.Duration(vm.grace.Load())}
 	vm.logger.WithField("grace", plan.grace.String()).Info("draining")
 	for _, a := range vm.httpActors() {
 		a.setDeadline(plan.at(exitAt))
--- a/io/serve/platform_vm.go
+++ b/io/serve/platform_vm.go
@@ -7,6 +7,7 @@
 	"net/http"
 	"net/netip"
 	"runtime/debug"
+	"sync/atomic"
 	"time"
 
 	"github.com/apex/log"
@@ -34,6 +35,7 @@
 // a VM with a disk that replicates the log. Make it with NewPlatformVM.
 type PlatformVM struct {
 	settings *PlatformSettings
+	grace    atomic.Int64 // PlatformSettings.ShutdownGrace in nanoseconds
 	logger   log.Interface
 	counters *Counters
 
@@ -56,11 +58,9 @@
 			err = fmt.Errorf("vm %s: %w", settings.VM.ID, err)
 		}
 	}()
-	if settings.MemoryBytes > 0 {
-		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(settings.MemoryBytes)))
-	}
 	debug.SetGCPercent(gcPercent)
 	p = &PlatformVM{settings: settings, logger: logger, counters: newCounters()}
+	p.applyLimits(settings)
 	p.executor = &controlExecutor{counters: p.counters, logger: logger, lister: settings.UpstreamLister, drained: make(chan struct{})}
 	p.control = loop.New(p.executor)
 	p.executor.loop = p.control
@@ -142,6 +142,29 @@
 	return nil
 }
 
+// Reload applies changed settings to the running VM: the seeds, the tolerated
+// losses, the limits of the machine, the retry budget and the grace period. Other
+// settings take effect at the next start.
+func (p *PlatformVM) Reload(settings *PlatformSettings) {
+	p.applyLimits(settings)
+	changed := event.SettingsChanged{
+		Peers: settings.Seeds, ToleratedDiskLosses: settings.ToleratedDiskLosses, CPUCores: settings.CPUCores,
+		RetryBudgetRatio: settings.RetryBudgetRatio, RetryBudgetExtra: settings.RetryBudgetExtra, RetryBudgetWindow: settings.RetryBudgetWindow,
+	}
+	p.control.Post(changed)
+	if p.proxy != nil {
+		p.proxy.loop.Post(changed)
+	}
+}
+
+// applyLimits applies the settings that concern the process as a whole.
+func (p *PlatformVM) applyLimits(settings *PlatformSettings) {
+	p.grace.Store(int64(settings.ShutdownGrace))
+	if settings.MemoryBytes > 0 {
+		debug.SetMemoryLimit(int64(memoryLimitFraction * float64(settings.MemoryBytes)))
+	}
+}
+
 // httpActors returns the HTTP servers of the VM.
 func (p *PlatformVM) httpActors() []*httpActor {
 	if p.callerServer == nil {
