--- a/io/body/budget.go
+++ b/io/body/budget.go
@@ -4,15 +4,14 @@
 	"errors"
 	"fmt"
 	"io"
-	"net/http"
 	"slices"
 	"sync/atomic"
 )
 
 // Limits of response bodies, in bytes.
 const (
-	freeBytes   = 64 << 10 // of each body, which do not count towards budgetBytes
-	budgetBytes = 16 << 20
+	freeBytes   = 16 << 10 // of each body, which do not count towards budgetBytes
+	budgetBytes = 8 << 20
 
 	// MaxBytes is the limit of a single body while no other one is read.
 	MaxBytes = budgetBytes / 2
@@ -65,19 +64,19 @@
 	r.taken = 0
 }
 
-// ReadAll reads the body of a response to its end. A body that does not fit into the
-// budget gives a *SizeError.
-func (b *Budget) ReadAll(response *http.Response) (body []byte, err error) {
-	n := response.ContentLength
-	if n > MaxBytes {
-		return nil, &SizeError{Read: n}
+// ReadAll reads the body of a response to its end. length is its stated length, in
+// bytes, -1 when it is unknown. A body that does not fit into the budget gives a
+// *SizeError.
+func (b *Budget) ReadAll(body io.Reader, length int64) (read []byte, err error) {
+	if length > MaxBytes {
+		return nil, &SizeError{Read: length}
 	}
-	if n >= 0 && n <= freeBytes {
-		body = make([]byte, n)
-		_, err = io.ReadFull(response.Body, body)
-		return body, err
+	if length >= 0 && length <= freeBytes {
+		read = make([]byte, length)
+		_, err = io.ReadFull(body, read)
+		return read, err
 	}
-	r := b.NewReader(response.Body)
+	r := b.NewReader(body)
 	defer r.Release()
 	return readChunks(r)
 }
--- a/io/body/doc.go
+++ b/io/body/doc.go
@@ -4,7 +4,7 @@
 // # Usage
 //
 //	var budget body.Budget // one for all responses that a client reads
-//	b, err := budget.ReadAll(response)
+//	b, err := budget.ReadAll(response.Body, response.ContentLength)
 //
 //	r := budget.NewReader(response.Body) // for a body that is decoded as it arrives
 //	defer r.Release()
--- a/io/codec/read_value.go
+++ b/io/codec/read_value.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 )
@@ -40,7 +41,7 @@
 func readHeader(r *bufio.Reader, b []byte) ([]byte, error) {
 	code, err := r.ReadByte()
 	if err != nil {
-		if len(b) > 0 && err == io.EOF {
+		if len(b) > 0 && errors.Is(err, io.EOF) {
 			err = io.ErrUnexpectedEOF
 		}
 		return nil, err
@@ -60,7 +61,7 @@
 		start := len(b)
 		b = append(b, make([]byte, step)...)
 		if _, err := io.ReadFull(r, b[start:]); err != nil {
-			if err == io.EOF {
+			if errors.Is(err, io.EOF) {
 				err = io.ErrUnexpectedEOF
 			}
 			return nil, err
--- a/io/dialer/attempt.go
+++ b/io/dialer/attempt.go
@@ -58,7 +58,7 @@
 		return a.transportFailure(ctx, err)
 	}
 	defer response.Body.Close()
-	raw, err := a.dialer.bodies.ReadAll(response)
+	raw, err := a.dialer.bodies.ReadAll(response.Body, response.ContentLength)
 	if err != nil {
 		return a.transportFailure(ctx, err)
 	}
--- a/io/dialer/probe.go
+++ b/io/dialer/probe.go
@@ -64,7 +64,7 @@
 	if response.StatusCode != http.StatusOK {
 		return body, fmt.Errorf("status %d", response.StatusCode)
 	}
-	raw, err := p.dialer.bodies.ReadAll(response)
+	raw, err := p.dialer.bodies.ReadAll(response.Body, response.ContentLength)
 	if err != nil {
 		return body, err
 	}
--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -184,8 +184,12 @@
 	if err != nil {
 		return nil, 0, err
 	}
-	// The body is never closed: that would read the rest of a long one. After a
-	// failure the connection is closed instead.
+	defer func() {
+		if err != nil {
+			c.Close() // otherwise closing the body would read the rest of it
+		}
+		response.Body.Close()
+	}()
 	if a.forward.Portion != nil {
 		result, err = a.readPortionResults(response)
 		if !response.Close && c.reader.Buffered() == 0 {
@@ -193,7 +197,7 @@
 		}
 		return result, idleTimeout, err
 	}
-	body, err := a.client.bodies.ReadAll(response)
+	body, err := a.client.bodies.ReadAll(response.Body, response.ContentLength)
 	if err != nil {
 		return nil, 0, fmt.Errorf("read the response body: %w", err)
 	}
@@ -225,7 +229,7 @@
 // than 200 is a refusal: the other VM has sent nothing to upstreams.
 func (a *attempt) readPortionResults(response *http.Response) (result event.Body, err error) {
 	if response.StatusCode != http.StatusOK {
-		_, err = a.client.bodies.ReadAll(response)
+		_, err = a.client.bodies.ReadAll(response.Body, response.ContentLength)
 		return event.AttemptFailed{Attempt: a.forward.Attempt, Reason: model.FailedShed, Ran: model.RanNo, NewConn: a.newConn}, err
 	}
 	limited := a.client.bodies.NewReader(response.Body)
--- a/io/serve/http_actor.go
+++ b/io/serve/http_actor.go
@@ -70,8 +70,10 @@
 // resets the connections that wait to be accepted, so those are accepted first,
 // until the deadline at the latest.
 func (a *httpActor) closeListener(deadline time.Time) {
+	ticker := time.NewTicker(pendingInterval)
+	defer ticker.Stop()
 	for hasPendingInput(a.listener) && time.Now().Before(deadline) {
-		time.Sleep(pendingInterval)
+		<-ticker.C
 	}
 	_ = a.listener.Close() // run returns any error of the listener other than its close
 }
