Tell a late second copy of an upstream's answer from the next answer

Cause: a sub-request's answer names version and shard only. On a connection that is in use again, a late second copy of an earlier answer passed for the answer to the next sub-request, of another query, and every further answer on the connection was shifted by one. A copy also passed for the report of a probe, as one with no slots and no versions.

Change: upstreams repeat the header Attempt in their responses, and the dialer takes a response with another number as invalid and closes its connection. Probes carry a number, too. Upstreams that do not repeat it are trusted as before.

--- a/io/dialer/attempt.go
+++ b/io/dialer/attempt.go
@@ -58,6 +58,10 @@
 		return a.transportFailure(ctx, err)
 	}
 	defer response.Body.Close()
+	if !answersAttempt(response, a.number()) {
+		a.closeConn()
+		return event.AttemptFailed{Attempt: a.send.Attempt, Reason: model.FailedInvalid, Ran: model.RanUnknown, NewConn: a.isNewConn()}
+	}
 	raw, err := a.dialer.bodies.ReadAll(response.Body, response.ContentLength)
 	if err != nil {
 		return a.transportFailure(ctx, err)
@@ -97,7 +101,7 @@
 	// Idempotency-Key.
 	r.GetBody = nil
 	r.Header.Set("Request", a.dialer.RequestIDPrefix+"-"+strconv.FormatUint(uint64(s.Request), 10))
-	r.Header.Set("Attempt", strconv.FormatUint(uint64(s.Attempt), 10))
+	r.Header.Set(attemptHeader, a.number())
 	r.Header.Set("Timeout", strconv.FormatInt(max(1, s.Timeout.Milliseconds()), 10))
 	if !s.Key.IsZero() {
 		r.Header.Set("Idempotency-Key", s.Key.String())
@@ -118,6 +122,18 @@
 	a.newConn = !info.Reused
 }
 
+// number is the value of attemptHeader.
+func (a *attempt) number() string { return strconv.FormatUint(uint64(a.send.Attempt), 10) }
+
+// closeConn closes the connection of the attempt.
+func (a *attempt) closeConn() {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.conn != nil {
+		_ = a.conn.Close() // always nil
+	}
+}
+
 func (a *attempt) isNewConn() bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
--- a/io/dialer/dialer.go
+++ b/io/dialer/dialer.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -36,6 +37,7 @@
 	closed   bool
 	wg       sync.WaitGroup
 	bodies   body.Budget
+	probes   atomic.Uint64 // sent
 }
 
 // pool holds the connections to one upstream.
@@ -155,6 +157,9 @@
 	go task.run()
 }
 
+// nextProbeNumber returns a value of attemptHeader that no attempt has.
+func (d *Dialer) nextProbeNumber() string { return "probe-" + strconv.FormatUint(d.probes.Add(1), 10) }
+
 // Close cancels all attempts and waits for them and for the probes.
 func (d *Dialer) Close() {
 	d.mu.Lock()
--- a/io/dialer/probe.go
+++ b/io/dialer/probe.go
@@ -56,11 +56,17 @@
 	if err != nil {
 		return body, err
 	}
+	number := p.dialer.nextProbeNumber()
+	request.Header.Set(attemptHeader, number)
 	response, err := p.pool.transport.RoundTrip(request)
 	if err != nil {
 		return body, err
 	}
 	defer response.Body.Close()
+	if !answersAttempt(response, number) {
+		// The connection is closed with the body, which was not read.
+		return body, fmt.Errorf("the response is to attempt %q", response.Header.Get(attemptHeader))
+	}
 	if response.StatusCode != http.StatusOK {
 		return body, fmt.Errorf("status %d", response.StatusCode)
 	}
--- a/io/stub/stub.go
+++ b/io/stub/stub.go
@@ -113,6 +113,9 @@
 
 // ServeHTTP implements http.Handler.
 func (s *Stub) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	if attempt := r.Header.Get("Attempt"); attempt != "" {
+		w.Header().Set("Attempt", attempt) // tells the response from a late copy of another one
+	}
 	switch r.URL.Path {
 	case "/v1/control":
 		s.serveControl(w, r)
