Refuse requests that arrive after the loops of a stopping process

Cause: after the drain of a process with its own protocol the traffic loops stop first, and the callers' server a moment later. A request that was read in between was posted to a loop that no longer ran, and lost its connection without an answer after the server's timeout.

Change: as the server for routed requests does, the callers' server then refuses requests itself, as not run, and the shutdown waits for those in flight before the loops stop.

--- a/io/serve/shutdown.go
+++ b/io/serve/shutdown.go
@@ -38,6 +38,10 @@
 			return nil
 		}
 	}
+	// The loops refuse requests until they stop, so no request may be left to them.
+	if !s.waitDrained(vm.caller.RefuseRequests(), deadline) {
+		return nil
+	}
 	vm.control.Post(event.Drain{})
 	if !s.waitDrained(vm.drained, deadline) {
 		return nil
@@ -48,7 +52,7 @@
 
 // waitDrained waits until a loop has drained. It returns false when the drain
 // time is over or the group stops first.
-func (s *vmShutdown) waitDrained(drained chan struct{}, deadline *time.Timer) bool {
+func (s *vmShutdown) waitDrained(drained <-chan struct{}, deadline *time.Timer) bool {
 	select {
 	case <-drained:
 		return true
