Let the traffic check the end of a lease when it acts

Cause: a traffic state got its quota as a number, and the control state told it when the leased part of it ended. After a pause of the process the traffic could decide on requests before that message arrived, under a lease which the leader may have granted to another VM meanwhile.

Change: the quota says which part of it is leased and until when, and admission control falls back to the floor by itself.

Result: TestEndedLeaseStartsNothing, which fails before the change for want of the end of the lease; TestHolderIgnoresLateGrants checks the parts and the end.

--- a/core/admit/controller.go
+++ b/core/admit/controller.go
@@ -15,6 +15,7 @@
 // Controller decides which queries may start. The zero value knows no contract
 // and refuses all.
 type Controller struct {
+	leaseEnd   time.Time // of the leased part of the quotas; zero without one
 	customers  map[string]*customerState
 	schedulers map[string]*scheduler // by index
 	indexes    []string              // keys of schedulers, ascending
@@ -60,7 +61,7 @@
 		ac.customers = make(map[string]*customerState)
 		ac.schedulers = make(map[string]*scheduler)
 	}
-	ac.ready = true
+	ac.ready, ac.leaseEnd = true, quota.LeaseEnd
 	slots := make(map[string]int)
 	for id, u := range t.Upstreams {
 		slots[u.Index] += quota.Conns[id]
@@ -84,7 +85,20 @@
 			ac.customers[name] = c
 		}
 		c.retired = false
-		c.update(contract, quota.Concurrency[name])
+		c.update(contract, quota.Concurrency[name], quota.Leased[name])
+	}
+}
+
+// expireLease ends the leased part of the quotas when its time is over. The control
+// state announces the end as well, but after a pause of the process a request may
+// be decided on before that arrives.
+func (ac *Controller) expireLease(at time.Time) {
+	if ac.leaseEnd.IsZero() || at.Before(ac.leaseEnd) {
+		return
+	}
+	ac.leaseEnd = time.Time{}
+	for _, c := range ac.customers {
+		c.maxInFlight = c.floor
 	}
 }
 
@@ -115,6 +129,7 @@
 
 // Submit starts a query, queues it, or refuses it.
 func (ac *Controller) Submit(at time.Time, query Query) Decision {
+	ac.expireLease(at)
 	c := ac.customers[query.Customer]
 	s := ac.scheduler(query.Index)
 	q := s.customerQueue(c)
@@ -157,6 +172,7 @@
 // Dispatch starts the queued queries that the limits allow now, and returns the
 // same lists as Finish.
 func (ac *Controller) Dispatch(at time.Time) (started, late []Query) {
+	ac.expireLease(at)
 	for _, index := range ac.indexes {
 		started, late = ac.schedulers[index].dispatch(at, started, late)
 	}
--- a/core/admit/controller_test.go
+++ b/core/admit/controller_test.go
@@ -134,3 +134,29 @@
 		t.Errorf("got %d queries and %d subrequests in flight, want none", s.inFlight, s.usedSlots)
 	}
 }
+
+// Guards against queries that are started under a lease which has ended, by a
+// process that was paused and has not been told of the end yet.
+func TestEndedLeaseStartsNothing(t *testing.T) {
+	c := newController(100, map[string]int{"acme": 1})
+	end := startTime.Add(time.Second)
+	c.SetTopology(&model.Topology{
+		Contracts: map[string]model.Contract{"acme": {Customer: "acme", Capacity: 1}},
+		Upstreams: map[model.UpstreamID]model.Upstream{"u1": {ID: "u1", Index: "pairing"}},
+	}, model.Quota{
+		Concurrency: map[string]int{"acme": 3}, Leased: map[string]int{"acme": 2}, LeaseEnd: end, Conns: map[model.UpstreamID]int{"u1": 100},
+	})
+	for id, want := range []Decision{Started, Started} {
+		if got := c.Submit(startTime, newQuery(id, "acme")); got != want {
+			t.Fatalf("got decision %d for query %d under the lease, want %d", got, id, want)
+		}
+	}
+	query := newQuery(2, "acme")
+	query.Deadline = end.Add(time.Second)
+	if got, want := c.Submit(end, query), Queued; got != want {
+		t.Errorf("got decision %d at the end of the lease, want %d", got, want)
+	}
+	if started, _ := c.Finish(end, newQuery(0, "acme"), time.Millisecond); len(started) != 0 {
+		t.Errorf("got %d queries started beyond the floor, want none", len(started))
+	}
+}
--- a/core/lease/holder.go
+++ b/core/lease/holder.go
@@ -221,6 +221,9 @@
 			Concurrency: h.concurrencyOf(at, func(name string, n int) int { return loopPart(loop, loops, name, n) }),
 			Conns:       h.connsByLoop[loop], ConnsVersion: h.connsVersion,
 		}
+		if at.Before(h.leaseEnd) {
+			quotas[loop].LeaseEnd, quotas[loop].Leased = h.leaseEnd, h.leasedParts(at, loop, loops)
+		}
 	}
 	return quotas
 }
@@ -287,6 +290,17 @@
 	return concurrency
 }
 
+// leasedParts returns what the current lease adds to the quota of one loop.
+func (h *Holder) leasedParts(at time.Time, loop, loops int) map[string]int {
+	parts := make(map[string]int, len(h.lease))
+	for customer := range h.lease {
+		floor, _ := h.floors[customer].current(at)
+		whole := loopPart(loop, loops, customer, floor+h.leased(at, customer))
+		parts[customer] = whole - loopPart(loop, loops, customer, floor)
+	}
+	return parts
+}
+
 // leased returns what the current lease adds to a customer's floor.
 func (h *Holder) leased(at time.Time, customer string) int {
 	if !at.Before(h.leaseEnd) {
--- a/core/lease/lease_test.go
+++ b/core/lease/lease_test.go
@@ -138,6 +138,16 @@
 	if got, want := before-after, 5; got != want {
 		t.Errorf("the quota fell by %d 3 s after the request, want %d", got, want)
 	}
+	leased := 0
+	for _, quota := range h.Quotas(f.now.Add(3900*time.Millisecond), f.newest, 2) {
+		leased += quota.Leased["c"]
+		if got, want := quota.LeaseEnd, f.now.Add(4*time.Second); !got.Equal(want) {
+			t.Errorf("got a lease until %v, want %v", got, want)
+		}
+	}
+	if want := 5; leased != want {
+		t.Errorf("got %d of the quotas as leased, want %d", leased, want)
+	}
 }
 
 func responseTo(seq uint64) frame.LeaseResponse {
--- a/core/model/topology.go
+++ b/core/model/topology.go
@@ -75,6 +75,8 @@
 // Quota is the part of the fleet-wide limits that one traffic state may use.
 type Quota struct {
 	Concurrency  map[string]int     // requests in flight, by customer
+	Leased       map[string]int     // the part of Concurrency that ends at LeaseEnd
+	LeaseEnd     time.Time          // zero without a lease
 	Conns        map[UpstreamID]int // open connections, by upstream
 	ConnsVersion uint64             // changes with Conns as long as the topology stays the same; 0 when not tracked
 }
