--- a/io/check/measure_test.go
+++ b/io/check/measure_test.go
@@ -144,6 +144,19 @@
 // Measures five times how long after the kill of a leader the next change is
 // accepted.
 func TestMeasureLeaderKilled(t *testing.T) {
+	measureLeaderGone(t, func(leader *vm) { leader.kill() })
+}
+
+// Measures five times how long after the planned stop of a leader the next change is
+// accepted. The leader hands over its leadership before it exits.
+func TestMeasureLeaderStopped(t *testing.T) {
+	measureLeaderGone(t, func(leader *vm) {
+		leader.terminate()
+		leader.waitExit()
+	})
+}
+
+func measureLeaderGone(t *testing.T, end func(leader *vm)) {
 	skipUnlessMeasuring(t)
 	f := newFleet(t, layout{vms: fleetSize})
 	o := f.startOperator("c", f.vms[diskVMs:]...)
@@ -151,7 +164,7 @@
 	for range 5 {
 		o.waitAccepted(t, 20)
 		leader := f.waitLeader()
-		leader.kill()
+		end(leader)
 		times = append(times, o.waitNext(t, time.Now()))
 		f.startVM(leader)
 		f.waitReady(leader)
@@ -159,7 +172,7 @@
 	o.finish(t)
 	f.checkContracts(o, f.vms...)
 	slices.Sort(times)
-	printFigures(t, map[string]any{"vms": fleetSize, "kills": len(times), "median": ms(times[2]), "worst": ms(times[4]), "accepted": len(o.accepted), "lost": f.countLost(o)})
+	printFigures(t, map[string]any{"vms": fleetSize, "leaders": len(times), "median": ms(times[2]), "worst": ms(times[4]), "accepted": len(o.accepted), "lost": f.countLost(o)})
 }
 
 // countLost returns the number of accepted contracts that the last VM does not have.
