Share the count of requests in flight between the two callers' servers

Cause: both servers counted their requests in flight and refused further ones during a stop with the same 27 lines.

Change: io/gate has the one type for it.

--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -8,6 +8,7 @@
 	"comfreypulley/core/effect"
 	"comfreypulley/core/event"
 	"comfreypulley/core/model"
+	"comfreypulley/io/gate"
 )
 
 // Limits of callers' requests.
@@ -24,10 +25,9 @@
 
 	lastID  atomic.Uint64
 	ready   atomic.Bool
+	gate    gate.Gate
 	mu      sync.Mutex
 	pending map[model.RequestID]chan effect.Effect
-	active  int           // requests being handled
-	idle    chan struct{} // made by RefuseRequests; closed when active is 0
 }
 
 // ServeHTTP implements http.Handler.
@@ -52,35 +52,7 @@
 // RefuseRequests makes the server refuse every further request without a loop. The
 // channel is closed once those in flight have been answered, after which the loops
 // may stop.
-func (s *Server) RefuseRequests() (idle <-chan struct{}) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.idle = make(chan struct{})
-	if s.active == 0 {
-		close(s.idle)
-	}
-	return s.idle
-}
-
-// beginRequest counts a request in flight. It reports false after
-// RefuseRequests.
-func (s *Server) beginRequest() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.idle != nil {
-		return false
-	}
-	s.active++
-	return true
-}
-
-func (s *Server) endRequest() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.active--; s.active == 0 && s.idle != nil {
-		close(s.idle)
-	}
-}
+func (s *Server) RefuseRequests() (idle <-chan struct{}) { return s.gate.Close() }
 
 // SendAnswer answers a query.
 func (s *Server) SendAnswer(e effect.SendAnswer) {
@@ -121,12 +93,12 @@
 	}
 	n := s.lastID.Add(1)
 	id := model.RequestID(n)
-	if !s.beginRequest() {
+	if !s.gate.Enter() {
 		w.Header().Set("Connection", "close")
 		writeRefusal(w, model.Refusal{Request: id, Reason: model.RefusedDraining, Detail: "the process stops", Ran: model.RanNo})
 		return
 	}
-	defer s.endRequest()
+	defer s.gate.Leave()
 	request, err := parse(w, r, requireKey)
 	if err != nil {
 		writeRefusal(w, model.Refusal{Request: id, Reason: model.RefusedInvalid, Detail: err.Error(), Ran: model.RanNo})
--- a/io/proxy/server.go
+++ b/io/proxy/server.go
@@ -14,6 +14,7 @@
 	"comfreypulley/core/effect"
 	"comfreypulley/core/event"
 	"comfreypulley/core/model"
+	"comfreypulley/io/gate"
 )
 
 // Limits of callers' requests.
@@ -31,10 +32,9 @@
 	lastID   atomic.Uint64
 	ready    atomic.Bool
 	draining atomic.Bool
+	gate     gate.Gate
 	mu       sync.Mutex
 	pending  map[model.RequestID]*CallerRequest
-	active   int           // number of requests being handled
-	idle     chan struct{} // made by RefuseRequests; closed when active is 0
 }
 
 // SetReady sets whether the load balancer should send callers to this VM. A
@@ -48,35 +48,7 @@
 
 // RefuseRequests makes the server refuse every further request. The channel is
 // closed once those in flight have been answered.
-func (s *Server) RefuseRequests() (idle <-chan struct{}) {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	s.idle = make(chan struct{})
-	if s.active == 0 {
-		close(s.idle)
-	}
-	return s.idle
-}
-
-// beginRequest counts a request in flight. It reports false after
-// RefuseRequests.
-func (s *Server) beginRequest() bool {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.idle != nil {
-		return false
-	}
-	s.active++
-	return true
-}
-
-func (s *Server) endRequest() {
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	if s.active--; s.active == 0 && s.idle != nil {
-		close(s.idle)
-	}
-}
+func (s *Server) RefuseRequests() (idle <-chan struct{}) { return s.gate.Close() }
 
 // Ready reports whether the load balancer should send callers to this VM.
 func (s *Server) Ready() bool { return s.ready.Load() && !s.draining.Load() }
@@ -114,11 +86,11 @@
 
 // serve handles a caller's request, or a portion of another VM's request.
 func (s *Server) serve(w http.ResponseWriter, r *http.Request, portion *model.Portion) {
-	if !s.beginRequest() {
+	if !s.gate.Enter() {
 		s.writeRefusal(w, model.Refusal{Reason: model.RefusedDraining, Ran: model.RanNo, RetryAfter: drainingRetryAfter})
 		return
 	}
-	defer s.endRequest()
+	defer s.gate.Leave()
 	body, err := io.ReadAll(http.MaxBytesReader(w, r.Body, maxBodyBytes))
 	if err != nil {
 		var tooLarge *http.MaxBytesError
