Hand over leadership before a leader exits, and leave a lost leader at once

Cause: a control state reported that it was drained as soon as its commands had answers, so that a leader could exit before its successor was asked. Where the handover worked, the other VMs went on sending changes to the old leader: the distribution tree names it for up to a second, and only a leader learnt from an answer was forgotten when its connection was lost.

Change: effect.Drained waits until the VM no longer leads. A leader whose connection is lost gets no commands until something is heard of it, whoever named it.

TestDrainWaitsForTheHandover and TestLostLeaderGetsNoCommands fail before the change.

--- a/core/plane/control.go
+++ b/core/plane/control.go
@@ -38,6 +38,7 @@
 	demand            map[int]map[string]int // by traffic loop and customer
 	nextQuotaChange   time.Time              // when this VM's quotas change without a message; zero when they do not
 	reportedLeader    model.VMID             // leader named in another VM's answer to a forwarded command
+	lostLeader        model.VMID             // leader whose connection was lost, until something is heard of it
 	lastMajority      time.Time              // last contact with a majority, for a VM that has neither log nor tree
 	lastStatus        LogStatus              // of the log when it was last checked
 	platformVMs       event.PlatformVMs      // last list of VMs from the platform
@@ -88,8 +89,9 @@
 	return out
 }
 
-// Drain hands over leadership and reports effect.Drained once every command has
-// an answer.
+// Drain hands over leadership. It reports effect.Drained once every command has an
+// answer and this VM no longer leads: without it the other VMs would wait for an
+// election timeout.
 func (c *Control) Drain(at time.Time, out []effect.Effect) []effect.Effect {
 	first := len(out)
 	c.draining = true
@@ -138,7 +140,7 @@
 	}
 	out = c.followLeadership(at, out)
 	c.reportSuspects(at)
-	if c.draining && c.proposals.idle() {
+	if c.draining && c.proposals.idle() && !c.leading() {
 		c.draining = false
 		out = append(out, effect.Drained{})
 	}
--- a/core/plane/control_test.go
+++ b/core/plane/control_test.go
@@ -29,6 +29,7 @@
 	replicas       []model.VMID
 	images         []entry.Image
 	resigned       bool
+	slowHandover   bool // Resign leaves this VM leading until the test ends that
 }
 
 func (l *fakeLog) LogStatus() plane.LogStatus { return l.status }
@@ -86,7 +87,7 @@
 
 func (l *fakeLog) Resign(_ time.Time, out []effect.Effect) []effect.Effect {
 	l.resigned = true
-	l.status.Leading = false
+	l.status.Leading = l.slowHandover
 	return out
 }
 
@@ -316,6 +317,22 @@
 	}
 }
 
+// Guards against commands that are sent to a leader whose connection is lost, for as
+// long as the tree still names it.
+func TestLostLeaderGetsNoCommands(t *testing.T) {
+	f := newFixture("vm2", true)
+	f.control.SetTree(&fakeTree{store: f.control.TreeStore(), ready: true})
+	if to, _ := forwardsIn(f.proposeClaim(time.Minute)); !slices.Equal(to, []model.VMID{"vm1"}) {
+		t.Fatalf("sent to %v, want vm1, which the tree names as leader", to)
+	}
+	f.record(f.control.HandlePeerDown(f.now, "vm1", nil))
+	for range 3 {
+		if to, _ := forwardsIn(f.runTimer(f.now.Add(time.Second))); slices.Contains(to, "vm1") {
+			t.Errorf("sent to %v, want no command to the lost leader", to)
+		}
+	}
+}
+
 // Guards against an answer to the wrong command after another leader's entry
 // replaced an uncommitted one of this VM.
 func TestEntryReplacedByAnotherLeader(t *testing.T) {
@@ -450,6 +467,23 @@
 	}
 }
 
+// Guards against a process that exits before another VM has taken over from it, so
+// that the log waits for an election timeout.
+func TestDrainWaitsForTheHandover(t *testing.T) {
+	f := newFixture("vm0", true)
+	f.becomeLeader(1)
+	f.commitAll()
+	f.log.slowHandover = true
+	out := f.record(f.control.Drain(f.now, nil))
+	if !f.log.resigned || len(effectsOf[effect.Drained](out)) != 0 {
+		t.Errorf("resigned %v, drained while this VM leads: %v", f.log.resigned, effectsOf[effect.Drained](out))
+	}
+	f.log.status = plane.LogStatus{Leader: "vm1", Term: 2, LastMajority: f.now}
+	if out = f.diskSynced(); len(effectsOf[effect.Drained](out)) != 1 {
+		t.Errorf("got %v after the handover, want effect.Drained", out)
+	}
+}
+
 // Guards against a VM with a failed disk that keeps an old configuration instead
 // of following the tree, and against messages of the log that are sent without an
 // address and notes of the log that are not in the history.
--- a/core/plane/log.go
+++ b/core/plane/log.go
@@ -179,10 +179,14 @@
 			return status.Leader
 		}
 	}
-	if c.reportedLeader == "" && c.tree != nil {
-		return c.tree.Leader()
+	if c.reportedLeader != "" || c.tree == nil {
+		return c.reportedLeader
 	}
-	return c.reportedLeader
+	// The tree hears of a new leader up to a second later.
+	if id := c.tree.Leader(); id != c.lostLeader {
+		return id
+	}
+	return ""
 }
 
 // applyCommitted applies the entries or the image that the log committed,
--- a/core/plane/peer.go
+++ b/core/plane/peer.go
@@ -22,6 +22,9 @@
 func (c *Control) HandlePeerMessage(at time.Time, msg event.PeerMessage, out []effect.Effect) []effect.Effect {
 	first := len(out)
 	out = c.recordContact(at, msg.From, out)
+	if msg.From == c.lostLeader {
+		c.lostLeader = ""
+	}
 	switch m := msg.Message.(type) {
 	case frame.VoteRequest, frame.VoteResponse, frame.AppendRequest, frame.AppendResponse, frame.InstallImage, frame.InstallImageResponse:
 		if c.log != nil {
@@ -59,8 +62,8 @@
 // leader, commands are sent elsewhere at once.
 func (c *Control) HandlePeerDown(at time.Time, vm model.VMID, out []effect.Effect) []effect.Effect {
 	first := len(out)
-	if vm == c.reportedLeader {
-		c.reportedLeader = ""
+	if vm == c.leader() {
+		c.reportedLeader, c.lostLeader = "", vm
 		out = c.retryAllNow(at, out)
 	}
 	return c.complete(first, c.update(at, c.peerDownTree(at, vm, out)))
--- a/core/plane/proposals.go
+++ b/core/plane/proposals.go
@@ -229,7 +229,9 @@
 	if leader != "" && leader != c.settings.VM.ID && p.attempts%2 == 1 {
 		return leader
 	}
-	disks := slices.DeleteFunc(c.diskVMs(), func(id model.VMID) bool { return id == c.settings.VM.ID })
+	disks := slices.DeleteFunc(c.diskVMs(), func(id model.VMID) bool {
+		return id == c.settings.VM.ID || id == c.lostLeader
+	})
 	if len(disks) == 0 {
 		return ""
 	}
--- a/core/quorum/fault_test.go
+++ b/core/quorum/fault_test.go
@@ -49,6 +49,23 @@
 	}
 }
 
+// Guards against a shutdown during changes after which the log waits for an election
+// timeout: two voters that are both asked to take over split the votes.
+func TestResignDuringChanges(t *testing.T) {
+	for seed := range uint64(100) {
+		c := newCluster(t, seed, 5, 5)
+		lead := c.waitForLeader()
+		for key := range byte(10) {
+			c.propose(lead, key)
+		}
+		c.execute(lead, lead.log.Resign(c.now, nil))
+		c.run(minElectionTimeout / 2)
+		if got := c.leader(); got == nil || got == lead {
+			t.Errorf("seed %d: no other leader %v after the handover", seed, minElectionTimeout/2)
+		}
+	}
+}
+
 // Guards against a second, empty log: one VM lost its disk and another one has
 // none of the entries, and together they are a majority of the initial voters.
 func TestNoSecondLog(t *testing.T) {
