--- a/io/serve/http_actor.go
+++ b/io/serve/http_actor.go
@@ -21,10 +21,10 @@
 type httpActor struct {
 	server   *http.Server
 	listener net.Listener
+	stopOnce sync.Once
 	stopped  chan struct{}
 
 	mu       sync.Mutex
-	stopOnce sync.Once
 	deadline time.Time             // when connections that remain are closed; zero for lastResponseTime after stop
 	waiting  map[net.Conn]struct{} // connections without a request in progress
 	closing  bool                  // connections are closed as soon as they wait
--- a/io/stub/forwarded.go
+++ b/io/stub/forwarded.go
@@ -76,7 +76,8 @@
 	}
 	id := *s.upstreamID.Load()
 	a := Arrival{
-		Upstream: id, Intended: cmp.Or(r.Header.Get(d.ExpectedUpstream), id), CallerRequestID: tag, RequestHash: HashRequest(r.Method, r.RequestURI, body), Wait: time.Duration(ms) * time.Millisecond,
+		Upstream: id, Intended: cmp.Or(r.Header.Get(d.ExpectedUpstream), id), CallerRequestID: tag,
+		RequestHash: HashRequest(r.Method, r.RequestURI, body), Wait: time.Duration(ms) * time.Millisecond,
 	}
 	refuse := func(status int) {
 		s.forwarding.Watcher.Arrived(a)
