--- a/io/caller/server.go
+++ b/io/caller/server.go
@@ -8,6 +8,7 @@
 	"comfreypulley/core/effect"
 	"comfreypulley/core/event"
 	"comfreypulley/core/model"
+	"comfreypulley/io/gate"
 )
 
 // Limits of callers' requests.
@@ -24,6 +25,7 @@
 
 	lastID  atomic.Uint64
 	ready   atomic.Bool
+	gate    gate.Gate
 	mu      sync.Mutex
 	pending map[model.RequestID]chan effect.Effect
 }
@@ -47,6 +49,11 @@
 	s.ready.Store(e.Ready)
 }
 
+// RefuseRequests makes the server refuse every further request without a loop. The
+// channel is closed once those in flight have been answered, after which the loops
+// may stop.
+func (s *Server) RefuseRequests() (idle <-chan struct{}) { return s.gate.Close() }
+
 // SendAnswer answers a query.
 func (s *Server) SendAnswer(e effect.SendAnswer) {
 	s.respond(e.Answer.Request, e)
@@ -86,6 +93,12 @@
 	}
 	n := s.lastID.Add(1)
 	id := model.RequestID(n)
+	if !s.gate.Enter() {
+		w.Header().Set("Connection", "close")
+		writeRefusal(w, model.Refusal{Request: id, Reason: model.RefusedDraining, Detail: "the process stops", Ran: model.RanNo})
+		return
+	}
+	defer s.gate.Leave()
 	request, err := parse(w, r, requireKey)
 	if err != nil {
 		writeRefusal(w, model.Refusal{Request: id, Reason: model.RefusedInvalid, Detail: err.Error(), Ran: model.RanNo})
