Do not wait for a shard whose replicas have been down for long

Cause: a query waited for a shard without a live replica until its deadline, attempt after attempt, and was then answered in part.

Change: a shard is given up when all its replicas have been unreachable for at least as long as the query has time left. Right after a loss queries still wait, since a restart takes a moment.

--- a/core/node/query_test.go
+++ b/core/node/query_test.go
@@ -208,3 +208,43 @@
 		t.Errorf("got cancels %+v, want one of attempt %d", cancels, other.Attempt)
 	}
 }
+
+// Guards against queries that wait until their deadline for a shard whose replicas
+// have been down for longer than the queries have time left: they fill the
+// concurrency of the contract, and later queries are refused or miss other shards,
+// too. The load is a steady one with one dark shard.
+func TestDarkShardIsNotWaitedFor(t *testing.T) {
+	const wait = 100 * time.Millisecond // of the fixture's class
+	for _, c := range []struct {
+		name     string
+		downFor  time.Duration
+		wantLeft bool // the answer leaves at once, without the shard
+	}{{"for longer than the query waits", 2 * wait, true}, {"for a moment", wait / 20, false}} {
+		f := newFixture()
+		f.confirmFingerprint()
+		for range 3 {
+			for _, id := range []model.UpstreamID{"u0a", "u0b"} {
+				f.reduce(event.ProbeResult{Upstream: id})
+			}
+		}
+		f.now = f.now.Add(c.downFor)
+		out := f.request(1)
+		var answered bool
+		for _, s := range effectsOf[effect.Send](out) {
+			if s.Shard != 1 {
+				t.Errorf("%s: got an attempt on shard %d, whose replicas are down", c.name, s.Shard)
+				continue
+			}
+			f.now = f.now.Add(time.Millisecond)
+			for _, a := range effectsOf[effect.SendAnswer](f.answer(s, 7)) {
+				answered = true
+				if got := a.Answer.Coverage; got.Answered != 1 || got.Total != 2 {
+					t.Errorf("%s: got coverage %+v, want one of two shards", c.name, got)
+				}
+			}
+		}
+		if answered != c.wantLeft {
+			t.Errorf("down %s: got an answer at once %t, want %t", c.name, answered, c.wantLeft)
+		}
+	}
+}
--- a/core/query/wait_queue.go
+++ b/core/query/wait_queue.go
@@ -72,13 +72,19 @@
 	return q, true
 }
 
-// awaitCapacity makes shard i wait for capacity of any of its replicas.
+// awaitCapacity makes shard i wait for capacity of any of its replicas. It gives the
+// shard up when all of them have been down for longer than the query has time left.
 func (t *Table) awaitCapacity(at time.Time, q *query, i int) {
 	holders, next := t.balancer.ActiveReplicas(at, q.request.Index, q.version, i)
 	if len(holders) == 0 {
 		t.awaitHolder(at, q, i)
 		return
 	}
+	// Replicas that have been down for long are not expected back soon.
+	if down := t.balancer.UnreachableFor(at, holders); q.idempotent() && down > 0 && down >= q.deadline().Sub(at) {
+		q.abandon(i)
+		return
+	}
 	q.shards[i].waiting = true
 	for _, id := range holders {
 		waiters, ok := t.capacityWaiters[id]
--- a/core/route/balancer.go
+++ b/core/route/balancer.go
@@ -161,6 +161,9 @@
 		// An upstream that answered an attempt after the probe was sent is up,
 		// and the probe or its report was lost.
 		if u.lastAnswer.Before(u.probeSentAt) || u.probeSentAt.IsZero() {
+			if u.reachable {
+				u.unreachableSince = at
+			}
 			u.reachable = false
 			u.missedProbes++
 		}
@@ -176,7 +179,7 @@
 		u.beginSlowStart(at)
 	}
 	u.cold = r.Cold
-	u.reachable = true
+	u.reachable, u.unreachableSince = true, time.Time{}
 	u.wasDown = r.Cold
 	u.recordLoad(at, r.Load)
 	heldSnapshots := u.withoutRefused(at, r.Snapshots)
@@ -373,6 +376,22 @@
 	return ids, next
 }
 
+// UnreachableFor returns for how long none of the upstreams has been reachable; 0 when
+// one is, or has never been.
+func (b *Balancer) UnreachableFor(at time.Time, ids []model.UpstreamID) time.Duration {
+	var shortest time.Duration
+	for i, id := range ids {
+		u, ok := b.upstreams[id]
+		if !ok || u.unreachableSince.IsZero() {
+			return 0
+		}
+		if down := at.Sub(u.unreachableSince); i == 0 || down < shortest {
+			shortest = down
+		}
+	}
+	return shortest
+}
+
 // HasCapacity reports whether an upstream is usable and has capacity for another
 // attempt.
 func (b *Balancer) HasCapacity(at time.Time, id model.UpstreamID) bool {
--- a/core/route/upstream.go
+++ b/core/route/upstream.go
@@ -57,6 +57,7 @@
 	probeSentAt        time.Time            // when the last probe was sent; zero after its report
 	missedProbes       int                  // probes in a row without a report
 	reachable          bool                 // reported, and missed no probe since
+	unreachableSince   time.Time            // when the first probe was missed; zero while reachable
 	cold               bool                 // still starting, by its last report
 	wasDown            bool                 // its next report begins a slow start
 	draining           bool                 // by its own report or refusal
