Let the help flag print the help and nothing else

Cause: kong prints the help and calls its exit function, which only recorded the status: parsing went on, so that most commands failed with status 2 for want of their arguments, and demo, fanout and soak ran.

Change: the command line ends there with status 0; a wrong one ends with status 2 and a line that names the help flag.

--- a/io/cmds/main.go
+++ b/io/cmds/main.go
@@ -32,6 +32,18 @@
 	Soak     soakCommand     `cmd:"" help:"Run a fleet as processes under random faults and check its promises."`
 }
 
+// usageStatus is the exit status of a command line that is not valid.
+const usageStatus = 2
+
+// helpExit records that kong has printed the help, after which it expects the process
+// to exit. Without it the command would go on as if it had no help flag.
+type helpExit struct {
+	requested bool
+	status    int
+}
+
+func (h *helpExit) record(status int) { h.requested, h.status = true, status }
+
 // runContext is passed to the Run method of every command.
 type runContext struct {
 	ctx      context.Context
@@ -46,23 +58,23 @@
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
 	var cli commands
-	status := 0
+	var exit helpExit
 	parser, err := kong.New(&cli,
 		kong.Name("comfreypulley"),
 		kong.Description("Query tier over many shards."),
-		kong.Exit(func(code int) { status = code }),
+		kong.Exit(exit.record),
 	)
 	if err != nil {
 		fmt.Fprintln(os.Stderr, "comfreypulley:", err)
-		return 2
+		return usageStatus
 	}
 	parsed, err := parser.Parse(args)
-	if err != nil {
-		fmt.Fprintln(os.Stderr, "comfreypulley:", err)
-		return 2
+	if exit.requested {
+		return exit.status
 	}
-	if parsed.Command() == "" {
-		return status
+	if err != nil {
+		fmt.Fprintf(os.Stderr, "comfreypulley: %v; --help after the command lists its arguments and flags\n", err)
+		return usageStatus
 	}
 	logWriter := spool.New(os.Stderr)
 	defer logWriter.Close()
