--- a/io/cmds/soak.go
+++ b/io/cmds/soak.go
@@ -4,6 +4,7 @@
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io/fs"
 	"os"
 	"path/filepath"
 	"time"
@@ -18,7 +19,7 @@
 type soakCommand struct {
 	Seed   uint64        `default:"1" help:"Seed of the faults and of the traffic."`
 	For    time.Duration `default:"20s" help:"Time with faults. Start, recovery and the last reads take 21 s more."`
-	Folder string        `placeholder:"DIR" help:"Folder for settings, data and logs; a temporary one by default. It is kept when a promise is broken."`
+	Folder string        `placeholder:"DIR" help:"Folder for settings, data and logs; a temporary one by default. It is kept when a promise is broken, or when it existed before."`
 	Keep   bool          `help:"Keep the folder in any case."`
 	JSON   bool          `help:"Print the report as one JSON object."`
 }
@@ -28,13 +29,8 @@
 
 // Run implements the command soak.
 func (c *soakCommand) Run(rc *runContext) (err error) {
-	folder := c.Folder
-	if folder == "" {
-		if folder, err = os.MkdirTemp("", "comfreypulley-soak-"); err != nil {
-			return err
-		}
-	}
-	if folder, err = filepath.Abs(folder); err != nil {
+	folder, created, err := c.makeFolder()
+	if err != nil {
 		return err
 	}
 	executable, err := os.Executable()
@@ -52,12 +48,30 @@
 	if len(report.Findings) > 0 {
 		return fmt.Errorf("seed %d: %w; logs are in %s", c.Seed, errViolations, folder)
 	}
-	if c.Keep {
+	if c.Keep || !created {
 		return nil
 	}
 	return os.RemoveAll(folder)
 }
 
+// makeFolder returns the absolute path of the folder for the run, and whether it was
+// created for it. Only such a folder may be removed.
+func (c *soakCommand) makeFolder() (folder string, created bool, err error) {
+	if c.Folder == "" {
+		folder, err = os.MkdirTemp("", "comfreypulley-soak-")
+		return folder, true, err
+	}
+	if folder, err = filepath.Abs(c.Folder); err != nil {
+		return "", false, err
+	}
+	const mode = 0o700
+	err = os.Mkdir(folder, mode)
+	if errors.Is(err, fs.ErrExist) {
+		return folder, false, nil
+	}
+	return folder, err == nil, err
+}
+
 func (c *soakCommand) print(r *soak.Report) error {
 	if c.JSON {
 		return json.NewEncoder(os.Stdout).Encode(r)
