--- a/io/cmds/main_test.go
+++ b/io/cmds/main_test.go
@@ -13,8 +13,21 @@
 func TestHelpAndUsage(t *testing.T) {
 	const most = 5 * time.Second // a command that runs takes longer
 	for _, command := range [][]string{
-		{}, {"serve"}, {"upstream"}, {"fault"}, {"load"}, {"check"}, {"contract"}, {"contract", "list"}, {"fleet"}, {"status"}, {"explain"},
-		{"demo"}, {"platform"}, {"fanout"}, {"soak"},
+		{},
+		{"serve"},
+		{"upstream"},
+		{"fault"},
+		{"load"},
+		{"check"},
+		{"contract"},
+		{"contract", "list"},
+		{"fleet"},
+		{"status"},
+		{"explain"},
+		{"demo"},
+		{"platform"},
+		{"fanout"},
+		{"soak"},
 	} {
 		start := time.Now()
 		if got := cmds.Main(append(command, "--help"), fstest.MapFS{}); got != 0 {
