Note when a VM's proof of being current becomes old, and through which parent

Change: the tree notes 'may be outdated' when the last contact with a majority is two digest periods old, and 'current again', with the parent and the age. It does not act on it.

Measured: the tests of core/relay pass as before.

--- a/core/relay/tree.go
+++ b/core/relay/tree.go
@@ -26,6 +26,8 @@
 
 	// unknownAge is the age of a VM that never had contact with a majority.
 	unknownAge = 24 * time.Hour
+
+	outdatedAge = 2 * digestPeriod // age of the last contact with a majority that is noted; answers bring a newer one each digestPeriod
 )
 
 // Tree manages one VM's parent and children in the distribution tree. Store and
@@ -57,6 +59,7 @@
 	brokenAt        map[model.VMID]time.Time // when the connection to a VM broke
 	lastEarlyDigest time.Time                // last digest sent early
 	storeChanged    bool                     // the tree changed the store since the last call of StoreChanged
+	outdated        bool                     // the last note said that the parent's last contact with a majority is too old
 
 	children map[model.VMID]*child
 	subtree  subtree
@@ -136,6 +139,7 @@
 			delete(t.children, id)
 		}
 	}
+	out = t.noteOutdated(at, out)
 	preferred := t.preferredParent()
 	switch {
 	case t.parent == "" || !t.isRegistered(t.parent):
@@ -163,6 +167,24 @@
 	return append(out, effect.SetTimer{ID: timerID, At: at.Add(wait)})
 }
 
+// noteOutdated notes when this VM's last contact with a majority of the log
+// becomes too old, and when it is recent again, with the parent of that time.
+func (t *Tree) noteOutdated(at time.Time, out []effect.Effect) []effect.Effect {
+	age := t.majorityAge(at)
+	if t.replica || t.lastMajority.IsZero() || t.outdated == (age >= outdatedAge) {
+		return out
+	}
+	t.outdated = !t.outdated
+	n := effect.Note{
+		At: at, Subject: "tree", Action: "current again",
+		Cause: fmt.Sprintf("parent %q had contact with a majority %s ago", t.parent, age.Truncate(time.Millisecond)),
+	}
+	if t.outdated {
+		n.Action, n.Alert = "may be outdated", true
+	}
+	return append(out, n)
+}
+
 // HandlePeerDown handles a broken connection and replaces the parent if the
 // connection was to it.
 func (t *Tree) HandlePeerDown(at time.Time, vm model.VMID, out []effect.Effect) []effect.Effect {
