Test that a replica whose answers are lost does not count as current

A replica takes any heartbeat of a leader as contact with a majority, although it may lack entries and its own answers may be lost.

Change: a test in virtual time that loses what one replica sends.

--- a/core/quorum/cluster_test.go
+++ b/core/quorum/cluster_test.go
@@ -44,6 +44,7 @@
 	queue         []scheduledAction
 	lossRate      float64             // probability that a message is lost, and that it is duplicated
 	isolated      map[model.VMID]bool // VMs cut off from those that are not in the set
+	muted         map[model.VMID]bool // VMs whose messages are lost, but which receive those of others
 	leaderByTerm  map[uint64]entry.Replica
 	committed     []entry.Entry       // the entry with index i is at i-1
 	diskCount     model.DiskID        // disks used so far
@@ -75,7 +76,7 @@
 func newCluster(t rapid.TB, seed uint64, size, voters int) *cluster {
 	c := &cluster{
 		t: t, random: rand.New(rand.NewPCG(seed, 0)), now: startTime,
-		isolated: make(map[model.VMID]bool), lostEarly: make(map[model.VMID]bool), leaderByTerm: make(map[uint64]entry.Replica),
+		isolated: make(map[model.VMID]bool), muted: make(map[model.VMID]bool), lostEarly: make(map[model.VMID]bool), leaderByTerm: make(map[uint64]entry.Replica),
 	}
 	for i := range size {
 		c.nodes = append(c.nodes, &node{vm: model.VMID(fmt.Sprintf("vm%d", i))})
@@ -198,7 +199,7 @@
 }
 
 func (c *cluster) deliver(from model.VMID, e effect.SendMessage) {
-	if c.drawLoss() == 1 || c.isolated[from] != c.isolated[e.To] {
+	if c.drawLoss() == 1 || c.isolated[from] != c.isolated[e.To] || c.muted[from] {
 		return
 	}
 	for _, n := range c.nodes {
--- a/core/quorum/fault_test.go
+++ b/core/quorum/fault_test.go
@@ -170,3 +170,28 @@
 		t.Errorf("%d writes for 1000 proposals made during one sync, want at most %d", got, want)
 	}
 }
+
+// Guards against a replica that counts as current because it still receives
+// heartbeats, although its answers are lost and so it misses what is committed
+// beyond one batch of entries.
+func TestReplicaWithoutAnswersIsNotCurrent(t *testing.T) {
+	c := newCluster(t, 1, 3, 3)
+	l := c.waitForLeader()
+	c.run(time.Second)
+	muted := c.nodes[slices.IndexFunc(c.nodes, func(n *node) bool { return n != l })]
+	c.muted[muted.vm] = true
+	committed := map[time.Time]uint64{} // commit index, by time
+	for range 50 {
+		for range maxBatchEntries / 4 {
+			c.propose(l, 1)
+		}
+		c.run(100 * time.Millisecond)
+		committed[c.now] = l.log.Status().CommitIndex
+	}
+	s := muted.log.Status()
+	for at, index := range committed {
+		if !at.After(s.LastMajority) && s.CommitIndex < index {
+			t.Errorf("contact with a majority %s ago at index %d, want at least %d, committed by then", c.now.Sub(s.LastMajority), s.CommitIndex, index)
+		}
+	}
+}
