Leave a parent that has lost the majority before changes are due

Cause: a VM left a parent without a majority after 6 s and 3 s more for each level of the tree, 9 s on an entry VM, while a change must be in force after 3 s there. Then it tried one other VM every 3 s, without knowing whether that one was current.

Change: all times follow from the time within which a change must be in force. It is a setting (6 s without it) that also takes effect on a running process. After half of it a VM asks further VMs at growing intervals and keeps its parent until one answers that is current. Digests come at least four times within it.

Why it works: noticing takes half of the bound and one digest period, an answer a round trip; a VM that does not answer no longer delays the others.

--- a/core/event/event.go
+++ b/core/event/event.go
@@ -52,6 +52,7 @@
 	CPUCores            float64         // CPU available to the VM, in cores; 0 when unknown
 	RetryBudgetExtra    int             // fleet-wide retries and hedges for a service allowed on top of the ratio
 	RetryBudgetWindow   time.Duration   // time window over which retries and hedges are counted
+	ChangeBound         time.Duration   // within which a change of the configuration must be in force on every VM; 0 for the default
 	PortionAddr         netip.AddrPort  // listener for portions of other VMs' requests; zero when this VM accepts none
 	MinShardsToDelegate int             // requests over at least this many shards are divided among VMs; 0 means never
 	ToleratedDiskLosses int             // disks that may be lost at once in a fleet with SelfRegistration
@@ -67,12 +68,14 @@
 	RetryBudgetRatio    float64
 	RetryBudgetExtra    int
 	RetryBudgetWindow   time.Duration
+	ChangeBound         time.Duration
 }
 
 // Apply changes the settings of a state.
 func (c SettingsChanged) Apply(s *Start) {
 	s.Peers, s.ToleratedDiskLosses, s.CPUCores = c.Peers, c.ToleratedDiskLosses, c.CPUCores
 	s.RetryBudgetRatio, s.RetryBudgetExtra, s.RetryBudgetWindow = c.RetryBudgetRatio, c.RetryBudgetExtra, c.RetryBudgetWindow
+	s.ChangeBound = c.ChangeBound
 }
 
 // Drain asks the state to accept no new requests, to finish those in flight and
--- a/core/node/control.go
+++ b/core/node/control.go
@@ -26,7 +26,7 @@
 	if start.VM.HasDisk {
 		s.control.SetLog(&replica{})
 	}
-	s.control.SetTree(&relay.Tree{Store: s.control.TreeStore(), Peers: vms})
+	s.control.SetTree(&relay.Tree{Store: s.control.TreeStore(), Peers: vms, ChangeBound: start.ChangeBound})
 	if start.SelfRegistration {
 		// Such a fleet does not lease parts of its limits, and its configuration
 		// does not list the entry VMs.
--- a/core/plane/components_test.go
+++ b/core/plane/components_test.go
@@ -22,6 +22,8 @@
 	changes    int
 	timerCalls int
 	peers      []model.VM
+
+	changeBound time.Duration
 }
 
 func (f *fakeTree) Start(_ time.Time, _ model.VM, _ time.Time, out []effect.Effect) []effect.Effect {
@@ -58,6 +60,7 @@
 func (f *fakeTree) MajorityAge(time.Time) time.Duration    { return 3 * time.Second }
 func (f *fakeTree) Descendants(time.Time) []frame.VMStatus { return []frame.VMStatus{{VM: "vm9"}} }
 func (f *fakeTree) SetPeers(vms []model.VM)                { f.peers = vms }
+func (f *fakeTree) SetChangeBound(d time.Duration)         { f.changeBound = d }
 
 func (f *fakeTree) SetSuspected(vm model.VMID, on bool) {
 	f.suspected = slices.DeleteFunc(f.suspected, func(id model.VMID) bool { return id == vm })
--- a/core/plane/control.go
+++ b/core/plane/control.go
@@ -85,6 +85,7 @@
 			vms = append(vms, known[id])
 		}
 		c.tree.SetPeers(vms)
+		c.tree.SetChangeBound(e.ChangeBound)
 	}
 	return out
 }
--- a/core/plane/tree.go
+++ b/core/plane/tree.go
@@ -31,6 +31,9 @@
 	SetSuspected(vm model.VMID, suspected bool)
 	// SetPeers replaces the VMs that are known without a configuration.
 	SetPeers(vms []model.VM)
+	// SetChangeBound replaces the time within which a change must be in force on
+	// every VM; 0 stands for the default.
+	SetChangeBound(d time.Duration)
 	// Descendants returns what is known about the VMs below this one.
 	Descendants(at time.Time) []frame.VMStatus
 }
--- a/core/relay/bench_test.go
+++ b/core/relay/bench_test.go
@@ -98,7 +98,7 @@
 	}
 	deepest := 0
 	for _, n := range f.nodes {
-		deepest = max(deepest, n.tree.placement.depth())
+		deepest = max(deepest, depth(&n.tree.placement))
 	}
 	b.ReportMetric(float64(deepest), "depth")
 	b.ReportMetric(float64((sum/changes).Microseconds())/1000, "mean-ms")
@@ -157,3 +157,12 @@
 	b.ReportMetric(float64(fromReplicas)/restarts, "replica-fulls/restart")
 	b.ReportMetric(float64(worst.Microseconds())/1000, "worst-ms")
 }
+
+// depth returns the number of levels below the root of the zone.
+func depth(p *placement) int {
+	n := 0
+	for i := p.position; i > 0; i = (i - 1) / fanout {
+		n++
+	}
+	return n
+}
--- a/core/relay/doc.go
+++ b/core/relay/doc.go
@@ -18,10 +18,14 @@
 //
 // An answer carries the path of VMs from which its sender receives the
 // configuration. A VM leaves a parent whose path contains the VM itself, so a
-// cycle ends within one digest period after it has formed. An answer also
-// carries the time since the last contact with a majority of the log. This age
-// grows in any part of the tree that is cut off from the log, and a VM whose
-// parent's age is too high tries its next candidate. The candidates include
-// disk VMs of other zones, so VMs do not wait for each other indefinitely while
-// one of them can reach a replica of the log.
+// cycle ends within one digest period after it has formed.
+//
+// # Outdated VMs
+//
+// An answer also carries the time since the last contact with a majority of the
+// log. This age grows in any part of the tree that is cut off from the log. When
+// a VM's age reaches half of the time within which a change must be in force, or
+// its parent has been silent for that long, it asks further VMs: those above it
+// in its zone first, then disk VMs of other zones. The first one that answers and
+// is current becomes its parent.
 package relay
--- a/core/relay/placement.go
+++ b/core/relay/placement.go
@@ -77,11 +77,16 @@
 	}
 }
 
-// depth returns the number of levels below the root of the zone.
-func (p *placement) depth() int {
+// searchingAncestors returns how many VMs between this one and the root of the
+// zone search for another parent themselves. Disk VMs do not, because they
+// replicate the log.
+func (p *placement) searchingAncestors() int {
 	n := 0
-	for i := p.position; i > 0; i = (i - 1) / fanout {
-		n++
+	for i := p.position; i > 0; {
+		i = (i - 1) / fanout
+		if !p.vms[p.zoneVMs[i]].HasDisk {
+			n++
+		}
 	}
 	return n
 }
--- a/core/relay/tree.go
+++ b/core/relay/tree.go
@@ -15,10 +15,9 @@
 // Size and timing of the tree.
 const (
 	fanout             = 8
-	digestPeriod       = time.Second
 	emptyDigestPeriod  = 200 * time.Millisecond // between digests of a VM without a configuration, which cannot serve yet
-	silenceTimeout     = 3 * time.Second        // time without a message after which a parent is replaced or a child removed
-	staleAge           = 6 * time.Second        // age at which a parent counts as cut off from the log; twice silenceTimeout
+	childTimeout       = 3 * time.Second        // time without a digest after which a child is removed
+	brokenPause        = 3 * time.Second        // time after which a VM whose connection broke is a candidate again
 	earlyDigestPause   = 100 * time.Millisecond // minimum time between digests that are sent early
 	candidatesPerRound = 2                      // VMs of the zone, and disk VMs of other zones, tried in one round of the search
 	maxReported        = 16                     // VMs reported in one digest; bounds its size for any fleet size
@@ -26,16 +25,18 @@
 
 	// unknownAge is the age of a VM that never had contact with a majority.
 	unknownAge = 24 * time.Hour
-
-	outdatedAge = 2 * digestPeriod // age of the last contact with a majority that is noted; answers bring a newer one each digestPeriod
 )
 
-// Tree manages one VM's parent and children in the distribution tree. Store and
-// Peers are set before Start.
+// Tree manages one VM's parent and children in the distribution tree. The
+// exported fields are set before Start.
 type Tree struct {
 	Store Store
 	Peers []model.VM // VMs known from the settings before there is a configuration
 
+	// ChangeBound is the time within which a change must be in force on every
+	// VM; 6 s when it is zero.
+	ChangeBound time.Duration
+
 	self              model.VM
 	processStart      time.Time
 	startedAt         time.Time // when Start was called
@@ -59,7 +60,8 @@
 	brokenAt        map[model.VMID]time.Time // when the connection to a VM broke
 	lastEarlyDigest time.Time                // last digest sent early
 	storeChanged    bool                     // the tree changed the store since the last call of StoreChanged
-	outdated        bool                     // the last note said that the parent's last contact with a majority is too old
+	outdated        bool                     // the last contact with a majority was too old at the last timer
+	searchWait      time.Duration            // until the next round of the search for another parent
 
 	children map[model.VMID]*child
 	subtree  subtree
@@ -91,8 +93,9 @@
 	// their digests at different times.
 	h := fnv.New32a()
 	_, _ = h.Write([]byte(self.ID))
-	phase := time.Duration(h.Sum32()%1000) * digestPeriod / 1000
-	return append(out, effect.SetTimer{ID: timerID, At: at.Add(phase + digestPeriod/10)})
+	period := t.digestPeriod()
+	phase := time.Duration(h.Sum32()%1000) * period / 1000
+	return append(out, effect.SetTimer{ID: timerID, At: at.Add(phase + period/10)})
 }
 
 var timerID = event.TimerID{Kind: event.TimerTree}
@@ -131,15 +134,15 @@
 	}
 }
 
-// HandleTimer replaces a silent or cut-off parent and sends the digests.
+// HandleTimer searches for another parent when this VM needs one, and sends the
+// digests.
 func (t *Tree) HandleTimer(at time.Time, out []effect.Effect) []effect.Effect {
 	t.updatePlacement()
 	for id, c := range t.children {
-		if at.Sub(c.lastDigest) >= silenceTimeout {
+		if at.Sub(c.lastDigest) >= childTimeout {
 			delete(t.children, id)
 		}
 	}
-	out = t.noteOutdated(at, out)
 	preferred := t.preferredParent()
 	switch {
 	case t.parent == "" || !t.isRegistered(t.parent):
@@ -147,11 +150,10 @@
 		if preferred == "" && !t.replica {
 			out = t.leaveParent(at, "it does not exist", out)
 		}
-	case at.Sub(laterTime(t.parentHeard, t.parentSince)) >= silenceTimeout:
-		out = t.leaveParent(at, "no message for "+silenceTimeout.String(), out)
-	case t.isCutOff(at) && at.Sub(t.parentSince) >= silenceTimeout:
-		out = t.leaveParent(at, "it has not heard of a majority for "+t.majorityAge(at).Truncate(time.Second).String(), out)
+	case t.replica && t.isParentSilent(at):
+		out = t.leaveParent(at, "no message for "+t.outdatedAge().String(), out)
 	}
+	out = t.search(at, out)
 	if t.parent != "" {
 		out = t.send(t.parent, t.parentDigest(at), out)
 	}
@@ -160,29 +162,20 @@
 	if preferred != "" && preferred != t.parent {
 		out = t.send(preferred, t.newDigest(true), out)
 	}
-	wait := digestPeriod
-	if t.Store.Revision() == 0 {
-		wait = emptyDigestPeriod
-	}
-	return append(out, effect.SetTimer{ID: timerID, At: at.Add(wait)})
+	return append(out, effect.SetTimer{ID: timerID, At: at.Add(t.timerPeriod(at))})
 }
 
-// noteOutdated notes when this VM's last contact with a majority of the log
-// becomes too old, and when it is recent again, with the parent of that time.
-func (t *Tree) noteOutdated(at time.Time, out []effect.Effect) []effect.Effect {
-	age := t.majorityAge(at)
-	if t.replica || t.lastMajority.IsZero() || t.outdated == (age >= outdatedAge) {
-		return out
-	}
-	t.outdated = !t.outdated
-	n := effect.Note{
-		At: at, Subject: "tree", Action: "current again",
-		Cause: fmt.Sprintf("parent %q had contact with a majority %s ago", t.parent, age.Truncate(time.Millisecond)),
-	}
-	if t.outdated {
-		n.Action, n.Alert = "may be outdated", true
+// timerPeriod returns the time until the next timer.
+func (t *Tree) timerPeriod(at time.Time) time.Duration {
+	period := t.digestPeriod()
+	switch {
+	case t.Store.Revision() == 0:
+		return emptyDigestPeriod
+	case t.searchWait > 0:
+		return t.searchWait
+	default:
+		return period
 	}
-	return append(out, n)
 }
 
 // HandlePeerDown handles a broken connection and replaces the parent if the
@@ -204,7 +197,7 @@
 	t.updatePlacement()
 	ids := make([]model.VMID, 0, len(t.children))
 	for id, c := range t.children {
-		if at.Sub(c.lastDigest) < silenceTimeout && c.revision < t.Store.Revision() {
+		if at.Sub(c.lastDigest) < childTimeout && c.revision < t.Store.Revision() {
 			ids = append(ids, id)
 		}
 	}
@@ -227,7 +220,7 @@
 // also waits for a recent contact with a majority, but no longer than
 // silenceTimeout.
 func (t *Tree) Ready(at time.Time) bool {
-	waited := t.majorityAge(at) < staleAge || at.Sub(t.startedAt) >= silenceTimeout
+	waited := t.majorityAge(at) < t.outdatedAge() || at.Sub(t.startedAt) >= t.outdatedAge()
 	return waited && (t.replica || t.answered && t.Store.Revision() >= t.highestOffered)
 }
 
@@ -361,9 +354,9 @@
 	t.answered = true
 	delete(t.brokenAt, from)
 	inCycle := len(ancestors) >= maxAncestors || slices.Contains(ancestors, t.self.ID)
-	usable := !inCycle && age < staleAge
+	usable := !inCycle && age < t.outdatedAge()
 	if from != t.parent {
-		if t.replica || !usable || from != t.preferredParent() && !t.isCutOff(at) {
+		if t.replica || !usable || from != t.preferredParent() && !t.needsParent(at) {
 			return out
 		}
 		out = t.adoptParent(at, from, out)
@@ -406,7 +399,7 @@
 		for t.nextCandidate < len(candidates) {
 			id := candidates[t.nextCandidate]
 			t.nextCandidate++
-			if id != old && at.Sub(t.brokenAt[id]) >= silenceTimeout {
+			if id != old && at.Sub(t.brokenAt[id]) >= brokenPause {
 				t.setParent(at, id)
 				return out
 			}
@@ -454,13 +447,6 @@
 	return d
 }
 
-// isCutOff reports whether the parent is cut off from the log. VMs deeper in
-// the tree wait longer, so that the root of the zone can find another parent
-// for all of them first.
-func (t *Tree) isCutOff(at time.Time) bool {
-	return !t.replica && t.majorityAge(at) >= staleAge+time.Duration(t.placement.depth())*silenceTimeout
-}
-
 func (t *Tree) majorityAge(at time.Time) time.Duration {
 	if t.lastMajority.IsZero() {
 		return unknownAge
--- a/core/relay/tree_test.go
+++ b/core/relay/tree_test.go
@@ -225,23 +225,30 @@
 // Guards against VMs that keep a parent whose replica of the log has lost the
 // others, and so serve without changes that are due. Every other link works.
 func TestParentWithoutMajorityIsReplacedInTime(t *testing.T) {
-	const bound = 6 * time.Second // within which a change is in force everywhere; see the design page
-	f := newFleet(3, 12, 3, 1)
-	f.run(5 * time.Second)
-	f.setLink("b00", "a00", true)
-	f.setLink("b00", "c00", true)
-	revisions := map[time.Duration]model.Revision{} // committed, by time since the cut
-	const step = 100 * time.Millisecond
-	for elapsed := time.Duration(0); elapsed < 4*bound; elapsed += step {
-		if elapsed%(500*time.Millisecond) == 0 {
-			f.commit()
+	for _, bound := range []time.Duration{0, 3 * time.Second, 5 * time.Second} {
+		f := newFleet(3, 12, 3, 1)
+		for _, n := range f.nodes {
+			n.tree.ChangeBound = bound
+		}
+		if bound == 0 {
+			bound = 6 * time.Second // within which a change is in force everywhere; see the design page
 		}
-		revisions[elapsed] = model.Revision(len(f.ops))
-		f.run(step)
-		want := revisions[elapsed-bound]
-		for _, id := range f.ids {
-			if got := f.nodes[id].store.Revision(); id != "b00" && got < want {
-				t.Fatalf("%s after the cut %s is at revision %d, want %d, parent %s", elapsed, id, got, want, f.nodes[id].tree.Parent())
+		f.run(5 * time.Second)
+		f.setLink("b00", "a00", true)
+		f.setLink("b00", "c00", true)
+		revisions := map[time.Duration]model.Revision{} // committed, by time since the cut
+		const step = 100 * time.Millisecond
+		for elapsed := time.Duration(0); elapsed < 4*bound && !t.Failed(); elapsed += step {
+			if elapsed%(500*time.Millisecond) == 0 {
+				f.commit()
+			}
+			revisions[elapsed] = model.Revision(len(f.ops))
+			f.run(step)
+			want := revisions[elapsed-bound]
+			for _, id := range f.ids {
+				if got := f.nodes[id].store.Revision(); id != "b00" && got < want {
+					t.Errorf("bound %s: %s after the cut %s is at revision %d, want %d, parent %s", bound, elapsed, id, got, want, f.nodes[id].tree.Parent())
+				}
 			}
 		}
 	}
--- a/core/soak/config.go
+++ b/core/soak/config.go
@@ -27,7 +27,7 @@
 // Time limits of the documented guarantees, and tolerances of their checks.
 const (
 	stableWindow  = 4 * time.Second        // without faults after which a component must work as usual
-	applyWithin   = 3 * time.Second        // from the acknowledgement of a change until all VMs use it
+	ApplyWithin   = 3 * time.Second        // from the acknowledgement of a change until all VMs use it
 	drainWithin   = 3 * time.Second        // from an upstream's listing as draining until its last request
 	reorderSlack  = 250 * time.Millisecond // for requests that overtake each other on the way to an upstream
 	cancelSlack   = 500 * time.Millisecond // from a caller's disconnect until the work for it ends
--- a/core/soak/finish.go
+++ b/core/soak/finish.go
@@ -32,7 +32,7 @@
 		return
 	}
 	s.judgeRecovery()
-	newest := s.newestAcked(s.now.Add(-applyWithin))
+	newest := s.newestAcked(s.now.Add(-ApplyWithin))
 	if s.lastReadChange < newest || s.now.Sub(s.lastReadAt) > finalReadTime {
 		s.addFinding("LOST", "the newest acknowledged change is %d, the last one read is %d, %v ago",
 			newest, s.lastReadChange, s.now.Sub(s.lastReadAt))
--- a/core/soak/soak_test.go
+++ b/core/soak/soak_test.go
@@ -226,7 +226,7 @@
 		}},
 		{"outdated document returned", "CONFIG", func(f *fixture) {
 			f.acknowledgeChange()
-			f.advance(applyWithin + time.Second)
+			f.advance(ApplyWithin + time.Second)
 			f.apply(DocumentRead{AskedAt: f.at, Submission: f.submissionOfChange[0]})
 		}},
 		{"document returned that no operator submitted", "CONFIG", func(f *fixture) { f.apply(DocumentRead{AskedAt: f.at, Submission: -1}) }},
--- a/core/soak/submission.go
+++ b/core/soak/submission.go
@@ -112,7 +112,7 @@
 		s.addFinding("CONFIG", "vm %d returns order %d, which must not be in force", e.VM, number)
 		return
 	}
-	if n := s.newestAcked(e.AskedAt.Add(-applyWithin)); n > sub.change {
+	if n := s.newestAcked(e.AskedAt.Add(-ApplyWithin)); n > sub.change {
 		s.addFinding("CONFIG", "vm %d returns change %d, asked %v after change %d was acknowledged",
 			e.VM, sub.change, e.AskedAt.Sub(s.changeAckedAt[n]), n)
 	}
@@ -146,7 +146,7 @@
 		return // judgeArrival reports the wrong service
 	}
 	s.report.Judged["CONFIG followed"]++
-	if n := s.newestAcked(req.At.Add(-applyWithin)); n > applied && s.mustApply(n, req) {
+	if n := s.newestAcked(req.At.Add(-ApplyWithin)); n > applied && s.mustApply(n, req) {
 		s.addFinding("CONFIG", "request %s followed change %d, sent %v after change %d was acknowledged",
 			req.ID, applied, req.At.Sub(s.changeAckedAt[n]), n)
 	}
@@ -163,7 +163,7 @@
 // of a change that its VM, being undisturbed, must have applied the change.
 func (s *State) mustApply(change int, req *request) bool {
 	acked := s.changeAckedAt[change]
-	return !acked.IsZero() && req.At.After(acked.Add(applyWithin)) && s.vmAndLogStable(req.VM, req.At)
+	return !acked.IsZero() && req.At.After(acked.Add(ApplyWithin)) && s.vmAndLogStable(req.VM, req.At)
 }
 
 // mustHaveRoute reports whether the route of an Added request must exist: its
--- a/io/serve/platform_settings.go
+++ b/io/serve/platform_settings.go
@@ -31,6 +31,7 @@
 	RetryBudgetRatio    float64        // fleet-wide retries and hedges for a service, as a fraction of its requests
 	RetryBudgetExtra    int            // fleet-wide retries and hedges for a service allowed on top of the ratio
 	RetryBudgetWindow   time.Duration  // time window over which retries and hedges are counted
+	ChangeBound         time.Duration  // within which a change of the document must be in force on every VM; 0 for the default
 	IgnoredSettings     []string       // invalid settings that were ignored, for the log
 	HeaderNames         *proxy.HeaderNames
 	UpstreamLister      UpstreamLister                       // nil on a VM that does not read the list of upstreams
--- a/io/serve/platform_vm.go
+++ b/io/serve/platform_vm.go
@@ -143,13 +143,14 @@
 }
 
 // Reload applies changed settings to the running VM: the seeds, the tolerated
-// losses, the limits of the machine, the retry budget and the grace period. Other
-// settings take effect at the next start.
+// losses, the limits of the machine, the retry budget, the grace period and the
+// time bound of changes. Other settings take effect at the next start.
 func (p *PlatformVM) Reload(settings *PlatformSettings) {
 	p.applyLimits(settings)
 	changed := event.SettingsChanged{
 		Peers: settings.Seeds, ToleratedDiskLosses: settings.ToleratedDiskLosses, CPUCores: settings.CPUCores,
 		RetryBudgetRatio: settings.RetryBudgetRatio, RetryBudgetExtra: settings.RetryBudgetExtra, RetryBudgetWindow: settings.RetryBudgetWindow,
+		ChangeBound: settings.ChangeBound,
 	}
 	p.control.Post(changed)
 	if p.proxy != nil {
@@ -216,8 +217,8 @@
 		VM: p.settings.VM, Seed: uint64(now.UnixNano()), ProcessStart: now, Loops: 1, SelfRegistration: true,
 		ToleratedDiskLosses: p.settings.ToleratedDiskLosses,
 		RetryBudgetRatio:    p.settings.RetryBudgetRatio, RetryBudgetExtra: p.settings.RetryBudgetExtra,
-		RetryBudgetWindow: p.settings.RetryBudgetWindow,
-		CPUCores:          p.settings.CPUCores, Peers: p.settings.Seeds, PortionAddr: p.settings.PortionAddr, MinShardsToDelegate: p.settings.MinShardsToDelegate,
+		RetryBudgetWindow: p.settings.RetryBudgetWindow, ChangeBound: p.settings.ChangeBound,
+		CPUCores: p.settings.CPUCores, Peers: p.settings.Seeds, PortionAddr: p.settings.PortionAddr, MinShardsToDelegate: p.settings.MinShardsToDelegate,
 	}
 	if p.settings.Bootstrap {
 		start.InitialConfig = &model.Topology{VMs: make(map[model.VMID]model.VM)}
--- a/io/soak/vm.go
+++ b/io/soak/vm.go
@@ -73,6 +73,7 @@
 			VM:             model.VM{ID: model.VMID(ip.String()), Zone: model.Zone(fmt.Sprintf("z%d", zone)), PeerAddr: at(peerPort), HasDisk: hasDisk},
 			PeerListenAddr: at(processPort), MetricsAddr: at(metricsPort),
 			ToleratedDiskLosses: toleratedDiskLosses, ShutdownGrace: shutdownGrace, RetryBudgetRatio: retryBudgetRatio, RetryBudgetExtra: retryBudgetExtra, RetryBudgetWindow: retryBudgetWindow,
+			ChangeBound: soak.ApplyWithin,
 		},
 	}
 	if v.peerProxy, err = s.startProxy(at(peerPort), v.site.PeerListenAddr); err != nil {
