Count a replica as current only when both directions of its link prove it

Callers could see: entry VMs that follow a replica of the log whose own messages are lost serve without changes that are due, and no limit on age makes them leave, since the replica counts as in contact with a majority all the while.

Cause: a follower took any request of a leader as contact with a majority, whether or not the leader's entries were there, the leader had a majority, or the follower's answers arrived, and however long the request was under way. A leader took the arrival of an answer as its time.

Change: requests and answers carry the sender's stamp and the last stamp received, and requests the age of the leader's majority. LastMajority is the time of the follower's last answer that the leader confirms, less that age, and only once the entries up to the leader's commit index are there. A message without stamps comes from an earlier version and counts as before. All tests of core/quorum check that a replica holds what was committed by its LastMajority.

Why it works: the leader repeats a stamp only after it has received the answer, so it led after that answer was sent; both times are of one clock.

--- a/core/frame/frame.go
+++ b/core/frame/frame.go
@@ -82,6 +82,10 @@
 	CommitIndex uint64 `msgpack:"Commit"`
 	Round       uint64 // heartbeat number; a majority that repeats it confirms the leader for linearizable reads
 	Handover    bool   // the leader resigns, and the receiver should start an election at once
+
+	Sent        time.Time     // stamp of the leader's clock; zero from a VM of an earlier version
+	Echo        time.Time     // Sent of the receiver's last answer that the leader has
+	MajorityAge time.Duration // time since a majority last accepted the leader
 }
 
 // AppendResponse answers AppendRequest.
@@ -92,6 +96,8 @@
 	MatchIndex uint64        `msgpack:"Match"` // up to which the follower's synced log is known to equal the leader's
 	NextIndex  uint64        `msgpack:"Hint"`  // index from which the leader should send when OK is false
 	Round      uint64        // as in AppendRequest
+	Sent       time.Time     // stamp of the follower's clock
+	Echo       time.Time     // Sent of the last AppendRequest; zero from a VM of an earlier version
 }
 
 // InstallImage sends an image to a replica whose next entries the leader no longer
--- a/core/quorum/cluster_test.go
+++ b/core/quorum/cluster_test.go
@@ -47,6 +47,7 @@
 	muted         map[model.VMID]bool // VMs whose messages are lost, but which receive those of others
 	leaderByTerm  map[uint64]entry.Replica
 	committed     []entry.Entry       // the entry with index i is at i-1
+	commitTimes   []time.Time         // when the entries of committed were first known to be committed
 	diskCount     model.DiskID        // disks used so far
 	lostEarly     map[model.VMID]bool // initial voters that lost a disk before the first commit
 	shrunk        bool                // at some time only some of the VMs were wanted
@@ -255,6 +256,7 @@
 		n.applied = e.Index
 		if e.Index > uint64(len(c.committed)) {
 			c.committed = append(c.committed, e)
+			c.commitTimes = append(c.commitTimes, c.now)
 		} else if known := c.committed[e.Index-1]; !reflect.DeepEqual(e, known) {
 			c.t.Fatalf("%s committed %+v where %+v was committed", n.vm, e, known)
 		}
@@ -264,6 +266,7 @@
 			c.t.Fatalf("%s confirmed a read at %d that must see %d", n.vm, n.applied, n.reads[read])
 		}
 	}
+	c.checkCurrency(n)
 	if s := n.log.Status(); s.Leading {
 		self := entry.Replica{VM: n.vm, Disk: n.disk.Disk}
 		if other, ok := c.leaderByTerm[s.Term]; ok && other != self {
@@ -275,6 +278,16 @@
 	}
 }
 
+// checkCurrency checks that a replica has every entry that was committed when it
+// says that it last had contact with a majority.
+func (c *cluster) checkCurrency(n *node) {
+	s := n.log.Status()
+	due, _ := slices.BinarySearchFunc(c.commitTimes, s.LastMajority, func(a, b time.Time) int { return a.Compare(b) })
+	if n.applied < uint64(due) {
+		c.t.Fatalf("%s applied up to entry %d, want %d, committed by its contact with a majority %s ago", n.vm, n.applied, due, c.now.Sub(s.LastMajority))
+	}
+}
+
 // checkLeaderCompleteness checks that a new leader has every committed entry.
 func (c *cluster) checkLeaderCompleteness(n *node) {
 	for _, e := range c.committed {
--- a/core/quorum/doc.go
+++ b/core/quorum/doc.go
@@ -21,6 +21,15 @@
 // effect.AppendEntries is in flight; entries that arrive meanwhile are written
 // together by the next one (group commit).
 //
+// # Currency
+//
+// Status.LastMajority is the latest time at which the replica is known to have
+// held every committed entry. Each direction of a link has to prove itself: a
+// request and its answer carry the sender's stamp and the last stamp received
+// from the other, so a replica whose answers are lost, or whose messages are long
+// under way, does not count as current. The entries up to the leader's commit
+// index must be there, too.
+//
 // # First start
 //
 // The initial voters are VMs whose disks are not known yet. Until the log has
--- a/core/quorum/election.go
+++ b/core/quorum/election.go
@@ -28,6 +28,7 @@
 // becomeFollower becomes a follower in the current term.
 func (l *Log) becomeFollower(at time.Time, cause string, out []effect.Effect) []effect.Effect {
 	if l.role == leader {
+		l.currentAt = l.lastMajority()
 		out = note(at, fmt.Sprintf("stepped down as leader of term %d", l.term), cause, out)
 		out = append(out, effect.StopTimer{ID: event.TimerID{Kind: event.TimerHeartbeat}})
 		l.leaderID = ""
@@ -41,7 +42,7 @@
 func (l *Log) enterTerm(at time.Time, term uint64, out []effect.Effect) []effect.Effect {
 	out = l.becomeFollower(at, fmt.Sprintf("term %d was heard of", term), out)
 	l.term, l.votedFor, l.leaderID = term, entry.Replica{}, ""
-	l.matchedIndex, l.round = l.commitIndex, 0
+	l.matchedIndex, l.round, l.leaderStamp = l.commitIndex, 0, time.Time{}
 	return l.writeTerm(out)
 }
 
--- a/core/quorum/follower.go
+++ b/core/quorum/follower.go
@@ -13,7 +13,7 @@
 // if the term is outdated.
 func (l *Log) acceptLeader(at time.Time, from model.VMID, term uint64, out []effect.Effect) ([]effect.Effect, bool) {
 	if term < l.term {
-		response := frame.AppendResponse{Term: l.term, Replica: l.self}
+		response := frame.AppendResponse{Term: l.term, Replica: l.self, Sent: l.clock.Stamp(at)}
 		return l.sendAfterSync(l.termSeq, effect.SendMessage{To: from, Message: response}, out), false
 	}
 	if term > l.term {
@@ -39,8 +39,12 @@
 	}
 	l.round = max(l.round, m.Round)
 	l.leaderCommitIndex = max(l.leaderCommitIndex, m.CommitIndex)
+	l.leaderStamp = m.Sent
 	if m.PrevIndex > l.image.Index && l.termOf(m.PrevIndex) != m.PrevTerm {
-		response := frame.AppendResponse{Term: l.term, Replica: l.self, NextIndex: l.nextIndexHint(m.PrevIndex), Round: l.round}
+		response := frame.AppendResponse{
+			Term: l.term, Replica: l.self, NextIndex: l.nextIndexHint(m.PrevIndex), Round: l.round,
+			Sent: l.clock.Stamp(at), Echo: l.leaderStamp,
+		}
 		return l.sendAfterSync(l.termSeq, effect.SendMessage{To: from, Message: response}, out)
 	}
 	for i, e := range m.Entries {
@@ -57,7 +61,8 @@
 	}
 	l.matchedIndex = max(l.matchedIndex, m.PrevIndex+uint64(len(m.Entries)))
 	l.commitIndex = max(l.commitIndex, min(m.CommitIndex, l.matchedIndex))
-	out = l.acknowledge(l.writeEntries(out))
+	l.recordCurrency(at, m)
+	out = l.acknowledge(at, l.writeEntries(out))
 	if m.Handover && l.isVoter() && l.lastIndex() == m.PrevIndex {
 		return l.becomeCandidate(at, out)
 	}
@@ -65,12 +70,13 @@
 }
 
 // acknowledge reports to the leader which entries are synced.
-func (l *Log) acknowledge(out []effect.Effect) []effect.Effect {
+func (l *Log) acknowledge(at time.Time, out []effect.Effect) []effect.Effect {
 	if l.role != follower || l.leaderID == "" || l.syncedSeq < l.termSeq {
 		return out
 	}
 	return append(out, effect.SendMessage{To: l.leaderID, Message: frame.AppendResponse{
 		Term: l.term, Replica: l.self, OK: true, MatchIndex: min(l.matchedIndex, l.syncedIndex), Round: l.round,
+		Sent: l.clock.Stamp(at), Echo: l.leaderStamp,
 	}})
 }
 
@@ -95,7 +101,7 @@
 		return out
 	}
 	if m.Image.Index <= l.commitIndex {
-		return l.acknowledge(out)
+		return l.acknowledge(at, out)
 	}
 	if l.termOf(m.Image.Index) == m.Image.Term {
 		l.entries = append([]entry.Entry(nil), l.entryRange(m.Image.Index+1, l.lastIndex())...)
--- a/core/quorum/leader.go
+++ b/core/quorum/leader.go
@@ -16,6 +16,8 @@
 	matchIndex  uint64    // last index known to be synced on the replica
 	nextIndex   uint64    // next index to send
 	lastContact time.Time // last answer
+	acceptedAt  time.Time // when the latest request that it answered was sent
+	stamp       time.Time // stamp of its last answer
 	round       uint64    // latest heartbeat round that it answered
 	imageSentAt time.Time // when the image was last sent
 	unanswered  bool      // no answer since the last heartbeat
@@ -80,10 +82,22 @@
 	return replicas
 }
 
+// newAppendRequest returns a request without entries.
+func (l *Log) newAppendRequest(at time.Time, r entry.Replica) frame.AppendRequest {
+	m := frame.AppendRequest{
+		Term: l.term, Replica: l.self, CommitIndex: l.commitIndex, Round: l.round,
+		Sent: l.clock.Stamp(at), MajorityAge: at.Sub(l.lastMajority()),
+	}
+	if p := l.progress[r]; p != nil {
+		m.Echo = p.stamp
+	}
+	return m
+}
+
 // replicate sends a replica its missing entries or the image, or else an empty
 // heartbeat.
 func (l *Log) replicate(at time.Time, r entry.Replica, out []effect.Effect) []effect.Effect {
-	m := frame.AppendRequest{Term: l.term, Replica: l.self, CommitIndex: l.commitIndex, Round: l.round}
+	m := l.newAppendRequest(at, r)
 	p := l.progress[r]
 	switch {
 	case p == nil:
@@ -140,17 +154,23 @@
 		}
 		out = l.replicate(at, r, out)
 	}
-	out = l.transferLeadership(out)
+	out = l.transferLeadership(at, out)
 	return l.changeMembers(at, out)
 }
 
 // majorityContact returns the latest time since which a majority of the voters,
 // counting this replica, have answered.
 func (l *Log) majorityContact() time.Time {
+	return l.majorityTime(func(p *progress) time.Time { return p.lastContact })
+}
+
+// majorityTime returns the latest time that a majority of the voters, counting
+// this replica, have reached.
+func (l *Log) majorityTime(timeOf func(*progress) time.Time) time.Time {
 	var contacts []time.Time
 	for _, r := range l.members.Voters {
 		if p := l.progress[r]; p != nil {
-			contacts = append(contacts, p.lastContact)
+			contacts = append(contacts, timeOf(p))
 		}
 	}
 	others := len(l.members.Voters) / 2
@@ -175,6 +195,7 @@
 		return out
 	}
 	p.lastContact, p.unanswered = at, false
+	l.recordAcceptance(at, p, m)
 	p.round = max(p.round, m.Round)
 	switch {
 	case m.OK && m.MatchIndex > p.matchIndex:
@@ -192,7 +213,7 @@
 	if imageInFlight := p.nextIndex <= l.image.Index && at.Before(p.imageSentAt.Add(imageRetryDelay)); behind && !imageInFlight {
 		out = l.replicate(at, m.Replica, out)
 	}
-	return l.confirmReads(at, l.transferLeadership(out))
+	return l.confirmReads(at, l.transferLeadership(at, out))
 }
 
 func (l *Log) handleInstallImageResponse(at time.Time, m frame.InstallImageResponse, out []effect.Effect) []effect.Effect {
@@ -261,16 +282,15 @@
 }
 
 // transferLeadership asks a voter with every entry to start an election.
-func (l *Log) transferLeadership(out []effect.Effect) []effect.Effect {
+func (l *Log) transferLeadership(at time.Time, out []effect.Effect) []effect.Effect {
 	if l.role != leader || l.transferDeadline.IsZero() {
 		return out
 	}
 	for _, r := range l.members.Voters {
 		if p := l.progress[r]; p != nil && p.matchIndex == l.lastIndex() && !p.unanswered {
-			return append(out, effect.SendMessage{To: r.VM, Message: frame.AppendRequest{
-				Term: l.term, Replica: l.self, PrevIndex: l.lastIndex(), PrevTerm: l.termOf(l.lastIndex()),
-				CommitIndex: l.commitIndex, Round: l.round, Handover: true,
-			}})
+			m := l.newAppendRequest(at, r)
+			m.PrevIndex, m.PrevTerm, m.Handover = l.lastIndex(), l.termOf(l.lastIndex()), true
+			return append(out, effect.SendMessage{To: r.VM, Message: m})
 		}
 	}
 	return out
--- a/core/quorum/log.go
+++ b/core/quorum/log.go
@@ -45,7 +45,8 @@
 	random      *rand.Rand
 	initialized bool      // Loaded was called
 	loadedAt    time.Time // when the data folder was read
-	leaderHeard bool      // a leader has sent a message since the start
+	clock       model.Clock
+	leaderHeard bool // a leader has sent a message since the start
 	diskFailed  bool
 
 	role             role
@@ -53,6 +54,8 @@
 	votedFor         entry.Replica // vote given in term, zero when none
 	leaderID         model.VMID    // leader of the term, "" when unknown
 	lastContact      time.Time     // last message of the leader; on the leader its last heartbeat
+	currentAt        time.Time     // latest time at which this replica is known to have held all committed entries
+	leaderStamp      time.Time     // stamp of the last request of the term's leader
 	electionDeadline time.Time
 	votes            map[entry.Replica]bool // granted in the current election
 
@@ -116,7 +119,7 @@
 	CommitIndex       uint64
 	LeaderCommitIndex uint64    // highest commit index that a leader announced
 	LastIndex         uint64    // index of the last entry
-	LastMajority      time.Time // last contact with a majority or, on a follower, with the leader
+	LastMajority      time.Time // latest time at which this replica is known to have held all committed entries
 	Members           entry.Members
 	SilentVoters      []SilentVoter // voters that have not answered the leader for an election timeout, ascending by VM
 	Failed            bool          // the disk failed; the replica no longer participates in the log
@@ -147,7 +150,7 @@
 		l.initialVoters = append(l.initialVoters, entry.Replica{VM: vm})
 	}
 	l.resetMembers(l.lastIndex())
-	l.loadedAt = at
+	l.loadedAt, l.clock = at, model.NewClock(at)
 	return l.resetElectionTimer(at, out)
 }
 
@@ -225,7 +228,7 @@
 	case leader:
 		out = l.advanceCommit(at, out)
 	default:
-		out = l.acknowledge(out)
+		out = l.acknowledge(at, out)
 	}
 	return l.writeEntries(out)
 }
@@ -327,7 +330,7 @@
 		return out
 	}
 	l.transferDeadline = at.Add(maxElectionTimeout)
-	return l.transferLeadership(out)
+	return l.transferLeadership(at, out)
 }
 
 // Status returns the replica's state.
@@ -335,10 +338,9 @@
 	s := Status{
 		Leader: l.leaderID, Leading: l.role == leader, Term: l.term,
 		CommitIndex: l.commitIndex, LeaderCommitIndex: l.leaderCommitIndex, LastIndex: l.lastIndex(),
-		LastMajority: l.lastContact, Members: l.members, Failed: l.diskFailed,
+		LastMajority: l.lastMajority(), Members: l.members, Failed: l.diskFailed,
 	}
 	if l.role == leader {
-		s.LastMajority = l.majorityContact()
 		s.SilentVoters = l.silentVoters()
 	}
 	return s
--- a/core/quorum/members.go
+++ b/core/quorum/members.go
@@ -26,7 +26,7 @@
 		if !l.isWanted(l.self.VM) && len(l.members.Voters) > 1 && len(l.members.Learners) == 0 {
 			l.transferDeadline = at.Add(maxElectionTimeout)
 			out = note(at, "hands over leadership", "this VM should no longer replicate the log", out)
-			return l.transferLeadership(out)
+			return l.transferLeadership(at, out)
 		}
 		return out
 	}
--- a/io/peer/codec.go
+++ b/io/peer/codec.go
@@ -168,7 +168,7 @@
 	case frame.AppendRequest:
 		w := wireAppendRequest{
 			Term: m.Term, Replica: m.Replica, PrevIndex: m.PrevIndex, PrevTerm: m.PrevTerm, CommitIndex: m.CommitIndex, Round: m.Round,
-			Handover: m.Handover,
+			Handover: m.Handover, Sent: m.Sent, Echo: m.Echo, MajorityAge: m.MajorityAge,
 		}
 		for _, e := range m.Entries {
 			w.Entries = append(w.Entries, wireEntry{Index: e.Index, Term: e.Term, At: e.At, Command: wireCommand{e.Command}})
@@ -199,6 +199,9 @@
 	CommitIndex uint64 `msgpack:"Commit"`
 	Round       uint64
 	Handover    bool `msgpack:",omitempty"` // rarely set
+	Sent        time.Time
+	Echo        time.Time
+	MajorityAge time.Duration
 }
 
 type wireEntry struct {
@@ -211,7 +214,7 @@
 func (w wireAppendRequest) message() frame.Message {
 	m := frame.AppendRequest{
 		Term: w.Term, Replica: w.Replica, PrevIndex: w.PrevIndex, PrevTerm: w.PrevTerm, CommitIndex: w.CommitIndex, Round: w.Round,
-		Handover: w.Handover,
+		Handover: w.Handover, Sent: w.Sent, Echo: w.Echo, MajorityAge: w.MajorityAge,
 	}
 	for _, e := range w.Entries {
 		m.Entries = append(m.Entries, entry.Entry{Index: e.Index, Term: e.Term, At: e.At, Command: e.Command.Command})
