Date a parent's contact with a majority by the digest that it answers

Callers could see: a VM whose parent's answers are long under way, or name changes that were lost, serves without changes that are due and does not look for another parent.

Cause: the age in an answer counted from the answer's arrival, and counted even if the changes that the answer names were not there.

Evidence: TestContactWithMajorityCoversTheConfiguration failed before: 'b03 is at revision 2, want 4, committed by its contact with a majority 196 ms ago'.

Change: digests carry a stamp of the sender's clock and answers repeat it. The contact counts from the digest, and only once the VM has the configuration that the answer names. The search for a parent starts anew once a VM needs none; a round left over from the start of the process made TestTreeReplacesParent choose a VM of another zone. A VM of an earlier version repeats no stamp; its answers count as before.

Why it works: an answer is sent after the digest that it repeats, and both times are of one clock.

--- a/core/frame/frame.go
+++ b/core/frame/frame.go
@@ -141,6 +141,7 @@
 	UpstreamListChecksum uint64         `msgpack:"Roster"`  // of the child's list of upstreams; 0 without one
 	PortionAddr          netip.AddrPort `msgpack:"Gathers"` // listener for portions of other VMs' requests; zero when the child accepts none
 	EntryVMsChecksum     uint64         `msgpack:"Daemons"` // of the child's list of entry VMs; 0 without one
+	Sent                 time.Time      // stamp of the child's clock; zero from a VM of an earlier version
 }
 
 // VMStatus is what a VM knows about one below it in the tree.
@@ -159,8 +160,9 @@
 	Changes     []entry.Change // in order; each one increments the revision
 	Checksum    uint64         `msgpack:"Sum"` // of the configuration at To
 	Leader      model.VMID     // last known leader of the log; empty when unknown
-	MajorityAge time.Duration  `msgpack:"Age"`  // time since a majority of the log's replicas was last known to be reachable
+	MajorityAge time.Duration  `msgpack:"Age"`  // time since the sender is last known to have held all committed changes
 	Ancestors   []model.VMID   `msgpack:"Path"` // of the sender in the tree, parent first; empty for a replica of the log
+	Echo        time.Time      // Sent of the receiver's last digest; zero from a VM of an earlier version
 }
 
 // FullConfig replaces a child's whole configuration. Its fields are those of
@@ -171,6 +173,7 @@
 	Leader      model.VMID
 	MajorityAge time.Duration `msgpack:"Age"`
 	Ancestors   []model.VMID  `msgpack:"Path"`
+	Echo        time.Time
 }
 
 // Ping asks a VM whether it is alive.
--- a/core/relay/outdated.go
+++ b/core/relay/outdated.go
@@ -41,6 +41,30 @@
 // counts as outdated.
 func (t *Tree) outdatedAge() time.Duration { return t.changeBound() / 2 }
 
+// contactOf returns the sender's last contact with a majority, by this VM's
+// clock. The sender repeats the stamp of this VM's digest, so it had that age
+// after the digest was sent, however long the answer was under way.
+func (t *Tree) contactOf(at, echo time.Time, age time.Duration) time.Time {
+	if echo.IsZero() {
+		return at.Add(-age) // a VM of an earlier version
+	}
+	sentAt, ok := t.clock.SentAt(echo, at)
+	if !ok {
+		return time.Time{}
+	}
+	return sentAt.Add(-age)
+}
+
+// recordContact records the parent's last contact with a majority, if this VM
+// has the configuration that the parent had then.
+func (t *Tree) recordContact(from model.VMID, contact time.Time, revision model.Revision, checksum uint64) {
+	held := t.Store.Revision()
+	if t.replica || from != t.parent || held < revision || held == revision && t.Store.Checksum() != checksum {
+		return
+	}
+	t.lastMajority = laterTime(t.lastMajority, contact)
+}
+
 // isOutdated reports whether this VM may lack changes that are due soon, because
 // its last contact with a majority of the log is too old. Each level of the tree
 // adds up to a digest period to that age.
@@ -65,12 +89,12 @@
 func (t *Tree) search(at time.Time, out []effect.Effect) []effect.Effect {
 	out = t.noteOutdated(at, out)
 	if !t.needsParent(at) {
-		t.searchWait = 0
+		t.searchWait, t.searchRound, t.nextCandidate = 0, 0, 0
 		return out
 	}
 	t.searchWait = min(t.digestPeriod(), max(t.searchPeriod(), 2*t.searchWait))
 	for _, id := range t.searchTargets() {
-		out = t.send(id, t.newDigest(true), out)
+		out = t.send(id, t.newDigest(at, true), out)
 	}
 	t.searchRound, t.nextCandidate = t.searchRound+1, 0
 	return out
--- a/core/relay/tree.go
+++ b/core/relay/tree.go
@@ -40,13 +40,14 @@
 	self              model.VM
 	processStart      time.Time
 	startedAt         time.Time // when Start was called
+	clock             model.Clock
 	placement         placement
 	placementKnown    bool           // computed from a configuration, not only from Peers
 	placementRevision model.Revision // revision of that configuration
 
 	replica      bool       // this VM replicates the log, which updates the store
 	leader       model.VMID // last known leader of the log
-	lastMajority time.Time  // last contact with a majority of the log, directly or through the parent
+	lastMajority time.Time  // latest time at which this VM is known to have held all committed changes
 
 	parent          model.VMID
 	parentSince     time.Time                // when the parent was chosen
@@ -71,23 +72,25 @@
 type child struct {
 	revision   model.Revision // in its last digest, or sent to it since
 	lastDigest time.Time
+	stamp      time.Time // of the last digest
 }
 
 // Start requests the configuration from the preferred parent, some VMs of the
 // zone and some disk VMs of other zones. The newest of their answers wins.
 func (t *Tree) Start(at time.Time, self model.VM, processStart time.Time, out []effect.Effect) []effect.Effect {
 	t.self, t.processStart, t.startedAt = self, processStart, at
+	t.clock = model.NewClock(at)
 	t.children = make(map[model.VMID]*child)
 	t.brokenAt = make(map[model.VMID]time.Time)
 	t.updatePlacement()
 	t.setParent(at, t.preferredParent())
 	for _, id := range t.placement.candidates(0) {
 		if id != t.parent {
-			out = t.send(id, t.newDigest(true), out)
+			out = t.send(id, t.newDigest(at, true), out)
 		}
 	}
 	if t.parent != "" {
-		out = t.send(t.parent, t.newDigest(true), out)
+		out = t.send(t.parent, t.newDigest(at, true), out)
 	}
 	// The phase depends on the VM, so that VMs restarted at the same time send
 	// their digests at different times.
@@ -123,12 +126,18 @@
 		return t.handleDigest(at, from, m, out)
 	case frame.ConfigDelta:
 		t.highestOffered = max(t.highestOffered, m.To)
-		out = t.handleSenderState(at, from, m.Leader, m.MajorityAge, m.Ancestors, out)
-		return t.handleDelta(at, from, m, out)
+		contact := t.contactOf(at, m.Echo, m.MajorityAge)
+		out = t.handleSenderState(at, from, m.Leader, contact, m.Ancestors, out)
+		out = t.handleDelta(at, from, m, out)
+		t.recordContact(from, contact, m.To, m.Checksum)
+		return out
 	case frame.FullConfig:
 		t.highestOffered = max(t.highestOffered, m.Config.Revision)
-		out = t.handleSenderState(at, from, m.Leader, m.MajorityAge, m.Ancestors, out)
-		return t.handleFullConfig(at, from, m, out)
+		contact := t.contactOf(at, m.Echo, m.MajorityAge)
+		out = t.handleSenderState(at, from, m.Leader, contact, m.Ancestors, out)
+		out = t.handleFullConfig(at, from, m, out)
+		t.recordContact(from, contact, m.Config.Revision, m.Checksum)
+		return out
 	default:
 		return out
 	}
@@ -160,7 +169,7 @@
 	// The preferred parent receives a digest too, so that it keeps sending
 	// changes to this VM and becomes the parent again as soon as it answers.
 	if preferred != "" && preferred != t.parent {
-		out = t.send(preferred, t.newDigest(true), out)
+		out = t.send(preferred, t.newDigest(at, true), out)
 	}
 	return append(out, effect.SetTimer{ID: timerID, At: at.Add(t.timerPeriod(at))})
 }
@@ -250,7 +259,7 @@
 		c = &child{}
 		t.children[from] = c
 	}
-	c.lastDigest, c.revision = at, m.Revision
+	c.lastDigest, c.revision, c.stamp = at, m.Revision, m.Sent
 	t.subtree.record(at, frame.VMStatus{VM: from, Revision: m.Revision, Suspected: t.subtree.isSuspected(from)})
 	for _, status := range m.Descendants {
 		if status.VM != t.self.ID {
@@ -272,6 +281,7 @@
 	revision := t.Store.Revision()
 	delta := frame.ConfigDelta{
 		From: revision, To: revision, Checksum: t.Store.Checksum(), Leader: t.leader, MajorityAge: t.majorityAge(at), Ancestors: t.ancestors,
+		Echo: c.stamp,
 	}
 	if c.revision < revision {
 		changes, ok := t.Store.ChangesSince(c.revision)
@@ -288,6 +298,7 @@
 	c.revision = t.Store.Revision()
 	return t.send(to, frame.FullConfig{
 		Config: t.Store.Image(), Checksum: t.Store.Checksum(), Leader: t.leader, MajorityAge: t.majorityAge(at), Ancestors: t.ancestors,
+		Echo: c.stamp,
 	}, out)
 }
 
@@ -346,15 +357,15 @@
 }
 
 // handleSenderState processes what every answer states about its sender: the
-// known leader, the age of its last contact with a majority, and its ancestors.
+// known leader, its last contact with a majority, and its ancestors.
 // It may switch back to the preferred parent or leave a cycle.
 func (t *Tree) handleSenderState(
-	at time.Time, from, leader model.VMID, age time.Duration, ancestors []model.VMID, out []effect.Effect,
+	at time.Time, from, leader model.VMID, contact time.Time, ancestors []model.VMID, out []effect.Effect,
 ) []effect.Effect {
 	t.answered = true
 	delete(t.brokenAt, from)
 	inCycle := len(ancestors) >= maxAncestors || slices.Contains(ancestors, t.self.ID)
-	usable := !inCycle && age < t.outdatedAge()
+	usable := !inCycle && at.Sub(contact) < t.outdatedAge()
 	if from != t.parent {
 		if t.replica || !usable || from != t.preferredParent() && !t.needsParent(at) {
 			return out
@@ -372,7 +383,6 @@
 		}
 		return out
 	}
-	t.lastMajority = at.Add(-age)
 	t.ancestors = append([]model.VMID{from}, ancestors...)
 	if leader != "" {
 		t.leader = leader
@@ -426,21 +436,21 @@
 		return out
 	}
 	t.lastEarlyDigest = at
-	return t.send(vm, t.newDigest(true), out)
+	return t.send(vm, t.newDigest(at, true), out)
 }
 
 // parentDigest returns the digest for the parent. It contains the VM's identity
 // until the parent has answered.
 func (t *Tree) parentDigest(at time.Time) frame.Digest {
-	d := t.newDigest(!t.parentAnswered)
+	d := t.newDigest(at, !t.parentAnswered)
 	d.Descendants = t.subtree.nextReport(at)
 	return d
 }
 
 // newDigest returns a digest without descendants. With withIdentity set it also
 // contains the VM's id, its zone and the start of its process.
-func (t *Tree) newDigest(withIdentity bool) frame.Digest {
-	d := frame.Digest{Revision: t.Store.Revision(), ConfigChecksum: t.Store.Checksum()}
+func (t *Tree) newDigest(at time.Time, withIdentity bool) frame.Digest {
+	d := frame.Digest{Revision: t.Store.Revision(), ConfigChecksum: t.Store.Checksum(), Sent: t.clock.Stamp(at)}
 	if withIdentity {
 		d.VM, d.Zone, d.ProcessStart = t.self.ID, t.self.Zone, t.processStart
 	}
--- a/core/relay/tree_test.go
+++ b/core/relay/tree_test.go
@@ -253,3 +253,29 @@
 		}
 	}
 }
+
+// Guards against a VM that counts as current after an answer that was long under
+// way, or that names changes which the VM does not have.
+func TestContactWithMajorityCoversTheConfiguration(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		f := newFleet(3, 5, rapid.IntRange(2, 3).Draw(t, "disks"), rapid.Uint64().Draw(t, "seed"))
+		f.run(3 * time.Second)
+		f.lossRate, f.duplicateRate = rapid.Float64Range(0, 0.4).Draw(t, "loss"), 0.1
+		f.maxDelay = time.Duration(rapid.IntRange(5, 4000).Draw(t, "delay in ms")) * time.Millisecond
+		var committedAt []time.Time // of the changes after those at the start
+		base := len(f.ops)
+		for range 100 {
+			committedAt = append(committedAt, f.now)
+			f.commit()
+			f.run(200 * time.Millisecond)
+			for _, id := range f.ids {
+				n := f.nodes[id]
+				contact := f.now.Add(-n.tree.MajorityAge(f.now))
+				due, _ := slices.BinarySearchFunc(committedAt, contact, func(a, b time.Time) int { return a.Compare(b) })
+				if got, want := int(n.store.Revision()), base+due; due > 0 && got < want {
+					t.Fatalf("%s is at revision %d, want %d, committed by its contact with a majority %s ago", id, got, want, f.now.Sub(contact))
+				}
+			}
+		}
+	})
+}
--- a/io/peer/codec.go
+++ b/io/peer/codec.go
@@ -184,6 +184,9 @@
 		if !m.ProcessStart.IsZero() {
 			w.ProcessStart = m.ProcessStart.UnixNano()
 		}
+		if !m.Sent.IsZero() {
+			w.Sent = m.Sent.UnixNano()
+		}
 		return w
 	default:
 		return m
@@ -231,8 +234,8 @@
 	return frame.ProposeRequest{Seq: w.Seq, Command: w.Command.Command}
 }
 
-// wireDigest holds the process start in Unix nanoseconds, so that an empty one
-// takes one byte instead of fifteen.
+// wireDigest holds times in Unix nanoseconds, so that an empty one takes one byte
+// instead of fifteen.
 type wireDigest struct {
 	VM                   model.VMID
 	Zone                 model.Zone
@@ -243,6 +246,7 @@
 	UpstreamListChecksum uint64           `msgpack:"Roster"`
 	PortionAddr          netip.AddrPort   `msgpack:"Gathers"`
 	EntryVMsChecksum     uint64           `msgpack:"Daemons"`
+	Sent                 int64
 }
 
 func (w wireDigest) message() frame.Message {
@@ -253,5 +257,8 @@
 	if w.ProcessStart != 0 {
 		m.ProcessStart = time.Unix(0, w.ProcessStart)
 	}
+	if w.Sent != 0 {
+		m.Sent = time.Unix(0, w.Sent)
+	}
 	return m
 }
--- a/io/peer/codec_test.go
+++ b/io/peer/codec_test.go
@@ -67,12 +67,12 @@
 		frame.Digest{
 			VM: "vm1", Zone: "a", ProcessStart: at, Revision: 4, ConfigChecksum: 1 << 63,
 			Descendants:          []frame.VMStatus{{VM: "vm2", Revision: 3, HeartbeatAge: time.Second, Suspected: true}},
-			UpstreamListChecksum: 5, PortionAddr: netip.MustParseAddrPort("10.0.0.1:7741"), EntryVMsChecksum: 6,
+			UpstreamListChecksum: 5, PortionAddr: netip.MustParseAddrPort("10.0.0.1:7741"), EntryVMsChecksum: 6, Sent: at,
 		},
 		frame.ConfigDelta{
-			From: 1, To: 2, Changes: []entry.Change{change}, Checksum: 3, Leader: "vm1", MajorityAge: time.Second, Ancestors: []model.VMID{"vm1"},
+			From: 1, To: 2, Changes: []entry.Change{change}, Checksum: 3, Leader: "vm1", MajorityAge: time.Second, Ancestors: []model.VMID{"vm1"}, Echo: at,
 		},
-		frame.FullConfig{Config: config, Checksum: 3, Leader: "vm1", MajorityAge: time.Second, Ancestors: []model.VMID{"vm1"}},
+		frame.FullConfig{Config: config, Checksum: 3, Leader: "vm1", MajorityAge: time.Second, Ancestors: []model.VMID{"vm1"}, Echo: at},
 		frame.Ping{Seq: 1}, frame.Pong{Seq: 1},
 		frame.IndirectPing{Seq: 1, Target: "vm1"}, frame.IndirectPong{Seq: 1, Target: "vm1", Alive: true},
 		frame.LeaseRequest{Seq: 1, ProcessStart: at, Revision: 2, Demand: map[string]int{"c": 1}},
