Believe only the parent about the zone and the entry VMs

Cause: the control VM of the zone had lost the other control VMs. 6 s later it dropped their lists of entry VMs, had nobody left to ping and declared the zone cut off. Its followers believed it. With the search for a parent, they would also have been sent its partial list and count of entry VMs in turn with the complete ones of their new parent.

Change: an entry VM takes reports of isolation, lists and counts of entry VMs only from its parent. Lists of upstreams are ordered by their reads and come from any control VM, as before.

Why it works: a VM keeps as its parent only one whose contact with a majority is recent, and in a zone that is really cut off the parent stays that of the zone.

--- a/core/plane/components_test.go
+++ b/core/plane/components_test.go
@@ -24,6 +24,7 @@
 	peers      []model.VM
 
 	changeBound time.Duration
+	parent      model.VMID
 }
 
 func (f *fakeTree) Start(_ time.Time, _ model.VM, _ time.Time, out []effect.Effect) []effect.Effect {
@@ -60,6 +61,7 @@
 func (f *fakeTree) MajorityAge(time.Time) time.Duration    { return 3 * time.Second }
 func (f *fakeTree) Descendants(time.Time) []frame.VMStatus { return []frame.VMStatus{{VM: "vm9"}} }
 func (f *fakeTree) SetPeers(vms []model.VM)                { f.peers = vms }
+func (f *fakeTree) Parent() model.VMID                     { return f.parent }
 func (f *fakeTree) SetChangeBound(d time.Duration)         { f.changeBound = d }
 
 func (f *fakeTree) SetSuspected(vm model.VMID, on bool) {
--- a/core/plane/entry_vms.go
+++ b/core/plane/entry_vms.go
@@ -125,8 +125,8 @@
 func byID(a, b model.EntryVM) int { return cmp.Compare(a.ID, b.ID) }
 
 // peerEntryVMs handles a list of entry VMs: on a disk VM, the followers of
-// another disk VM; on an entry VM, all entry VMs, which it passes to the
-// traffic states.
+// another disk VM; on an entry VM, all entry VMs as its parent knows them, which
+// it passes to the traffic states.
 func (c *Control) peerEntryVMs(at time.Time, from model.VMID, m frame.EntryVMs, out []effect.Effect) []effect.Effect {
 	e := &c.entryVMs
 	if c.settings.VM.HasDisk {
@@ -136,7 +136,7 @@
 		e.reported[from] = reportedFollowers{entryVMs: m.VMs, at: at}
 		return out
 	}
-	if e.checksum != 0 && slices.Equal(m.VMs, e.current) {
+	if !c.isParent(from) || e.checksum != 0 && slices.Equal(m.VMs, e.current) {
 		return out
 	}
 	e.current, e.checksum = m.VMs, entryVMsChecksum(m.VMs)
--- a/core/plane/isolation.go
+++ b/core/plane/isolation.go
@@ -134,12 +134,12 @@
 	return c.settingsVMs()[id].Zone
 }
 
-// peerIsolation handles a disk VM's report on the isolation of its zone. A
-// message from a disk VM of another zone shows that this VM's zone is not cut
-// off.
+// peerIsolation handles a disk VM's report on the isolation of its zone. Only the
+// parent may report it. A message from a disk VM of another zone shows that this
+// VM's zone is not cut off.
 func (c *Control) peerIsolation(from model.VMID, isolated bool, out []effect.Effect) []effect.Effect {
 	isolated = isolated && c.zoneOf(from) == c.settings.VM.Zone
-	if c.settings.VM.HasDisk || c.isolation.isolated == isolated {
+	if c.settings.VM.HasDisk || c.isolation.isolated == isolated || isolated && !c.isParent(from) {
 		return out
 	}
 	c.isolation.isolated = isolated
--- a/core/plane/isolation_test.go
+++ b/core/plane/isolation_test.go
@@ -167,3 +167,35 @@
 		}
 	}
 }
+
+// Guards against an entry VM that believes a control VM which is cut off from the
+// others, after it has found another parent: the control VM takes its own state
+// for that of the zone, and its list and count lack the entry VMs of other zones.
+func TestOnlyTheParentReportsOnTheFleet(t *testing.T) {
+	const cutOff, parent = model.VMID("10.0.0.1"), model.VMID("10.0.0.2")
+	var c plane.Control
+	c.SetTree(&fakeTree{store: c.TreeStore(), parent: parent})
+	c.Start(startTime, event.Start{
+		Role: event.RoleControl, VM: model.VM{ID: "10.0.1.1", Zone: "a"}, ProcessStart: startTime, Loops: 1, SelfRegistration: true,
+		Peers: []model.VM{diskVM(string(cutOff), "a"), diskVM(string(parent), "b")},
+	}, nil)
+	deliver := func(from model.VMID, m frame.Message) []effect.ToTraffic {
+		return effectsOf[effect.ToTraffic](c.HandlePeerMessage(startTime, event.PeerMessage{From: from, Message: m}, nil))
+	}
+	all := []model.EntryVM{{ID: "10.0.1.2", Zone: "a"}, {ID: otherZoneEntryVM, Zone: "b"}}
+	deliver(parent, frame.EntryVMs{VMs: all})
+	deliver(parent, frame.UpstreamList{Checksum: 1, ReadSeq: 1, Complete: true, EntryVMCount: 2})
+	if got := deliver(cutOff, frame.EntryVMs{VMs: all[:1]}); len(got) != 0 {
+		t.Errorf("got %+v after the list of a VM that is not the parent, want no change", got)
+	}
+	for _, e := range deliver(cutOff, frame.UpstreamList{Checksum: 2, ReadSeq: 2, Complete: true, EntryVMCount: 1, Isolated: true}) {
+		switch body := e.Body.(type) {
+		case event.ZoneIsolation:
+			t.Errorf("got %+v after the report of a VM that is not the parent, want no change", body)
+		case event.UpstreamList:
+			if got, want := body.EntryVMCount, 2; got != want {
+				t.Errorf("got %d entry VMs with the newer list of a VM that is not the parent, want %d", got, want)
+			}
+		}
+	}
+}
--- a/core/plane/tree.go
+++ b/core/plane/tree.go
@@ -28,6 +28,9 @@
 	Leader() model.VMID
 	// MajorityAge returns the time since the last contact with a majority.
 	MajorityAge(at time.Time) time.Duration
+	// Parent returns the VM that this one receives the configuration from, "" if
+	// there is none.
+	Parent() model.VMID
 	SetSuspected(vm model.VMID, suspected bool)
 	// SetPeers replaces the VMs that are known without a configuration.
 	SetPeers(vms []model.VM)
@@ -113,6 +116,13 @@
 // Checksum returns the checksum of the configuration in force.
 func (f TreeStore) Checksum() uint64 { return f.control.store.Checksum() }
 
+// isParent reports whether another VM speaks for the fleet to this one, which
+// has no disk. Other disk VMs that this VM asks may be cut off from the rest, and
+// then know only part of the fleet.
+func (c *Control) isParent(id model.VMID) bool {
+	return c.tree == nil || c.tree.Parent() == "" || c.tree.Parent() == id
+}
+
 func (c *Control) startTree(at time.Time, out []effect.Effect) []effect.Effect {
 	if c.tree == nil {
 		return out
--- a/core/plane/upstream_list.go
+++ b/core/plane/upstream_list.go
@@ -231,7 +231,7 @@
 		}
 	case frame.UpstreamList:
 		out = c.peerIsolation(from, m.Isolated, out)
-		if !c.settings.VM.HasDisk && m.EntryVMCount > 0 {
+		if !c.settings.VM.HasDisk && m.EntryVMCount > 0 && c.isParent(from) {
 			list.entryVMCount = m.EntryVMCount
 		}
 		switch {
