Read the limit that an upstream states, and note when it begins and ends

Cause: the users' upstreams name in their answers how many requests a second they take from all VMs together. The header is read nowhere, so neither logs nor decisions know of it.

Change: the header becomes part of the response event, and the traffic state notes when an upstream begins and ceases to state a limit. An answer to an attempt from before the limit was last seen does not end it.

--- a/core/event/proxy.go
+++ b/core/event/proxy.go
@@ -40,6 +40,7 @@
 	ClosesConn    bool          // the upstream closes the connection after this response
 	RetryAfter    time.Duration // from the Retry-After header; 0 when absent
 	Load          *model.Load   // nil when the upstream did not report its load
+	Limit         *model.Limit  // nil when the upstream stated no limit
 	NewConn       bool          // a new connection was opened for the attempt
 }
 
--- a/core/proxy/finish.go
+++ b/core/proxy/finish.go
@@ -29,6 +29,9 @@
 	if e.ClosesConn {
 		u.closedAt = at
 	}
+	if !e.WrongUpstream {
+		out = r.observeLimit(at, a, e.Limit, out)
+	}
 	out = r.zoneReached(at, u.spec.Zone, a.sent, out)
 	status := e.Response.Status
 	switch {
--- a/core/proxy/upstream.go
+++ b/core/proxy/upstream.go
@@ -44,6 +44,7 @@
 	warmUpUntil   time.Time
 	warnings      warnings
 	pauses        pausePredictor
+	limit         limitState
 }
 
 // average is a moving average that decays toward a baseline while there are no
--- a/io/heads/heads.go
+++ b/io/heads/heads.go
@@ -4,10 +4,12 @@
 // # Usage
 //
 //	load := heads.ParseLoad(h.Get("Load")) // nil when it is missing or invalid
+//	limit := heads.ParseLimit(h.Get("Limit")) // nil when it is missing or invalid
 //	wait := heads.ParseRetryAfter(h)       // 0 when it is missing or invalid
 package heads
 
 import (
+	"math"
 	"net/http"
 	"strconv"
 	"strings"
@@ -47,3 +49,13 @@
 	}
 	return &model.Load{InFlight: n[0], Queued: n[1], Slots: n[2]}
 }
+
+// ParseLimit parses the limit that an upstream states: a decimal number of
+// requests per second. It returns nil for any other text.
+func ParseLimit(text string) *model.Limit {
+	rate, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
+	if err != nil || !(rate >= 0) || math.IsInf(rate, 0) {
+		return nil
+	}
+	return &model.Limit{Rate: rate}
+}
--- a/io/heads/heads_test.go
+++ b/io/heads/heads_test.go
@@ -17,6 +17,15 @@
 			t.Errorf("Retry-After %q: got %v, want %v", text, got, want)
 		}
 	}
+	for text, want := range map[string]float64{"": -1, "x": -1, "-1": -1, "NaN": -1, "Inf": -1, "0": 0, "12.5": 12.5, " 3 ": 3} {
+		got := -1.0
+		if limit := ParseLimit(text); limit != nil {
+			got = limit.Rate
+		}
+		if got != want {
+			t.Errorf("limit %q: got %v, want %v, -1 for none", text, got, want)
+		}
+	}
 	for text, want := range map[string]*model.Load{
 		"": nil, "1,2": nil, "1,2,x": nil, "1,-2,3": nil, "3, 0,8": {InFlight: 3, Slots: 8},
 	} {
--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -216,6 +216,7 @@
 		Attempt: a.forward.Attempt, Receipt: response.Header.Get(names.Receipt), ClosesConn: response.Close,
 		NotRun: response.Header.Get(names.NotRun) != "", WrongUpstream: response.StatusCode == http.StatusMisdirectedRequest,
 		RetryAfter: heads.ParseRetryAfter(response.Header), Load: heads.ParseLoad(response.Header.Get(names.Load)), NewConn: a.newConn,
+		Limit:    heads.ParseLimit(response.Header.Get(names.Limit)),
 		Response: model.Response{Status: response.StatusCode, Body: body},
 	}
 	if !a.forward.BodyOnly {
--- a/io/proxy/headers.go
+++ b/io/proxy/headers.go
@@ -16,6 +16,7 @@
 	ExpectedUpstream string // id of the upstream that a request is intended for
 	NotRun           string // set in a response when the upstream did not run the request
 	Load             string // load of the upstream: running requests, waiting requests and slots, separated by commas
+	Limit            string // requests per second that the upstream accepts from all VMs together
 	Receipts         string // receipts of the shards included in a merged response, one header each
 	MissingShards    string // number of shards left out of a merged response
 }
