Share the limits that upstreams state among the VMs by demand

Callers saw: nothing yet.

Cause: no VM acted on a stated limit, and none knows what the others send.

Change: an entry VM averages what it would send to each upstream and reports it with the limit that it saw in its digests. The disk VMs exchange the sums of their followers every 200 ms, and answer each digest with the VM's part of the total. A VM may use its part of 0.7 of the limit and an equal part of 0.15; without news for 3 s, or before the first, an equal part of both. A rate limiter holds fractions of a request where a part is less than one in 4 s, and lets one pass by chance, so that many VMs keep to the sum. What does not fit goes to another replica, or is refused at once as not run with the time until there is room. A request over many shards chooses all its upstreams first, so that one that cannot reach its coverage uses no room. Limited upstreams get no hedges.

--- a/core/event/states.go
+++ b/core/event/states.go
@@ -70,7 +70,20 @@
 	ExtraLatency time.Duration    // by which a slow response exceeded the usual latency; 0 after a failure
 }
 
+// LimitReport tells the control state what a traffic loop knows about the limits
+// that upstreams state, and what it would send to them.
+type LimitReport struct {
+	Loop    int
+	Reports []model.LimitReport // ascending by upstream
+}
+
+// LimitShares tells the traffic states this VM's shares of the limits that
+// upstreams state.
+type LimitShares struct{ Shares []model.LimitShare }
+
 func (EntryVMs) body()        {}
+func (LimitReport) body()     {}
+func (LimitShares) body()     {}
 func (UpstreamWarning) body() {}
 func (ZoneIsolation) body()   {}
 func (UpstreamList) body()    {}
--- a/core/frame/frame.go
+++ b/core/frame/frame.go
@@ -142,6 +142,8 @@
 	PortionAddr          netip.AddrPort `msgpack:"Gathers"` // listener for portions of other VMs' requests; zero when the child accepts none
 	EntryVMsChecksum     uint64         `msgpack:"Daemons"` // of the child's list of entry VMs; 0 without one
 	Sent                 time.Time      // stamp of the child's clock; zero from a VM of an earlier version
+
+	Limits []model.LimitReport // of upstreams, as the child knows them; only to its parent
 }
 
 // VMStatus is what a VM knows about one below it in the tree.
@@ -239,6 +241,8 @@
 	Isolated     bool          // the sender receives messages from no VM of another zone
 	Complete     bool          `msgpack:"Whole"` // Upstreams is filled in
 	Upstreams    []model.Upstream
+	Totals       []model.LimitReport `msgpack:",omitempty"` // to another disk VM: the demand of the sender's followers for upstreams that state a limit
+	Shares       []model.LimitShare  `msgpack:",omitempty"` // to a follower: its shares of the limits that upstreams state
 }
 
 // UpstreamListRequest requests an UpstreamList with the upstreams.
--- a/core/model/reason.go
+++ b/core/model/reason.go
@@ -39,6 +39,7 @@
 	RefusedIndex      RefusalReason = "index"      // the contract does not include the index
 	RefusedInvalid    RefusalReason = "invalid"    // the request is malformed
 	RefusedIsolated   RefusalReason = "isolated"   // the zone is cut off from the others and lacks upstreams for shards of the request
+	RefusedLimit      RefusalReason = "limit"      // the limits that upstreams state leave no room
 	RefusedMajority   RefusalReason = "majority"   // the replicated log has no reachable majority
 	RefusedPending    RefusalReason = "pending"    // the idempotency key is claimed and its outcome is unknown
 	RefusedQuarantine RefusalReason = "quarantine" // upstreams crashed while running equal requests
@@ -54,7 +55,7 @@
 func RefusalReasons() []RefusalReason {
 	return []RefusalReason{
 		RefusedBusy, RefusedConflict, RefusedCoverage, RefusedCredential, RefusedDeadline, RefusedDraining,
-		RefusedExhausted, RefusedExpired, RefusedFailed, RefusedIndex, RefusedInvalid, RefusedIsolated, RefusedMajority, RefusedPending,
+		RefusedExhausted, RefusedExpired, RefusedFailed, RefusedIndex, RefusedInvalid, RefusedIsolated, RefusedLimit, RefusedMajority, RefusedPending,
 		RefusedQuarantine, RefusedRoute, RefusedSnapshot, RefusedStale, RefusedTimeout, RefusedWait,
 	}
 }
--- a/core/node/internal.go
+++ b/core/node/internal.go
@@ -16,6 +16,10 @@
 			return s.control.HandleUpstreamWarning(at, body, out)
 		}
 		return s.proxy.HandleUpstreamWarning(at, body, out)
+	case event.LimitReport:
+		return s.control.HandleLimitReport(at, body, out)
+	case event.LimitShares:
+		return s.proxy.HandleLimitShares(at, body, out)
 	case event.EntryVMs:
 		return s.proxy.HandleEntryVMs(at, body, out)
 	case event.ZoneIsolation:
--- a/core/plane/control.go
+++ b/core/plane/control.go
@@ -48,6 +48,7 @@
 	upstreamList      upstreamList
 	entryVMs          entryVMs
 	isolation         zoneIsolation
+	limits            limits
 	draining          bool
 	stale             bool // the disk failed before all entries on it were applied; cleared when the tree brings a configuration
 }
--- a/core/plane/history.go
+++ b/core/plane/history.go
@@ -42,6 +42,9 @@
 				if c.settings.PortionAddr.IsValid() {
 					d.PortionAddr, d.Zone, d.EntryVMsChecksum = c.settings.PortionAddr, c.settings.VM.Zone, c.entryVMs.checksum
 				}
+				if c.tree != nil && e.To == c.tree.Parent() {
+					d.Limits = c.limits.current
+				}
 				e.Message = d
 				out[first+i] = e
 			}
--- a/core/plane/tree.go
+++ b/core/plane/tree.go
@@ -162,6 +162,7 @@
 	if c.tree == nil {
 		return out
 	}
+	c.limits.current = c.limits.report(at)
 	return c.tree.HandleTimer(at, out)
 }
 
--- a/core/plane/upstream_list.go
+++ b/core/plane/upstream_list.go
@@ -55,6 +55,7 @@
 func (c *Control) timerUpstreamList(at time.Time, out []effect.Effect) []effect.Effect {
 	out = appendTimer(event.TimerUpstreamList, at.Add(upstreamListPeriod), out)
 	out = c.checkIsolation(at, c.sendEntryVMs(at, out))
+	out = c.sendLimits(at, out)
 	list := &c.upstreamList
 	if !list.readStarted.IsZero() && at.Sub(list.readStarted) < upstreamListReadTimeout {
 		return out
@@ -216,7 +217,10 @@
 	if c.upstreamList.checksum == 0 {
 		return out
 	}
-	return append(out, effect.SendMessage{To: from, Message: c.upstreamListMessage(at, d.UpstreamListChecksum != c.upstreamList.checksum)})
+	c.limits.recordFollower(at, from, d.Limits)
+	m := c.upstreamListMessage(at, d.UpstreamListChecksum != c.upstreamList.checksum)
+	m.Shares = c.limitShares(at, from)
+	return append(out, effect.SendMessage{To: from, Message: m})
 }
 
 // peerUpstreamList handles another VM's list of upstreams, requests the
@@ -231,6 +235,7 @@
 		}
 	case frame.UpstreamList:
 		out = c.peerIsolation(from, m.Isolated, out)
+		out = c.peerLimits(at, from, m.Totals, m.Shares, out)
 		if !c.settings.VM.HasDisk && m.EntryVMCount > 0 && c.isParent(from) {
 			list.entryVMCount = m.EntryVMCount
 		}
--- a/core/proxy/delegate.go
+++ b/core/proxy/delegate.go
@@ -31,11 +31,16 @@
 	cancelled bool // cancelled because its request had ended
 }
 
+// mayDelegate reports whether portions of a new request may go to other VMs.
+func (r *Router) mayDelegate(at time.Time, req *request) bool {
+	return r.settings.MinShardsToDelegate > 0 && len(req.subrequests) >= r.settings.MinShardsToDelegate && req.sharded() &&
+		req.event.Portion == nil && req.deadline.Sub(at) >= minDelegationTime && len(r.peers.byID) > 0
+}
+
 // delegate sends the portions of a new request that belong to other VMs. The
 // shards of the other portions are left to this VM.
 func (r *Router) delegate(at time.Time, req *request, out []effect.Effect) []effect.Effect {
-	if r.settings.MinShardsToDelegate <= 0 || len(req.subrequests) < r.settings.MinShardsToDelegate || !req.sharded() ||
-		req.event.Portion != nil || req.deadline.Sub(at) < minDelegationTime {
+	if !r.mayDelegate(at, req) {
 		return out
 	}
 	for _, portion := range r.portionsOf(at, req.route) {
--- a/core/proxy/finish.go
+++ b/core/proxy/finish.go
@@ -172,6 +172,9 @@
 	case refusal.Ran == model.RanNo:
 		refusal.Reason = model.RefusedExhausted
 		refusal.RetryAfter = max(req.retryAfter(), defaultRetryAfter)
+		if wait, refused := req.refusedByLimit(); refused {
+			refusal.Reason, refusal.RetryAfter = model.RefusedLimit, max(refusal.RetryAfter, wait)
+		}
 	case !at.Before(req.deadline):
 		refusal.Reason = model.RefusedTimeout
 	case req.sharded():
@@ -192,15 +195,22 @@
 
 // refuseUnsent refuses a request for which no attempt was made.
 func (r *Router) refuseUnsent(e event.ProxyRequest, route *model.Route, reason model.RefusalReason, out []effect.Effect) []effect.Effect {
-	trace := effect.Trace{CallerRequestID: e.CallerRequestID, Outcome: "refused", Reason: reason}
-	refusal := model.Refusal{Request: e.ID, Reason: reason, Ran: model.RanNo, RetryAfter: defaultRetryAfter}
+	retryAfter := defaultRetryAfter
 	switch reason {
 	case model.RefusedStale:
-		refusal.RetryAfter = staleRetryAfter
+		retryAfter = staleRetryAfter
 	case model.RefusedIsolated:
-		refusal.RetryAfter = isolatedRetryAfter
+		retryAfter = isolatedRetryAfter
 	default:
 	}
+	return r.refuse(e, route, reason, retryAfter, out)
+}
+
+// refuse refuses a request for which no attempt was made and states when another
+// try may succeed.
+func (r *Router) refuse(e event.ProxyRequest, route *model.Route, reason model.RefusalReason, retryAfter time.Duration, out []effect.Effect) []effect.Effect {
+	trace := effect.Trace{CallerRequestID: e.CallerRequestID, Outcome: "refused", Reason: reason}
+	refusal := model.Refusal{Request: e.ID, Reason: reason, Ran: model.RanNo, RetryAfter: max(retryAfter, isolatedRetryAfter)}
 	if r.document != nil {
 		trace.DocumentVersion = r.document.Version
 	}
--- /dev/null
+++ b/core/proxy/limits_test.go
@@ -0,0 +1,145 @@
+package proxy_test
+
+import (
+	"testing"
+	"time"
+
+	"comfreypulley/core/effect"
+	"comfreypulley/core/event"
+	"comfreypulley/core/model"
+)
+
+// respondWithLimit answers an attempt at once with a limit, nil for none.
+func (tr *testRouter) respondWithLimit(f effect.Forward, limit *model.Limit) []effect.Effect {
+	return tr.router.HandleResponseReceived(tr.now, event.ResponseReceived{
+		Attempt: f.Attempt, Receipt: "r", Response: model.Response{Status: 200, Body: make([]byte, 16)}, Limit: limit,
+	}, nil)
+}
+
+// limitService makes every upstream of the only service state a limit, and leaves
+// this VM no room.
+func (tr *testRouter) limitService(t *testing.T, limit *model.Limit) {
+	t.Helper()
+	var held []effect.Forward
+	limited := map[model.UpstreamID]bool{}
+	for range 200 {
+		for _, f := range tr.request() {
+			held = append(held, f)
+			limited[f.Upstream] = true
+		}
+	}
+	if len(limited) != 3 {
+		t.Fatalf("got attempts on %d upstreams, want all 3", len(limited))
+	}
+	for _, f := range held {
+		tr.respondWithLimit(f, limit)
+	}
+}
+
+func refusalsOf(out []effect.Effect) (list []model.Refusal) {
+	for _, e := range out {
+		if r, ok := e.(effect.Refuse); ok {
+			list = append(list, r.Refusal)
+		}
+	}
+	return list
+}
+
+func (tr *testRouter) requestEffects() []effect.Effect {
+	tr.lastID++
+	return tr.router.HandleProxyRequest(tr.now, event.ProxyRequest{
+		ID: tr.lastID, Host: "h", Path: "/x", Fingerprint: model.Fingerprint(tr.lastID),
+	}, nil)
+}
+
+// Guards against a request that waits until its deadline, or is sent all the
+// same, when the limits of all upstreams leave no room, and against a refusal that
+// does not say that it was not run or when there is room again.
+func TestRequestOverTheLimitIsRefusedAtOnce(t *testing.T) {
+	tr := newTestRouter(unshardedRoute(false), "s")
+	tr.limitService(t, &model.Limit{Rate: 1})
+	out := tr.requestEffects()
+	if got := forwardsOf(out); len(got) != 0 {
+		t.Errorf("got %d attempts, want none", len(got))
+	}
+	refusals := refusalsOf(out)
+	if len(refusals) != 1 {
+		t.Fatalf("got %d refusals at once, want 1", len(refusals))
+	}
+	if got := refusals[0]; got.Reason != model.RefusedLimit || got.Ran != model.RanNo || got.RetryAfter < 500*time.Millisecond {
+		t.Errorf("got %+v, want a refusal as %q, not run, with the time until there is room", got, model.RefusedLimit)
+	}
+	tr.now = tr.now.Add(2 * time.Second)
+	if got := forwardsOf(tr.requestEffects()); len(got) != 1 {
+		t.Errorf("got %d attempts after two seconds, want 1", len(got))
+	}
+}
+
+// Guards against a limited upstream that is sent what another upstream has room
+// for, and against one that gets hedges.
+func TestOtherUpstreamsTakeWhatDoesNotFit(t *testing.T) {
+	tr := newTestRouter(unshardedRoute(false), "s")
+	first := tr.request()[0]
+	tr.respondWithLimit(first, &model.Limit{Rate: 1})
+	for range 10 {
+		forwards := tr.request()
+		if len(forwards) != 1 || forwards[0].Upstream == first.Upstream {
+			t.Fatalf("got %+v, want an attempt on an upstream without a limit", forwards)
+		}
+		tr.respond(forwards[0], time.Millisecond)
+	}
+}
+
+// Guards against a limit that outlasts what the upstream says, and against an old
+// answer that ends one.
+func TestLimitHoldsWhileItIsStated(t *testing.T) {
+	tr := newTestRouter(unshardedRoute(false), "s")
+	before := tr.request()[0]
+	tr.now = tr.now.Add(time.Millisecond)
+	tr.limitService(t, &model.Limit{Rate: 1})
+	tr.now = tr.now.Add(time.Millisecond)
+	tr.respondWithLimit(before, nil)
+	if got := forwardsOf(tr.requestEffects()); len(got) != 0 {
+		t.Errorf("got %d attempts after an answer to a request from before the limit, want none", len(got))
+	}
+	tr.now = tr.now.Add(2 * time.Second)
+	after := tr.request()
+	if len(after) != 1 {
+		t.Fatalf("got %d attempts after two seconds, want 1", len(after))
+	}
+	tr.now = tr.now.Add(time.Millisecond)
+	tr.respondWithLimit(after[0], nil)
+	for range 10 {
+		got := tr.request()
+		if len(got) != 1 {
+			t.Fatalf("got %d attempts after an answer without a limit, want 1", len(got))
+		}
+		tr.respondWithLimit(got[0], nil)
+	}
+}
+
+// Guards against a request over many shards that uses up room of some shards
+// although it cannot reach its coverage.
+func TestHopelessRequestUsesNoRoom(t *testing.T) {
+	route := unshardedRoute(false)
+	route.Targets, route.Shards, route.TopK, route.MinCoverage = nil, []string{"s", "t"}, 1, 1
+	tr := newTestRouter(route, "s", "t")
+	for range 60 {
+		for _, f := range tr.request() {
+			var limit *model.Limit
+			if f.Upstream[0] == 's' {
+				limit = &model.Limit{Rate: 1}
+			}
+			tr.respondWithLimit(f, limit)
+		}
+	}
+	for range 5 {
+		out := tr.requestEffects()
+		if got := forwardsOf(out); len(got) != 0 {
+			t.Fatalf("got %d attempts, want none: a shard has no room", len(got))
+		}
+		if got := refusalsOf(out); len(got) != 1 || got[0].Ran != model.RanNo {
+			t.Fatalf("got refusals %+v, want one as not run", got)
+		}
+	}
+}
--- a/core/proxy/pick.go
+++ b/core/proxy/pick.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"slices"
 	"time"
 
 	"comfreypulley/core/model"
@@ -14,10 +15,29 @@
 	costJitter    = 0.08 // random fraction of a cost, so that VMs do not all choose the same upstream
 )
 
-// pick chooses the upstream of the subrequest's service with the lowest cost.
-// One that is backing off is chosen only when there is no other. It returns nil
-// when none can accept an attempt now.
+// pick chooses the upstream of the subrequest's service with the lowest cost
+// whose stated limit leaves room. One that is backing off is chosen only when
+// there is no other. It returns nil when none can accept an attempt now.
 func (r *Router) pick(at time.Time, req *request, sub *subrequest) *upstream {
+	var full []*upstream // according to their limits
+	for {
+		u := r.cheapest(at, req, sub, full)
+		if u == nil {
+			return nil
+		}
+		if len(full) == 0 {
+			u.limit.wanted.add(at)
+		}
+		if r.limitAllows(at, req, sub, u) {
+			return u
+		}
+		full = append(full, u)
+		sub.limitWait = shorterWait(sub.limitWait, u.limit.limiter.Wait(at, maxLimitWait))
+	}
+}
+
+// cheapest returns the upstream with the lowest cost, except those in full.
+func (r *Router) cheapest(at time.Time, req *request, sub *subrequest, full []*upstream) *upstream {
 	typical, fraction := req.latency.expected(req.route), remoteZoneFraction
 	if req.event.Portion != nil {
 		fraction = portionRemoteZoneFraction
@@ -26,7 +46,7 @@
 	var best, backingOff *upstream
 	var lowest time.Duration
 	for _, u := range r.byService[sub.service] {
-		if u.wrongUpstream || u.spec.State != model.StateActive || sub.triedOn(u) || len(u.inFlight) >= r.connLimit(u) {
+		if u.wrongUpstream || u.spec.State != model.StateActive || sub.triedOn(u) || len(u.inFlight) >= r.connLimit(u) || slices.Contains(full, u) {
 			continue
 		}
 		if at.Before(u.backoffUntil) {
--- a/core/proxy/request.go
+++ b/core/proxy/request.go
@@ -24,6 +24,7 @@
 	timerDue        time.Time          // when the timer is due; zero when none is set
 	crashed         []model.UpstreamID // upstreams that reset the connection
 	reply           portionReply       // only for a portion of another VM's request
+	limitDraw       float64            // for limits that allow less than a whole request; 0 until drawn
 }
 
 // subrequest is the part of a request that one service answers.
@@ -37,6 +38,9 @@
 	blockedSince time.Time     // since when an attempt waits for the retry budget; zero when none does
 	retryAfter   time.Duration // longest Retry-After of an upstream
 	ran          model.Ran     // whether the request may have run for this subrequest
+	reserved     *upstream     // chosen for the first attempt when the request arrived
+	limitDraw    float64       // what is left of the request's draw; 0 until it is used
+	limitWait    time.Duration // until an upstream's limit leaves room; 0 when no limit was in the way
 	abandoned    bool          // no further attempt will be made
 	reported     bool          // its result was sent to the VM that the portion came from
 }
@@ -136,6 +140,16 @@
 	return longest
 }
 
+// refusedByLimit reports whether a stated limit kept any subrequest from being
+// sent, and the shortest time until there is room.
+func (q *request) refusedByLimit() (wait time.Duration, refused bool) {
+	for _, sub := range q.subrequests {
+		wait = shorterWait(wait, sub.limitWait)
+		refused = refused || sub.limitWait > 0 && len(sub.attempts) == 0
+	}
+	return wait, refused
+}
+
 // maxAttempts is the number of attempts that the route allows for each
 // subrequest.
 func (q *request) maxAttempts() int {
--- a/core/proxy/router.go
+++ b/core/proxy/router.go
@@ -41,6 +41,7 @@
 	suspects             crashSuspects
 	peers                peers
 	isolation            isolation
+	limitsReportedAt     time.Time // when the upstreams' limits were last reported to the control state
 	draining             bool
 }
 
@@ -181,7 +182,7 @@
 		}
 	case event.TimerSweep:
 		r.suspects.expire(at)
-		out = r.cancelStaleAttempts(at, out)
+		out = r.checkLimits(at, r.cancelStaleAttempts(at, out))
 		return append(out, effect.SetTimer{ID: id, At: at.Add(sweepInterval)})
 	default:
 	}
--- a/core/proxy/step.go
+++ b/core/proxy/step.go
@@ -68,6 +68,10 @@
 		req.subrequests = append(req.subrequests, &subrequest{service: service, ran: model.RanNo})
 		r.retryBudget(at, service).Earn()
 	}
+	if !r.mayDelegate(at, req) && !r.reserve(at, req) {
+		wait, _ := req.refusedByLimit()
+		return r.refuse(e, route, model.RefusedLimit, wait, out)
+	}
 	r.requests[e.ID] = req
 	out = r.delegate(at, req, out)
 	return r.step(at, req, out)
@@ -145,10 +149,13 @@
 		sub.abandoned = true
 		return out
 	}
-	u := r.pick(at, req, sub)
+	u := r.next(at, req, sub)
 	if u == nil {
 		sub.nextAttempt = at.Add(pickRetryInterval)
-		if !r.hasUntried(sub) && len(sub.attempts) > 0 {
+		switch {
+		case sub.limitWait > 0 && sub.pending > 0:
+			sub.nextAttempt = at.Add(retryBudgetInterval)
+		case sub.limitWait > 0 || !r.hasUntried(sub) && len(sub.attempts) > 0:
 			sub.abandoned = true
 		}
 		return out
@@ -160,7 +167,7 @@
 		sub.nextAttempt = at.Add(retryBudgetInterval)
 		return out
 	}
-	sub.blockedSince = time.Time{}
+	sub.blockedSince, sub.limitWait = time.Time{}, 0
 	return r.send(at, req, sub, u, out)
 }
 
@@ -230,6 +237,7 @@
 	}
 	sub.attempts = append(sub.attempts, a)
 	sub.pending++
+	u.limit.limiter.Spend(at)
 	u.inFlight[a.id] = a
 	r.attemptsByID[a.id] = a
 	out = append(out, effect.Count{Counter: effect.CountAttempts, Reason: kind, N: 1})
--- a/io/peer/codec.go
+++ b/io/peer/codec.go
@@ -180,6 +180,7 @@
 		w := wireDigest{
 			VM: m.VM, Zone: m.Zone, Revision: m.Revision, ConfigChecksum: m.ConfigChecksum, Descendants: m.Descendants,
 			UpstreamListChecksum: m.UpstreamListChecksum, PortionAddr: m.PortionAddr, EntryVMsChecksum: m.EntryVMsChecksum,
+			Limits: m.Limits,
 		}
 		if !m.ProcessStart.IsZero() {
 			w.ProcessStart = m.ProcessStart.UnixNano()
@@ -247,12 +248,14 @@
 	PortionAddr          netip.AddrPort   `msgpack:"Gathers"`
 	EntryVMsChecksum     uint64           `msgpack:"Daemons"`
 	Sent                 int64
+	Limits               []model.LimitReport `msgpack:",omitempty"` // rarely set
 }
 
 func (w wireDigest) message() frame.Message {
 	m := frame.Digest{
 		VM: w.VM, Zone: w.Zone, Revision: w.Revision, ConfigChecksum: w.ConfigChecksum, Descendants: w.Descendants,
 		UpstreamListChecksum: w.UpstreamListChecksum, PortionAddr: w.PortionAddr, EntryVMsChecksum: w.EntryVMsChecksum,
+		Limits: w.Limits,
 	}
 	if w.ProcessStart != 0 {
 		m.ProcessStart = time.Unix(0, w.ProcessStart)
--- a/io/peer/codec_test.go
+++ b/io/peer/codec_test.go
@@ -67,7 +67,7 @@
 		frame.Digest{
 			VM: "vm1", Zone: "a", ProcessStart: at, Revision: 4, ConfigChecksum: 1 << 63,
 			Descendants:          []frame.VMStatus{{VM: "vm2", Revision: 3, HeartbeatAge: time.Second, Suspected: true}},
-			UpstreamListChecksum: 5, PortionAddr: netip.MustParseAddrPort("10.0.0.1:7741"), EntryVMsChecksum: 6, Sent: at,
+			UpstreamListChecksum: 5, PortionAddr: netip.MustParseAddrPort("10.0.0.1:7741"), EntryVMsChecksum: 6, Sent: at, Limits: []model.LimitReport{{Upstream: "u", Limit: &model.Limit{Rate: 1.5}, Age: time.Second, Wanted: 2}},
 		},
 		frame.ConfigDelta{
 			From: 1, To: 2, Changes: []entry.Change{change}, Checksum: 3, Leader: "vm1", MajorityAge: time.Second, Ancestors: []model.VMID{"vm1"}, Echo: at,
@@ -81,6 +81,8 @@
 			Checksum: 9, ReadSeq: 8, Age: time.Second, EntryVMCount: 17, Isolated: true, Complete: true, Upstreams: []model.Upstream{{
 				ID: "u1", Addr: netip.MustParseAddrPort("10.0.0.1:80"), Zone: "a", Index: "s", Slots: 2, WarmUpLeft: time.Second,
 			}},
+			Totals: []model.LimitReport{{Upstream: "u", Limit: &model.Limit{Rate: 1.5}, Age: time.Second, Wanted: 2}},
+			Shares: []model.LimitShare{{Upstream: "u", Limit: &model.Limit{Rate: 1.5}, Age: time.Second, Fraction: 0.5}},
 		},
 		frame.UpstreamListRequest{},
 		frame.UpstreamWarning{Upstream: "u", Unreachable: true, ExtraLatency: time.Second},
