--- a/io/proxy/client_test.go
+++ b/io/proxy/client_test.go
@@ -23,6 +23,9 @@
 	Receipts: "Receipts", MissingShards: "Missing",
 }
 
+// thenClose ends a response after which a scriptedUpstream closes the connection.
+const thenClose = "\x00"
+
 // scriptedUpstream accepts connections and sends one of its responses to each
 // request, in the order of arrival. An empty response closes the connection.
 type scriptedUpstream struct {
@@ -81,7 +84,8 @@
 		if text == "" {
 			return
 		}
-		if _, err := s.conn.Write([]byte(text)); err != nil {
+		text, closes := strings.CutSuffix(text, thenClose)
+		if _, err := s.conn.Write([]byte(text)); err != nil || closes {
 			return
 		}
 	}
@@ -231,6 +235,21 @@
 	}
 }
 
+// Guards against a response whose head breaks off and that passes for a whole one
+// with an empty or short body.
+func TestHeadThatBreaksOff(t *testing.T) {
+	for _, length := range []string{"Content-Length: 25\r\n", "Transfer-Encoding: chunked\r\n", ""} {
+		head := "HTTP/1.1 200 OK\r\nTag: t\r\nReceipt: r\r\n" + length + "\r\n"
+		for n := 1; n < len(head); n++ {
+			u := newScriptedUpstream(t, head[:n]+thenClose)
+			got, isFailed := newSender(t).send(u, time.Second).(event.AttemptFailed)
+			if !isFailed || got.Ran != model.RanUnknown || got.Reason == model.FailedTimeout {
+				t.Errorf("after %q: got %+v, want a failure at once, ran unknown", head[:n], got)
+			}
+		}
+	}
+}
+
 // Guards against forwarding a request with a changed method, URI, host or
 // intended upstream.
 func TestRequestPassesUnchanged(t *testing.T) {
