--- a/core/quorum/cluster_test.go
+++ b/core/quorum/cluster_test.go
@@ -63,6 +63,7 @@
 	disk        event.DiskLoaded
 	unsynced    []effect.Effect // writes
 	syncing     bool
+	full        bool // the disk takes no writes for now
 	timers      map[event.TimerKind]time.Time
 	applied     uint64
 	reads       map[uint64]uint64 // by id, the lowest index that must be applied when the read is confirmed
@@ -212,7 +213,7 @@
 
 // syncDisk completes the pending writes after a random delay.
 func (c *cluster) syncDisk(n *node) {
-	if n.syncing || len(n.unsynced) == 0 {
+	if n.syncing || n.full || len(n.unsynced) == 0 {
 		return
 	}
 	n.syncing = true
--- a/core/quorum/fault_test.go
+++ b/core/quorum/fault_test.go
@@ -195,3 +195,31 @@
 		}
 	}
 }
+
+// Guards against a log that commits nothing any more, or only after long, when the
+// disks of its replicas were full one after another, never two at once.
+func TestDisksThatAreFullInTurn(t *testing.T) {
+	for seed := range uint64(20) {
+		c := newCluster(t, seed, 3, 3)
+		c.waitForLeader()
+		propose := func(d time.Duration) {
+			for end := c.now.Add(d); c.now.Before(end); c.run(200 * time.Millisecond) {
+				if l := c.leader(); l != nil {
+					c.propose(l, 1)
+				}
+			}
+		}
+		for _, n := range c.nodes {
+			n.full = true
+			propose(4 * time.Second)
+			n.full = false
+			c.syncDisk(n)
+			propose(500 * time.Millisecond)
+		}
+		before := len(c.committed)
+		propose(2 * time.Second)
+		if got, want := len(c.committed)-before, 8; got < want {
+			t.Errorf("seed %d: %d entries committed in 2 s after the disks had room again, want %d at least", seed, got, want)
+		}
+	}
+}
