Refuse an unknown route as not run while changes may be missing

Callers could see: a VM that lacks a change, for example in a zone that is cut off, denies a route that the change adds with 404, after which callers do not try another VM.

Cause: a VM that knows that its last contact with a majority is older than a change may take still answered from its document as if that were the newest.

Change: the control state tells the traffic states when the configuration is overdue and when it is current again.

Measured: TestUnknownRouteWhileChangesMayBeMissing and TestOverdueConfigurationReachesTraffic pass; before, there was no such event and the refusal was 'route' always.

--- a/core/event/states.go
+++ b/core/event/states.go
@@ -62,6 +62,10 @@
 // from the other zones.
 type ZoneIsolation struct{ Isolated bool }
 
+// ConfigOverdue reports to the traffic states whether this VM may lack changes of
+// the configuration that must be in force.
+type ConfigOverdue struct{ Overdue bool }
+
 // UpstreamWarning shares a problem with an upstream, or with an entry VM that
 // answers portions, among the traffic states of the zone's VMs.
 type UpstreamWarning struct {
@@ -81,6 +85,7 @@
 // upstreams state.
 type LimitShares struct{ Shares []model.LimitShare }
 
+func (ConfigOverdue) body()   {}
 func (EntryVMs) body()        {}
 func (LimitReport) body()     {}
 func (LimitShares) body()     {}
--- a/core/model/reason.go
+++ b/core/model/reason.go
@@ -47,7 +47,7 @@
 	RefusedRoute      RefusalReason = "route"      // no route of the document matches
 	RefusedTimeout    RefusalReason = "timeout"    // no answer in time, and upstreams may have run the request
 	RefusedSnapshot   RefusalReason = "snapshot"   // no snapshot of the index is known
-	RefusedStale      RefusalReason = "stale"      // the VM has no configuration yet, or not the one that the request refers to
+	RefusedStale      RefusalReason = "stale"      // the VM has no configuration yet, or not the one that the request refers to or may need
 	RefusedWait       RefusalReason = "wait"       // the stated wait is below every class of the contract
 )
 
--- a/core/node/internal.go
+++ b/core/node/internal.go
@@ -22,6 +22,8 @@
 		return s.proxy.HandleLimitShares(at, body, out)
 	case event.EntryVMs:
 		return s.proxy.HandleEntryVMs(at, body, out)
+	case event.ConfigOverdue:
+		return s.proxy.HandleConfigOverdue(body, out)
 	case event.ZoneIsolation:
 		return s.proxy.HandleZoneIsolation(at, body, out)
 	case event.UpstreamList:
--- a/core/plane/components_test.go
+++ b/core/plane/components_test.go
@@ -25,6 +25,7 @@
 
 	changeBound time.Duration
 	parent      model.VMID
+	overdue     bool
 }
 
 func (f *fakeTree) Start(_ time.Time, _ model.VM, _ time.Time, out []effect.Effect) []effect.Effect {
@@ -61,6 +62,7 @@
 func (f *fakeTree) MajorityAge(time.Time) time.Duration    { return 3 * time.Second }
 func (f *fakeTree) Descendants(time.Time) []frame.VMStatus { return []frame.VMStatus{{VM: "vm9"}} }
 func (f *fakeTree) SetPeers(vms []model.VM)                { f.peers = vms }
+func (f *fakeTree) Overdue(time.Time) bool                 { return f.overdue }
 func (f *fakeTree) Parent() model.VMID                     { return f.parent }
 func (f *fakeTree) SetChangeBound(d time.Duration)         { f.changeBound = d }
 
--- a/core/plane/control.go
+++ b/core/plane/control.go
@@ -49,6 +49,7 @@
 	entryVMs          entryVMs
 	isolation         zoneIsolation
 	limits            limits
+	overdue           bool // last report to the traffic states
 	draining          bool
 	stale             bool // the disk failed before all entries on it were applied; cleared when the tree brings a configuration
 }
@@ -141,6 +142,7 @@
 		out = c.notifyTree(at, out)
 	}
 	out = c.followLeadership(at, out)
+	out = c.reportOverdue(at, out)
 	c.reportSuspects(at)
 	if c.draining && c.proposals.idle() && !c.leading() {
 		c.draining = false
--- a/core/plane/isolation_test.go
+++ b/core/plane/isolation_test.go
@@ -199,3 +199,23 @@
 		}
 	}
 }
+
+// Guards against traffic states that are not told that changes may be missing, or
+// that they are there again.
+func TestOverdueConfigurationReachesTraffic(t *testing.T) {
+	var c plane.Control
+	tree := &fakeTree{store: c.TreeStore()}
+	c.SetTree(tree)
+	c.Start(startTime, event.Start{
+		Role: event.RoleControl, VM: model.VM{ID: "10.0.1.1", Zone: "a"}, ProcessStart: startTime, Loops: 1, SelfRegistration: true,
+		Peers: []model.VM{diskVM("10.0.0.1", "a")},
+	}, nil)
+	for _, overdue := range []bool{true, false} {
+		tree.overdue = overdue
+		out := c.HandleTimer(startTime, event.TimerID{Kind: event.TimerTree}, nil)
+		got := effectsOf[effect.ToTraffic](out)
+		if len(got) != 1 || got[0].Body != (event.ConfigOverdue{Overdue: overdue}) {
+			t.Errorf("got %+v, want a report with overdue %t", got, overdue)
+		}
+	}
+}
--- a/core/plane/tree.go
+++ b/core/plane/tree.go
@@ -5,6 +5,7 @@
 
 	"comfreypulley/core/effect"
 	"comfreypulley/core/entry"
+	"comfreypulley/core/event"
 	"comfreypulley/core/frame"
 	"comfreypulley/core/model"
 )
@@ -31,6 +32,8 @@
 	// Parent returns the VM that this one receives the configuration from, "" if
 	// there is none.
 	Parent() model.VMID
+	// Overdue reports whether this VM may lack changes that must be in force.
+	Overdue(at time.Time) bool
 	SetSuspected(vm model.VMID, suspected bool)
 	// SetPeers replaces the VMs that are known without a configuration.
 	SetPeers(vms []model.VM)
@@ -123,6 +126,16 @@
 	return c.tree == nil || c.tree.Parent() == "" || c.tree.Parent() == id
 }
 
+// reportOverdue notifies the traffic states of an entry VM on the users' platform
+// when the configuration becomes overdue or is current again.
+func (c *Control) reportOverdue(at time.Time, out []effect.Effect) []effect.Effect {
+	if c.tree == nil || !c.settings.SelfRegistration || c.settings.VM.HasDisk || c.tree.Overdue(at) == c.overdue {
+		return out
+	}
+	c.overdue = !c.overdue
+	return append(out, effect.ToTraffic{Loop: effect.AllLoops, Body: event.ConfigOverdue{Overdue: c.overdue}})
+}
+
 func (c *Control) startTree(at time.Time, out []effect.Effect) []effect.Effect {
 	if c.tree == nil {
 		return out
--- a/core/proxy/router.go
+++ b/core/proxy/router.go
@@ -41,6 +41,7 @@
 	suspects             crashSuspects
 	peers                peers
 	isolation            isolation
+	documentOverdue      bool      // a newer document may have to be in force by now
 	limitsReportedAt     time.Time // when the upstreams' limits were last reported to the control state
 	draining             bool
 }
@@ -85,6 +86,14 @@
 	return r.announceReady(at, out)
 }
 
+// HandleConfigOverdue records whether a newer document may have to be in force. A
+// request without a route is then refused as not run rather than as unknown, since
+// another VM may have its route.
+func (r *Router) HandleConfigOverdue(e event.ConfigOverdue, out []effect.Effect) []effect.Effect {
+	r.documentOverdue = e.Overdue
+	return out
+}
+
 // HandleUpstreamList applies the list of upstreams. The state of an upstream is
 // kept unless its address or service changed.
 func (r *Router) HandleUpstreamList(at time.Time, list event.UpstreamList, out []effect.Effect) []effect.Effect {
--- a/core/proxy/router_test.go
+++ b/core/proxy/router_test.go
@@ -339,3 +339,21 @@
 		t.Errorf("got %d hedges with a small budget and %d with a larger one, want more", few, many)
 	}
 }
+
+// Guards against a VM that denies a route because it lacks the change that adds
+// it, although it knows that changes may be missing.
+func TestUnknownRouteWhileChangesMayBeMissing(t *testing.T) {
+	route := unshardedRoute(false)
+	route.PathPrefix = "/known/"
+	tr := newTestRouter(route, "s")
+	for _, c := range []struct {
+		overdue bool
+		want    model.RefusalReason
+	}{{true, model.RefusedStale}, {false, model.RefusedRoute}} {
+		tr.router.HandleConfigOverdue(event.ConfigOverdue{Overdue: c.overdue}, nil)
+		got := refusalOf(tr.requestEffects())
+		if got.Reason != c.want || got.Ran != model.RanNo {
+			t.Errorf("overdue %t: got %+v, want a refusal as %q, not run", c.overdue, got, c.want)
+		}
+	}
+}
--- a/core/proxy/step.go
+++ b/core/proxy/step.go
@@ -39,6 +39,8 @@
 	}
 	route := routes.find(e.Host, e.Path)
 	switch {
+	case route == nil && r.documentOverdue:
+		return r.refuseUnsent(e, nil, model.RefusedStale, out)
 	case route == nil:
 		return r.refuseUnsent(e, nil, model.RefusedRoute, out)
 	case e.Portion == nil && r.needsOtherZones(route):
--- a/core/relay/outdated.go
+++ b/core/relay/outdated.go
@@ -72,6 +72,11 @@
 	return !t.replica && !t.lastMajority.IsZero() && t.majorityAge(at) >= t.outdatedAge()+time.Duration(t.placement.searchingAncestors())*t.digestPeriod()
 }
 
+// Overdue reports whether this VM may lack changes that must be in force by now.
+func (t *Tree) Overdue(at time.Time) bool {
+	return !t.replica && !t.lastMajority.IsZero() && t.majorityAge(at) >= t.changeBound()
+}
+
 func (t *Tree) isParentSilent(at time.Time) bool {
 	return at.Sub(laterTime(t.parentHeard, t.parentSince)) >= t.outdatedAge()
 }
