Use an equal part of a limit while no share is known

Callers could see: in the first second after an upstream begins to state a limit, or while no control VM answers, a VM used only its equal part of 0.15 of the limit and refused what the other 0.7 would have allowed.

Measured: TestPartOfALimit, which fails without the change for 'no share yet' (0.15 / 4 instead of 0.85 / 4) and after a share has timed out.

--- a/core/proxy/limits.go
+++ b/core/proxy/limits.go
@@ -80,19 +80,23 @@
 	return r.reportLimits(at, append(out, n))
 }
 
-// updateLimiter sets the rate of this VM's part of an upstream's limit.
+// updateLimiter sets the rate of this VM's part of an upstream's limit. Without a
+// share that is an equal part, which is nothing while the number of entry VMs is
+// not known.
 func (r *Router) updateLimiter(at time.Time, u *upstream) {
 	s := &u.limit
 	if s.limit == nil {
 		return
 	}
-	part := 0.0
+	equal := 0.0
 	if r.entryVMCount > 0 {
-		part = floorPart / float64(r.entryVMCount)
+		equal = 1 / float64(r.entryVMCount)
 	}
+	fraction := equal
 	if at.Sub(s.shareAt) < shareTimeout {
-		part += demandPart * s.fraction
+		fraction = s.fraction
 	}
+	part := demandPart*fraction + floorPart*equal
 	s.limiter.SetRate(at, part*s.limit.Rate/float64(max(1, r.settings.Loops)))
 }
 
--- a/core/proxy/limits_test.go
+++ b/core/proxy/limits_test.go
@@ -143,3 +143,56 @@
 		}
 	}
 }
+
+// Guards against a VM that uses more than its part of a limit, or nothing of it,
+// with a share by demand, without one, and after one that is too old.
+func TestPartOfALimit(t *testing.T) {
+	const rate, entryVMs = 100, 4
+	for _, c := range []struct {
+		name  string
+		share *float64
+		want  float64 // part of the limit
+	}{
+		{"no share yet", nil, 0.85 / entryVMs},
+		{"half of the demand", new(float64(0.5)), 0.7*0.5 + 0.15/entryVMs},
+		{"no demand", new(float64(0)), 0.15 / entryVMs},
+	} {
+		tr := newTestRouter(unshardedRoute(false), "s")
+		tr.router.HandleUpstreamList(tr.now, event.UpstreamList{
+			Upstreams: []model.Upstream{{ID: "u", Index: "s", Slots: 3, Zone: "a"}}, Checksum: 2, EntryVMCount: entryVMs,
+		}, nil)
+		limit := &model.Limit{Rate: rate}
+		tr.respondWithLimit(tr.request()[0], limit)
+		const seconds = 20
+		sent := 0
+		for n := range 200 * seconds {
+			tr.now = tr.now.Add(time.Second / 200)
+			if c.share != nil && n%200 == 0 {
+				tr.router.HandleLimitShares(tr.now, event.LimitShares{Shares: []model.LimitShare{{Upstream: "u", Limit: limit, Fraction: *c.share}}}, nil)
+			}
+			for _, f := range forwardsOf(tr.requestEffects()) {
+				sent++
+				tr.respondWithLimit(f, limit)
+			}
+		}
+		if got := float64(sent) / (rate * seconds); got < 0.95*c.want || got > 1.1*c.want {
+			t.Errorf("%s: got %.3f of the limit, want %.3f", c.name, got, c.want)
+		}
+		if c.share == nil {
+			continue
+		}
+		tr.now = tr.now.Add(4 * time.Second)
+		tr.router.HandleTimer(tr.now, event.TimerID{Kind: event.TimerSweep}, nil)
+		tr.now = tr.now.Add(time.Second)
+		sent = 0
+		for range 200 {
+			for _, f := range forwardsOf(tr.requestEffects()) {
+				sent++
+				tr.respondWithLimit(f, limit)
+			}
+		}
+		if got, want := sent, 10; got < want {
+			t.Errorf("%s: got %d attempts at once after the share had timed out, want the burst of an equal part, %d", c.name, got, want)
+		}
+	}
+}
