--- a/core/relay/tree.go
+++ b/core/relay/tree.go
@@ -170,19 +170,18 @@
 	if preferred != "" && preferred != t.parent {
 		out = t.send(preferred, t.newDigest(at, true), out)
 	}
-	return append(out, effect.SetTimer{ID: timerID, At: at.Add(t.timerPeriod(at))})
+	return append(out, effect.SetTimer{ID: timerID, At: at.Add(t.timerPeriod())})
 }
 
 // timerPeriod returns the time until the next timer.
-func (t *Tree) timerPeriod(at time.Time) time.Duration {
-	period := t.digestPeriod()
+func (t *Tree) timerPeriod() time.Duration {
 	switch {
 	case t.Store.Revision() == 0:
 		return emptyDigestPeriod
 	case t.searchWait > 0:
 		return t.searchWait
 	default:
-		return period
+		return t.digestPeriod()
 	}
 }
 
