Do not give out the demand of a silent control VM's followers

Upstreams could see: while the control VMs are split in two halves, more requests than the limit that they state allows, since each half divides the whole limit among its followers.

Cause: a control VM dropped the demand at another one after 5 s of silence, as if its followers were gone. They go on sending: only the control VMs do not hear each other.

Evidence: TestFleetKeepsToStatedLimits has a case in which the control VMs are split in half.

Change: a control VM divides by demand only while it knows the demand at every other one whose zone it hears. Otherwise its followers together may use an equal part for each of them, which they divide by their own demand. A zone of which nothing is heard is down or cut off, and its VMs reach no upstreams of this zone.

Why it works: each VM reports to one control VM, so the equal parts add up to the limit at most.

--- a/core/node/limit_sim_test.go
+++ b/core/node/limit_sim_test.go
@@ -1,6 +1,7 @@
 package node_test
 
 import (
+	"cmp"
 	"fmt"
 	"math/rand/v2"
 	"net/netip"
@@ -18,7 +19,6 @@
 // Sizes of the simulated fleet that shares the limit of an upstream, and what its
 // messages and requests take.
 const (
-	limitZones      = 3
 	limitMessage    = time.Millisecond
 	limitService    = 10 * time.Millisecond
 	limitWindow     = 4 * time.Second
@@ -30,6 +30,7 @@
 // with an upstream in each zone. The upstreams state a limit in every answer.
 type limitFleet struct {
 	now       time.Time
+	zones     int
 	events    []limitEvent
 	seq       int
 	random    *rand.Rand
@@ -39,6 +40,8 @@
 	limit     func(at time.Time) *model.Limit // for each upstream
 	weight    func(n int) float64             // part of the requests that entry VM n receives
 	cutZone   model.Zone                      // whose VMs and upstreams the others do not reach
+	down      model.VMID                      // a VM that sends and receives nothing
+	split     bool                            // the control VMs of the first half of the zones do not reach the others
 	lastID    model.RequestID
 	arrivals  map[model.UpstreamID][]limitArrival
 	informed  map[model.VMID]map[model.UpstreamID]time.Time // first answer of an upstream that stated a limit
@@ -66,15 +69,15 @@
 	do  func()
 }
 
-func newLimitFleet(entryVMs int, rate float64) *limitFleet {
+func newLimitFleet(zones, entryVMs int, rate float64) *limitFleet {
 	f := &limitFleet{
-		now: startTime, random: rand.New(rand.NewPCG(1, 1)), vms: make(map[model.VMID]*limitVM),
+		now: startTime, zones: zones, random: rand.New(rand.NewPCG(1, 1)), vms: make(map[model.VMID]*limitVM),
 		limit:    func(time.Time) *model.Limit { return &model.Limit{Rate: rate} },
 		weight:   func(int) float64 { return 1 },
 		arrivals: make(map[model.UpstreamID][]limitArrival), informed: make(map[model.VMID]map[model.UpstreamID]time.Time),
 		firstSeen: make(map[model.UpstreamID]time.Time),
 	}
-	for z := range limitZones {
+	for z := range zones {
 		zone := model.Zone(rune('a' + z))
 		f.upstreams = append(f.upstreams, model.Upstream{
 			ID: model.UpstreamID("u" + zone), Index: "s", Zone: zone, Slots: 20, Addr: netip.MustParseAddrPort(fmt.Sprintf("10.9.0.%d:1", z+1)),
@@ -84,7 +87,7 @@
 	for n := range entryVMs {
 		id := model.VMID(fmt.Sprintf("10.1.%d.%d", n/200, n%200+1))
 		f.entryIDs = append(f.entryIDs, id)
-		f.addVM(id, model.Zone(rune('a'+n%limitZones)), false)
+		f.addVM(id, model.Zone(rune('a'+n%zones)), false)
 	}
 	for _, id := range f.ids() {
 		f.start(id)
@@ -238,9 +241,15 @@
 	return a == b || a != f.cutZone && b != f.cutZone
 }
 
+// separated reports whether two control VMs are in different halves of a split.
+func (f *limitFleet) separated(a, b model.VM) bool {
+	firstHalf := func(vm model.VM) bool { return int(vm.Zone[0]-'a') < f.zones/2 }
+	return f.split && a.HasDisk && b.HasDisk && firstHalf(a) != firstHalf(b)
+}
+
 func (f *limitFleet) send(from, to model.VMID, m frame.Message) {
-	receiver, ok := f.vms[to]
-	if !ok || !f.reachable(f.vms[from].vm.Zone, receiver.vm.Zone) {
+	sender, receiver := f.vms[from], f.vms[to]
+	if receiver == nil || from == f.down || to == f.down || !f.reachable(sender.vm.Zone, receiver.vm.Zone) || f.separated(sender.vm, receiver.vm) {
 		return
 	}
 	boot := receiver.boot
@@ -332,11 +341,12 @@
 
 // Guards against a fleet that sends an upstream far more than the limit that it
 // states, when requests are spread evenly or not, VMs are replaced, a zone is cut
-// off or the limit changes, and against a fleet that leaves most of the limit
+// off, control VMs are down or apart, or the limit changes, and against a fleet that leaves most of the limit
 // unused or keeps callers waiting for it.
 func TestFleetKeepsToStatedLimits(t *testing.T) {
 	for _, c := range []struct {
 		name     string
+		zones    int // 3 when zero
 		entryVMs int
 		rate     float64 // of each upstream, in requests per second
 		prepare  func(f *limitFleet)
@@ -358,6 +368,12 @@
 				f.cutZone = "b"
 			}
 		}},
+		{name: "the control VMs are split in half", zones: 4, entryVMs: 20, rate: 60, prepare: func(f *limitFleet) {
+			f.upstreams = f.upstreams[:1] // which all VMs use
+		}, during: func(f *limitFleet, _ int) { f.split = true }},
+		{name: "a control VM is down", entryVMs: 18, rate: 20, prepare: func(f *limitFleet) {
+			f.weight = func(n int) float64 { return 1 + 60*float64(max(0, 1-n)) }
+		}, during: func(f *limitFleet, _ int) { f.down = "10.0.0.2" }},
 		{name: "the limit changes", entryVMs: 18, rate: 20, prepare: func(f *limitFleet) {
 			f.limit = func(at time.Time) *model.Limit {
 				return &model.Limit{Rate: []float64{40, 10, 25}[int(at.Sub(startTime)/(8*time.Second))%3]}
@@ -365,12 +381,12 @@
 		}},
 	} {
 		t.Run(c.name, func(t *testing.T) {
-			f := newLimitFleet(c.entryVMs, c.rate)
+			f := newLimitFleet(cmp.Or(c.zones, 3), c.entryVMs, c.rate)
 			if c.prepare != nil {
 				c.prepare(f)
 			}
 			f.run(5*time.Second, 0)
-			demand := 3 * limitZones * c.rate
+			demand := 3 * float64(len(f.upstreams)) * c.rate
 			f.run(6*time.Second, demand)
 			f.requests, f.served, f.refused = 0, 0, 0
 			const seconds = 20
@@ -381,7 +397,7 @@
 				f.run(time.Second, demand)
 			}
 			f.check(t)
-			if got, want := float64(f.served), 0.5*limitZones*c.rate*seconds; got < want {
+			if got, want := float64(f.served), 0.5*float64(len(f.upstreams))*c.rate*seconds; got < want {
 				t.Errorf("served %.0f of %d requests, want %.0f at least, half of the limits", got, f.requests, want)
 			}
 			if unanswered := f.requests - f.served - f.refused; unanswered > int(demand*limitService.Seconds())+10 {
--- a/core/plane/isolation.go
+++ b/core/plane/isolation.go
@@ -20,14 +20,16 @@
 	pongTimeout         = 100 * time.Millisecond // within which pings are answered
 	otherZonesStartTime = 2 * time.Second        // after the start of this process, the VMs of other zones may not have started
 	missedChecks        = 3                      // periods between two checks from which on this VM was itself stalled
+	zoneSilentAfter     = 5 * time.Second        // without a message from another zone, that zone counts as down or cut off
 )
 
 // zoneIsolation is what a disk VM knows about messages from other zones, and on
 // an entry VM only what disk VMs reported to it. In the zero value the zone is
 // not cut off.
 type zoneIsolation struct {
-	lastContact time.Time // when the last message from another zone came
-	firstPing   time.Time // when other zones were first pinged since then; zero when they were not
+	lastContact time.Time                // when the last message from another zone came
+	zoneHeard   map[model.Zone]time.Time // when the last message from each other zone came
+	firstPing   time.Time                // when other zones were first pinged since then; zero when they were not
 	lastCheck   time.Time
 	rotation    int // counts the checks that pinged, to ping other VMs at each
 	isolated    bool
@@ -38,13 +40,25 @@
 	if !c.settings.SelfRegistration || !c.settings.VM.HasDisk {
 		return out
 	}
-	if zone := c.zoneOf(from); zone == "" || zone == c.settings.VM.Zone {
+	zone := c.zoneOf(from)
+	if zone == "" || zone == c.settings.VM.Zone {
 		return out
 	}
+	if c.isolation.zoneHeard == nil {
+		c.isolation.zoneHeard = make(map[model.Zone]time.Time)
+	}
+	c.isolation.zoneHeard[zone] = at
 	c.isolation.lastContact, c.isolation.firstPing = at, time.Time{}
 	return c.setIsolated(at, false, "heard "+string(from), out)
 }
 
+// hearsZone reports whether any VM of a zone was heard lately. This VM's own zone
+// counts as heard, and so does one that was never heard: it may be starting.
+func (iso *zoneIsolation) hearsZone(at time.Time, zone model.Zone) bool {
+	heard, other := iso.zoneHeard[zone]
+	return !other || at.Sub(heard) < zoneSilentAfter
+}
+
 // checkIsolation pings VMs of other zones when no message came from them for a
 // while. When no answer comes either, it declares the zone cut off.
 func (c *Control) checkIsolation(at time.Time, out []effect.Effect) []effect.Effect {
--- a/core/plane/limits.go
+++ b/core/plane/limits.go
@@ -152,14 +152,15 @@
 	return sortedReports(sums)
 }
 
-// shares returns a follower's shares, ascending by upstream.
-func (l *limits) shares(at time.Time, follower model.VMID) []model.LimitShare {
+// shares returns a follower's shares, ascending by upstream. part is the part of
+// each limit that this VM's followers may use together.
+func (l *limits) shares(at time.Time, follower model.VMID, part func(own, others float64) float64) []model.LimitShare {
 	var shares []model.LimitShare
 	for _, id := range slices.Sorted(maps.Keys(l.sightings)) {
 		s := l.sightings[id]
 		share := model.LimitShare{Upstream: id, Limit: s.limit, Age: at.Sub(s.at)}
-		if total := l.wanted(id, l.followers) + l.wanted(id, l.others); total > 0 {
-			share.Fraction = l.followers[follower].wanted[id] / total
+		if own := l.wanted(id, l.followers); own > 0 {
+			share.Fraction = l.followers[follower].wanted[id] / own * part(own, l.wanted(id, l.others))
 		}
 		shares = append(shares, share)
 	}
@@ -173,7 +174,32 @@
 	if at.Sub(c.settings.ProcessStart) < limitStartDelay {
 		return nil
 	}
-	return c.limits.shares(at, follower)
+	if c.knowsDemand(at) {
+		return c.limits.shares(at, follower, func(own, others float64) float64 { return own / (own + others) })
+	}
+	return c.limits.shares(at, follower, func(_, _ float64) float64 { return c.equalPart() })
+}
+
+// knowsDemand reports whether this disk VM knows the demand of all VMs that reach
+// the same upstreams. The followers of another disk VM go on sending while that
+// one is silent, unless its zone is: then the zone is down or cut off.
+func (c *Control) knowsDemand(at time.Time) bool {
+	for _, id := range c.diskVMs() {
+		_, known := c.limits.others[id]
+		if !known && id != c.settings.VM.ID && c.isolation.hearsZone(at, c.zoneOf(id)) {
+			return false
+		}
+	}
+	return true
+}
+
+// equalPart returns the part of a limit that this disk VM's followers may use
+// together while it does not know the demand at the others: an equal one for each.
+func (c *Control) equalPart() float64 {
+	if c.upstreamList.entryVMCount == 0 {
+		return 0
+	}
+	return min(1, float64(len(c.limits.followers))/float64(c.upstreamList.entryVMCount))
 }
 
 // sendLimits sends the demand of this VM's followers to the other disk VMs.
