Keep one copy of the earlier and the later of two times

Cause: core/query and core/member each had the one, core/quorum and core/relay the other.

Change: both are in core/model. No logic changes.

Measured: the tests of core/member, core/quorum, core/relay and core/node pass.

--- a/core/member/detector.go
+++ b/core/member/detector.go
@@ -315,11 +315,11 @@
 	}
 	due := at.Add(digestPeriod)
 	for _, r := range d.relayedPings {
-		due = earlier(due, r.deadline)
+		due = model.Earlier(due, r.deadline)
 	}
 	for _, s := range d.states {
 		if s.round != nil {
-			due = earlier(due, s.round.deadline)
+			due = model.Earlier(due, s.round.deadline)
 		}
 	}
 	if !d.timerDue.IsZero() && !due.Before(d.timerDue) {
@@ -355,10 +355,3 @@
 }
 
 func noteSubject(id model.VMID) string { return "vm " + string(id) }
-
-func earlier(a, b time.Time) time.Time {
-	if b.Before(a) {
-		return b
-	}
-	return a
-}
--- a/core/query/completion.go
+++ b/core/query/completion.go
@@ -113,7 +113,7 @@
 		if v := t.guard.Verdict(at, q.request.Fingerprint); v == crash.OneAtATime || v == crash.Quarantined {
 			q.phase, q.pendingRefusal, q.pendingDetail, q.phaseEnd = phaseRefusalDelayed, reason, detail, until
 			out = t.cancelAttempts(q, out)
-			return t.setTimer(q, earlier(until, at.Add(strikeProbeInterval)), out)
+			return t.setTimer(q, model.Earlier(until, at.Add(strikeProbeInterval)), out)
 		}
 	}
 	if !q.detached {
--- a/core/query/scatter.go
+++ b/core/query/scatter.go
@@ -51,7 +51,7 @@
 		if q.phase == phaseAwaitingVersion && at.Before(q.phaseEnd) {
 			t.holderWaiters.push(t, waitingShard{request: q.request.ID})
 			out = t.probeIndex(at, q.request.Index, out)
-			return t.setTimer(q, earlier(at.Add(capacityRetryDelay), q.phaseEnd), out)
+			return t.setTimer(q, model.Earlier(at.Add(capacityRetryDelay), q.phaseEnd), out)
 		}
 		return t.refuse(at, q, model.RefusedSnapshot, "no version of the index is known", out)
 	}
@@ -274,17 +274,17 @@
 func (t *Table) nextTimer(q *query) time.Time {
 	due := q.deadline()
 	if len(q.scheduled) > 0 {
-		due = earlier(due, q.scheduled[0].at)
+		due = model.Earlier(due, q.scheduled[0].at)
 	}
 	if !q.canaryDeadline.IsZero() {
-		due = earlier(due, q.canaryDeadline)
+		due = model.Earlier(due, q.canaryDeadline)
 	}
 	if delay, ok := t.hedger.Delay(q.request.Index); ok && q.phase == phaseScatter && q.nextHedge < len(q.hedgeCandidates) {
 		hedge := q.hedgeCandidates[q.nextHedge].sent.Add(delay)
 		if q.noHedgeBefore.After(hedge) {
 			hedge = q.noHedgeBefore
 		}
-		due = earlier(due, hedge)
+		due = model.Earlier(due, hedge)
 	}
 	return due
 }
@@ -521,10 +521,3 @@
 	}
 	return q, s, true
 }
-
-func earlier(a, b time.Time) time.Time {
-	if a.Before(b) {
-		return a
-	}
-	return b
-}
--- a/core/query/wait_queue.go
+++ b/core/query/wait_queue.go
@@ -117,7 +117,7 @@
 	}
 	q.shards[i].noHolder, q.shards[i].waiting = true, true
 	t.holderWaiters.push(t, waitingShard{request: q.request.ID, version: q.version, shard: i})
-	q.scheduleAttempt(i, earlier(at.Add(capacityRetryDelay), q.holderDeadline))
+	q.scheduleAttempt(i, model.Earlier(at.Add(capacityRetryDelay), q.holderDeadline))
 }
 
 // retryHolderWaiters retries the shards that wait for a holder and the queries
--- a/core/quorum/currency.go
+++ b/core/quorum/currency.go
@@ -4,6 +4,7 @@
 	"time"
 
 	"comfreypulley/core/frame"
+	"comfreypulley/core/model"
 )
 
 // lastMajority returns the latest time at which this replica is known to have
@@ -14,19 +15,19 @@
 	if l.role != leader || l.commitIndex < l.termStart {
 		return l.currentAt
 	}
-	return laterTime(l.currentAt, l.majorityTime(func(p *progress) time.Time { return p.acceptedAt }))
+	return model.Later(l.currentAt, l.majorityTime(func(p *progress) time.Time { return p.acceptedAt }))
 }
 
 // recordAcceptance records which of the leader's requests a replica has answered.
 // An answer that was long under way confirms only the time of its request.
 func (l *Log) recordAcceptance(at time.Time, p *progress, m frame.AppendResponse) {
-	p.stamp = laterTime(p.stamp, m.Sent)
+	p.stamp = model.Later(p.stamp, m.Sent)
 	if m.Echo.IsZero() {
 		p.acceptedAt = at // a VM of an earlier version
 		return
 	}
 	if sentAt, ok := l.clock.SentAt(m.Echo, at); ok {
-		p.acceptedAt = laterTime(p.acceptedAt, sentAt)
+		p.acceptedAt = model.Later(p.acceptedAt, sentAt)
 	}
 }
 
@@ -42,14 +43,7 @@
 		l.currentAt = at // a leader of an earlier version
 	default:
 		if sentAt, ok := l.clock.SentAt(m.Echo, at); ok {
-			l.currentAt = laterTime(l.currentAt, sentAt.Add(-m.MajorityAge))
+			l.currentAt = model.Later(l.currentAt, sentAt.Add(-m.MajorityAge))
 		}
 	}
 }
-
-func laterTime(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
--- a/core/relay/outdated.go
+++ b/core/relay/outdated.go
@@ -62,7 +62,7 @@
 	if t.replica || from != t.parent || held < revision || held == revision && t.Store.Checksum() != checksum {
 		return
 	}
-	t.lastMajority = laterTime(t.lastMajority, contact)
+	t.lastMajority = model.Later(t.lastMajority, contact)
 }
 
 // isOutdated reports whether this VM may lack changes that are due soon, because
@@ -78,7 +78,7 @@
 }
 
 func (t *Tree) isParentSilent(at time.Time) bool {
-	return at.Sub(laterTime(t.parentHeard, t.parentSince)) >= t.outdatedAge()
+	return at.Sub(model.Later(t.parentHeard, t.parentSince)) >= t.outdatedAge()
 }
 
 // needsParent reports whether any current VM is a better parent than the present
--- a/core/relay/tree.go
+++ b/core/relay/tree.go
@@ -288,10 +288,3 @@
 func (t *Tree) send(to model.VMID, m frame.Message, out []effect.Effect) []effect.Effect {
 	return append(out, effect.SendMessage{To: to, Addr: t.placement.vms[to].PeerAddr, Message: m})
 }
-
-func laterTime(a, b time.Time) time.Time {
-	if a.After(b) {
-		return a
-	}
-	return b
-}
