Leave room for shares that are still granted to other VMs

Upstreams could see: when a surge comes after a quiet time, more requests than the limit that they state allows.

Cause: a control VM divides a limit by the demand that it knows. In a surge the VMs report one after the other, and each of the first is granted most of the limit, until its next report.

Evidence: TestFleetKeepsToStatedLimits has a case in which thirty times the limit comes at once.

Change: a share leaves room for what is still granted to the other followers. Their next reports, each answered with a smaller share, make that room.

Why it works: the shares that the followers of one control VM hold never add up to more than the part of the limit that is theirs together.

--- a/core/model/limit.go
+++ b/core/model/limit.go
@@ -22,5 +22,5 @@
 	Upstream UpstreamID
 	Limit    *Limit        // nil when the upstream states none any more
 	Age      time.Duration // of the answer that this is known from
-	Fraction float64       // of what is divided by demand; the fractions of all VMs add up to 1
+	Fraction float64       // of what is divided by demand; the fractions of all VMs add up to 1 at most
 }
--- a/core/node/limit_sim_test.go
+++ b/core/node/limit_sim_test.go
@@ -340,9 +340,9 @@
 }
 
 // Guards against a fleet that sends an upstream far more than the limit that it
-// states, when requests are spread evenly or not, VMs are replaced, a zone is cut
-// off, control VMs are down or apart, or the limit changes, and against a fleet that leaves most of the limit
-// unused or keeps callers waiting for it.
+// states, when requests are spread evenly or not, come at once, VMs are replaced, a
+// zone is cut off, control VMs are down or apart, or the limit changes, and against
+// a fleet that leaves most of the limit unused or keeps callers waiting for it.
 func TestFleetKeepsToStatedLimits(t *testing.T) {
 	for _, c := range []struct {
 		name     string
@@ -351,6 +351,7 @@
 		rate     float64 // of each upstream, in requests per second
 		prepare  func(f *limitFleet)
 		during   func(f *limitFleet, second int)
+		load     func(second int) float64 // part of the demand; all of it when nil
 	}{
 		{name: "even", entryVMs: 18, rate: 20},
 		{name: "one VM receives most", entryVMs: 18, rate: 20, prepare: func(f *limitFleet) {
@@ -360,6 +361,14 @@
 			f.weight = func(n int) float64 { return 1 + 30*float64(max(0, 1-max(n-second%18, second%18-n))) }
 		}},
 		{name: "more VMs than requests per second", entryVMs: 60, rate: 8},
+		{name: "the load comes at once", entryVMs: 120, rate: 16, prepare: func(f *limitFleet) {
+			f.upstreams = f.upstreams[:1]
+		}, load: func(second int) float64 {
+			if second%10 < 5 {
+				return 0.05
+			}
+			return 10
+		}},
 		{name: "a low limit", entryVMs: 18, rate: 1},
 		{name: "VMs are replaced", entryVMs: 18, rate: 20, during: func(f *limitFleet, second int) { f.start(f.entryIDs[second%18]) }},
 		{name: "a zone is cut off", entryVMs: 18, rate: 20, during: func(f *limitFleet, second int) {
@@ -394,10 +403,14 @@
 				if c.during != nil {
 					c.during(f, second)
 				}
-				f.run(time.Second, demand)
+				load := 1.0
+				if c.load != nil {
+					load = c.load(second)
+				}
+				f.run(time.Second, load*demand)
 			}
 			f.check(t)
-			if got, want := float64(f.served), 0.5*float64(len(f.upstreams))*c.rate*seconds; got < want {
+			if got, want := float64(f.served), 0.5*min(float64(f.requests), float64(len(f.upstreams))*c.rate*seconds); got < want {
 				t.Errorf("served %.0f of %d requests, want %.0f at least, half of the limits", got, f.requests, want)
 			}
 			if unanswered := f.requests - f.served - f.refused; unanswered > int(demand*limitService.Seconds())+10 {
--- a/core/plane/limits.go
+++ b/core/plane/limits.go
@@ -42,8 +42,9 @@
 // limitDemand is what one VM, or the followers of one, would send to upstreams
 // that state a limit.
 type limitDemand struct {
-	wanted map[model.UpstreamID]float64 // requests per second
-	at     time.Time                    // when it was received
+	wanted  map[model.UpstreamID]float64 // requests per second
+	granted map[model.UpstreamID]float64 // shares in force at a follower, which keeps them until its next report is answered
+	at      time.Time                    // when it was received
 }
 
 // HandleLimitReport takes a traffic loop's report about limits. The next digest
@@ -113,6 +114,10 @@
 func (l *limits) recordFollower(at time.Time, from model.VMID, reports []model.LimitReport) {
 	if len(reports) > 0 {
 		demand := l.observe(at, reports)
+		demand.granted = l.followers[from].granted
+		if demand.granted == nil {
+			demand.granted = make(map[model.UpstreamID]float64)
+		}
 		l.followers[from] = demand
 	}
 }
@@ -152,21 +157,40 @@
 	return sortedReports(sums)
 }
 
-// shares returns a follower's shares, ascending by upstream. part is the part of
-// each limit that this VM's followers may use together.
-func (l *limits) shares(at time.Time, follower model.VMID, part func(own, others float64) float64) []model.LimitShare {
+// grant returns a follower's shares, ascending by upstream. part is the part of
+// each limit that this VM's followers may use together. Reports of a changed
+// demand come one after the other, so a share also leaves room for what is still
+// granted to the other followers.
+func (l *limits) grant(at time.Time, follower model.VMID, part func(own, others float64) float64) []model.LimitShare {
 	var shares []model.LimitShare
+	f := l.followers[follower]
 	for _, id := range slices.Sorted(maps.Keys(l.sightings)) {
 		s := l.sightings[id]
 		share := model.LimitShare{Upstream: id, Limit: s.limit, Age: at.Sub(s.at)}
-		if own := l.wanted(id, l.followers); own > 0 {
-			share.Fraction = l.followers[follower].wanted[id] / own * part(own, l.wanted(id, l.others))
+		if own := l.wanted(id, l.followers); f.wanted[id] > 0 {
+			together := part(own, l.wanted(id, l.others))
+			share.Fraction = max(0, min(together*f.wanted[id]/own, together-l.grantedToOthers(id, follower)))
+		}
+		if f.granted != nil {
+			f.granted[id] = share.Fraction
 		}
 		shares = append(shares, share)
 	}
 	return shares
 }
 
+// grantedToOthers sums the shares of an upstream's limit that are granted to the
+// followers except one.
+func (l *limits) grantedToOthers(id model.UpstreamID, except model.VMID) float64 {
+	sum := 0.0
+	for _, vm := range slices.Sorted(maps.Keys(l.followers)) {
+		if vm != except {
+			sum += l.followers[vm].granted[id]
+		}
+	}
+	return sum
+}
+
 // limitShares returns the shares to send to a follower. A disk VM that has just
 // started sends none, because it does not know the demand at the other disk VMs.
 func (c *Control) limitShares(at time.Time, follower model.VMID) []model.LimitShare {
@@ -175,9 +199,9 @@
 		return nil
 	}
 	if c.knowsDemand(at) {
-		return c.limits.shares(at, follower, func(own, others float64) float64 { return own / (own + others) })
+		return c.limits.grant(at, follower, func(own, others float64) float64 { return own / (own + others) })
 	}
-	return c.limits.shares(at, follower, func(_, _ float64) float64 { return c.equalPart() })
+	return c.limits.grant(at, follower, func(_, _ float64) float64 { return c.equalPart() })
 }
 
 // knowsDemand reports whether this disk VM knows the demand of all VMs that reach
