Count each attempt once in the demand for a limit

Callers could see: VMs whose requests take long, or go to several shards, get more of the room that a limit leaves than others, whose callers are refused.

Cause: the demand counted each search for an upstream. A hedge, which upstreams with a limit never get, is looked for every 8 ms while the first attempt runs; the first attempt of a shard without room was looked for twice.

Evidence: TestEachAttemptCountsOnceInTheDemand failed before: the demand rose by 10.349 requests per second instead of 0.288 for a request whose hedge was not sent, and by 0.577 for a shard without room.

Change: a subrequest counts each of its attempts once, and no hedge. The comments of the times say what they measure.

--- a/core/proxy/limits.go
+++ b/core/proxy/limits.go
@@ -24,9 +24,9 @@
 const (
 	wantedPeriod      = 2 * time.Second        // time constant of the average demand
 	limitReportPeriod = 500 * time.Millisecond // between two reports to the control state
-	shareTimeout      = 3 * time.Second        // without news, after which a share counts no more
-	limitMemory       = 10 * time.Second       // for which the end of a limit is reported
-	maxLimitWait      = time.Second            // longest wait stated to callers that a limit refuses
+	shareTimeout      = 3 * time.Second        // time without news after which a share is no longer used
+	limitMemory       = 10 * time.Second       // time for which the end of a limit is reported
+	maxLimitWait      = time.Second            // longest wait that is stated to callers whose requests a limit refuses
 )
 
 // limitState is what is known about the limit that an upstream states. In the zero
@@ -169,6 +169,16 @@
 	return allowed
 }
 
+// countDemand counts an attempt in the demand for the upstream that it would go to
+// without limits: once, however often an upstream is looked for, and no hedge.
+func (sub *subrequest) countDemand(at time.Time, u *upstream) {
+	if sub.pending > 0 || sub.counted > len(sub.attempts) {
+		return
+	}
+	sub.counted = len(sub.attempts) + 1
+	u.limit.wanted.add(at)
+}
+
 // reserve chooses the upstreams of a new request's first attempts and reports
 // whether limits leave room for enough of them. A request over many shards that
 // cannot reach its coverage would use up room that others need.
--- a/core/proxy/limits_test.go
+++ b/core/proxy/limits_test.go
@@ -1,6 +1,7 @@
 package proxy_test
 
 import (
+	"math"
 	"testing"
 	"time"
 
@@ -196,3 +197,63 @@
 		}
 	}
 }
+
+// wanted returns the sum of the demand that the router reports for upstreams with
+// limits.
+func (tr *testRouter) wanted() float64 {
+	sum := 0.0
+	for _, e := range tr.router.HandleTimer(tr.now, event.TimerID{Kind: event.TimerSweep}, nil) {
+		if e, ok := e.(effect.ToControl); ok {
+			if report, ok := e.Body.(event.LimitReport); ok {
+				for _, r := range report.Reports {
+					sum += r.Wanted
+				}
+			}
+		}
+	}
+	return sum
+}
+
+// Guards against a VM that is granted more of a limit than others because its
+// requests take long or need several upstreams: each attempt counts once in the
+// demand, however often an upstream is looked for, and a hedge does not count.
+func TestEachAttemptCountsOnceInTheDemand(t *testing.T) {
+	sharded := unshardedRoute(false)
+	sharded.Targets, sharded.Shards, sharded.TopK, sharded.MinCoverage = nil, []string{"s", "t"}, 1, 0.5
+	for _, c := range []struct {
+		name     string
+		route    model.Route
+		services []string
+		limit    model.Limit
+	}{
+		{"hedges that are not sent", unshardedRoute(false), []string{"s"}, model.Limit{Rate: 1000}},
+		{"a shard without room", sharded, []string{"s", "t"}, model.Limit{Rate: 0}},
+	} {
+		tr := newTestRouter(c.route, c.services...)
+		var held []effect.Forward
+		for range 200 {
+			held = append(held, tr.request()...)
+		}
+		for _, f := range held {
+			if f.Upstream[0] == c.services[len(c.services)-1][0] {
+				tr.respondWithLimit(f, &c.limit)
+			} else {
+				tr.respondWithLimit(f, nil)
+			}
+		}
+		tr.now = tr.now.Add(time.Minute)
+		before := tr.wanted()
+		if got := len(tr.request()); got != 1 {
+			t.Fatalf("%s: got %d attempts, want 1", c.name, got)
+		}
+		for range 100 {
+			tr.now = tr.now.Add(time.Millisecond)
+			tr.router.HandleTimer(tr.now, event.TimerID{Kind: event.TimerProxyRequest, N: uint64(tr.lastID)}, nil)
+		}
+		tr.now = tr.now.Add(time.Second)
+		// One request in the time constant of 2 s, 1.1 s ago.
+		if got, want := tr.wanted()-before, 0.5*math.Exp(-0.55); math.Abs(got-want) > 0.01 {
+			t.Errorf("%s: the demand rose by %.3f requests per second, want %.3f", c.name, got, want)
+		}
+	}
+}
--- a/core/proxy/pick.go
+++ b/core/proxy/pick.go
@@ -26,7 +26,7 @@
 			return nil
 		}
 		if len(full) == 0 {
-			u.limit.wanted.add(at)
+			sub.countDemand(at, u)
 		}
 		if r.limitAllows(at, req, sub, u) {
 			return u
