Say in the comments of limits what their times measure

Cause: a newcomer has to guess what '3 s without a report, after which' refers to, and the comment on complete names only part of what digests carry.

Change: comments only.

--- a/core/plane/history.go
+++ b/core/plane/history.go
@@ -28,9 +28,9 @@
 }
 
 // complete fills in what components leave out of the effects of one event, those
-// from index first on: it keeps notes in the history, adds the checksums of the
-// lists of upstreams and entry VMs to digests, and adds the addresses of the VMs
-// that messages go to.
+// from index first on: it keeps notes in the history, adds to digests what they
+// carry besides the state of the tree, and adds the addresses of the VMs that
+// messages go to.
 func (c *Control) complete(first int, out []effect.Effect) []effect.Effect {
 	for i, e := range out[first:] {
 		switch e := e.(type) {
--- a/core/plane/limits.go
+++ b/core/plane/limits.go
@@ -12,11 +12,11 @@
 
 // Times of the exchange of the limits that upstreams state.
 const (
-	limitStartDelay     = time.Second            // after a start, until the demand at the other disk VMs is known
+	limitStartDelay     = time.Second            // time after the start of the process within which the demand at the other disk VMs becomes known
 	limitExchangePeriod = 200 * time.Millisecond // between two messages to the other disk VMs
-	limitReportTimeout  = 3 * time.Second        // without a report, after which a VM's demand is dropped
-	limitTotalTimeout   = 5 * time.Second        // without a message, after which another disk VM's demand is dropped
-	limitMemory         = 10 * time.Second       // for which the end of a limit is passed on
+	limitReportTimeout  = 3 * time.Second        // time without a report after which a VM's demand is dropped
+	limitTotalTimeout   = 5 * time.Second        // time without a message after which another disk VM's demand is dropped
+	limitMemory         = 10 * time.Second       // time for which the end of a limit is passed on
 )
 
 // limits is what this VM knows about the limits that upstreams state. An entry VM
@@ -93,7 +93,7 @@
 	return reports
 }
 
-// observe records what a report says about the limits, and returns its demand.
+// observe records which limits a report has seen, and returns the demand in it.
 func (l *limits) observe(at time.Time, reports []model.LimitReport) limitDemand {
 	if l.sightings == nil {
 		l.sightings = make(map[model.UpstreamID]limitSighting)
