--- a/core/plane/tree.go
+++ b/core/plane/tree.go
@@ -119,9 +119,10 @@
 // Checksum returns the checksum of the configuration in force.
 func (f TreeStore) Checksum() uint64 { return f.control.store.Checksum() }
 
-// isParent reports whether another VM speaks for the fleet to this one, which
-// has no disk. Other disk VMs that this VM asks may be cut off from the rest, and
-// then know only part of the fleet.
+// isParent reports whether another VM is the parent of this one, which has no
+// disk and takes the state of the fleet from its parent alone. Other disk VMs that
+// this VM asks may be cut off from the rest, and then know only part of the fleet.
+// Without a tree or a parent any VM counts as the parent.
 func (c *Control) isParent(id model.VMID) bool {
 	return c.tree == nil || c.tree.Parent() == "" || c.tree.Parent() == id
 }
--- a/core/proxy/limits.go
+++ b/core/proxy/limits.go
@@ -24,7 +24,7 @@
 const (
 	wantedPeriod      = 2 * time.Second        // time constant of the average demand
 	limitReportPeriod = 500 * time.Millisecond // between two reports to the control state
-	shareTimeout      = 3 * time.Second        // time without news after which a share is no longer used
+	shareTimeout      = 3 * time.Second        // time without a new share after which the last one is no longer used
 	limitMemory       = 10 * time.Second       // time for which the end of a limit is reported
 	maxLimitWait      = time.Second            // longest wait that is stated to callers whose requests a limit refuses
 )
--- a/core/relay/outdated.go
+++ b/core/relay/outdated.go
@@ -10,8 +10,8 @@
 )
 
 // Parts of the time within which a change must be in force. A VM whose parent
-// loses its majority notices it after half of that time, and asks others several
-// times in the rest. Between two digests it misses at most one answer before.
+// loses its majority notices it after half of that time and at most a digest
+// period, and asks others several times in the rest.
 const (
 	defaultChangeBound = 6 * time.Second // the design size asks for it
 	maxDigestPeriod    = time.Second
--- a/core/relay/tree.go
+++ b/core/relay/tree.go
@@ -224,8 +224,8 @@
 
 // Ready reports whether the VM may serve requests. It needs the newest
 // configuration among the answers, or that of its own replica of the log. It
-// also waits for a recent contact with a majority, but no longer than
-// silenceTimeout.
+// also waits for a recent contact with a majority, but no longer than half of the
+// change bound.
 func (t *Tree) Ready(at time.Time) bool {
 	waited := t.majorityAge(at) < t.outdatedAge() || at.Sub(t.startedAt) >= t.outdatedAge()
 	return waited && (t.replica || t.answered && t.Store.Revision() >= t.highestOffered)
--- a/core/retry/rate_limiter.go
+++ b/core/retry/rate_limiter.go
@@ -28,8 +28,8 @@
 
 // Allows reports whether a request may be sent now. draw is a random number from
 // 0 to 1. A draw that fails uses up the fraction, and rest is what is left of it
-// for the limiter of another upstream that may serve the request instead. Sending
-// takes [RateLimiter.Spend].
+// for the limiter of another upstream that may serve the request instead. The caller
+// accounts for a request that it sends with [RateLimiter.Spend].
 func (l *RateLimiter) Allows(at time.Time, draw float64) (allowed bool, rest float64) {
 	l.refill(at)
 	if l.tokens >= 1 {
