Notice when a VM reaches no upstream at all

Each VM judged upstreams one by one, so that nothing told an upstream that is silent from a VM whose own links are cut, in logs or in decisions. Requests are handled as before.

In virtual time a cut is noticed within a second of its begin and of its end; one upstream, one shard, one zone and all shards but one that fail are not taken for it.

--- a/core/effect/proxy.go
+++ b/core/effect/proxy.go
@@ -22,6 +22,16 @@
 	Portion        *model.Portion // set when Upstream is a VM that queries these shards; event.PortionResult replaces ResponseReceived
 }
 
+// OpenConn opens a connection to an upstream without sending anything, to see
+// whether the upstream can be reached. The connection is idle afterwards.
+// event.ConnChecked reports the result.
+type OpenConn struct {
+	Upstream    model.UpstreamID
+	Addr        netip.AddrPort
+	Timeout     time.Duration
+	IdleTimeout time.Duration // after which the connection is closed if no attempt uses it
+}
+
 // SendResponse answers a caller with the response of one upstream.
 type SendResponse struct {
 	Request  model.RequestID
@@ -61,6 +71,7 @@
 }
 
 func (Forward) effect()            {}
+func (OpenConn) effect()           {}
 func (SendResponse) effect()       {}
 func (SendMergedResponse) effect() {}
 func (SendPortionResult) effect()  {}
--- a/core/event/proxy.go
+++ b/core/event/proxy.go
@@ -44,6 +44,13 @@
 	NewConn       bool          // a new connection was opened for the attempt
 }
 
+// ConnChecked is the result of an effect.OpenConn.
+type ConnChecked struct {
+	Upstream model.UpstreamID
+	Opened   bool
+}
+
+func (ConnChecked) body()      {}
 func (ProxyRequest) body()     {}
 func (ResponseReceived) body() {}
 func (PortionResult) body()    {}
--- a/core/node/upstream.go
+++ b/core/node/upstream.go
@@ -7,7 +7,7 @@
 	"comfreypulley/core/event"
 )
 
-// handleUpstream handles the results of attempts and probes, including the results
+// handleUpstream handles the results of attempts, probes and connection checks, including the results
 // of portions that other VMs answer.
 func (s *State) handleUpstream(at time.Time, body event.Body, out []effect.Effect) []effect.Effect {
 	switch body := body.(type) {
@@ -17,6 +17,8 @@
 		return s.proxy.HandleResponseReceived(at, body, out)
 	case event.PortionResult:
 		return s.proxy.HandlePortionResult(at, body, out)
+	case event.ConnChecked:
+		return s.proxy.HandleConnChecked(at, body, out)
 	case event.AttemptFailed:
 		if s.role == event.RoleProxy {
 			return s.proxy.HandleAttemptFailed(at, body, out)
--- a/core/proxy/finish.go
+++ b/core/proxy/finish.go
@@ -32,6 +32,10 @@
 	if !e.WrongUpstream {
 		out = r.observeLimit(at, a, e.Limit, out)
 	}
+	r.reach.answeredAt = at
+	if e.NewConn {
+		out = r.recordOpenedConn(at, out)
+	}
 	out = r.zoneReached(at, u.spec.Zone, a.sent, out)
 	status := e.Response.Status
 	switch {
@@ -76,6 +80,9 @@
 	if !ok {
 		return out
 	}
+	if e.Reason == model.FailedRefused {
+		out = r.recordFailedConn(at, a.upstream, out)
+	}
 	if e.Reason != model.FailedCancelled {
 		out = r.recordUpstreamFailure(at, a.upstream, e.Reason, out)
 	}
--- a/core/proxy/fleet_test.go
+++ b/core/proxy/fleet_test.go
@@ -43,7 +43,8 @@
 	spec    model.Upstream
 	arrived map[string]int                              // attempts that reached it, by the caller's request id
 	respond func(*fleetAttempt) *event.ResponseReceived // overrides the response when set
-	down    bool
+	down    bool                                        // connections are refused, also open ones
+	hangs   bool                                        // with down: they get no answer instead
 }
 
 type fleetVM struct {
@@ -264,6 +265,8 @@
 					})
 				}
 			}
+		case effect.OpenConn:
+			vm.openConn(e)
 		case effect.Ready:
 			vm.ready = e.Ready
 		case effect.Note:
@@ -274,6 +277,20 @@
 	}
 }
 
+// openConn opens a connection to an upstream, unless the links do not allow it.
+func (vm *fleetVM) openConn(e effect.OpenConn) {
+	opened, took := vm.links == linksWork && !vm.fleet.upstreams[e.Upstream].down, 2*fleetOneWay
+	if vm.links == linksHang || vm.fleet.upstreams[e.Upstream].hangs {
+		took = e.Timeout
+	}
+	vm.fleet.after(took, func() {
+		if opened {
+			vm.conns[e.Upstream]++
+		}
+		vm.apply(vm.router.HandleConnChecked(vm.fleet.now, event.ConnChecked{Upstream: e.Upstream, Opened: opened}, nil))
+	})
+}
+
 // applyAnswer ends a request, or passes a part of its answer to the VM that sent it.
 func (vm *fleetVM) applyAnswer(e effect.Effect) {
 	switch e := e.(type) {
@@ -357,10 +374,11 @@
 	if !a.newConn {
 		vm.conns[e.Upstream]--
 	}
+	hangs := vm.links == linksHang || u.hangs
 	switch {
-	case vm.links == linksHang && a.newConn:
+	case hangs && a.newConn:
 		f.after(min(fleetDial, e.Timeout), func() { a.fail(model.FailedRefused, model.RanNo) })
-	case vm.links == linksHang:
+	case hangs:
 		f.after(e.Timeout+30*time.Millisecond, func() { a.fail(model.FailedTimeout, model.RanUnknown) })
 	case u.down, vm.links == linksReset, vm.links == linksRefuse && a.newConn:
 		f.after(fleetOneWay, func() { a.fail(model.FailedRefused, model.RanNo) })
--- a/core/proxy/reach_test.go
+++ b/core/proxy/reach_test.go
@@ -90,3 +90,72 @@
 		})
 	}
 }
+
+// noteTime returns when a VM first noted an action of a subject since a time, or
+// false.
+func (vm *fleetVM) noteTime(subject, action string, since time.Time) (time.Time, bool) {
+	for _, n := range vm.notes {
+		if n.Subject == subject && n.Action == action && !n.At.Before(since) {
+			return n.At, true
+		}
+	}
+	return time.Time{}, false
+}
+
+// Guards against a VM that sends requests to upstreams which it cannot reach for
+// long, and against one that goes on believing so when the links are back.
+func TestVMNoticesThatItReachesNoUpstream(t *testing.T) {
+	const noticeBound, regainBound = time.Second, time.Second
+	for _, links := range []linkState{linksHang, linksReset} {
+		for _, shards := range []int{1, 10} {
+			t.Run(fmt.Sprint(links, shards), func(t *testing.T) {
+				f := newFleet(3, 2, shards, 24)
+				f.load("/all/", 100*time.Millisecond, 12*time.Second)
+				f.run(2 * time.Second)
+				cut, vm := f.now, f.vms[0]
+				vm.setLinks(links)
+				f.run(6 * time.Second)
+				if at, ok := vm.noteTime("upstreams", "unreachable", cut); !ok || at.Sub(cut) > noticeBound {
+					t.Errorf("got a note %v after the cut (%v), want one within %v", at.Sub(cut), ok, noticeBound)
+				}
+				healed := f.now
+				vm.setLinks(linksWork)
+				f.run(2 * time.Second)
+				if at, ok := vm.noteTime("upstreams", "reachable again", healed); !ok || at.Sub(healed) > regainBound {
+					t.Errorf("got a note %v after the links were back (%v), want one within %v", at.Sub(healed), ok, regainBound)
+				}
+			})
+		}
+	}
+}
+
+// Guards against a VM that takes the failure of some upstreams for that of its own
+// links, and sends its requests elsewhere for nothing.
+func TestFailedUpstreamsAreNotTakenForLostLinks(t *testing.T) {
+	for _, tc := range []struct {
+		name string
+		down func(*fleetUpstream) bool
+	}{
+		{"one upstream", func(u *fleetUpstream) bool { return u.spec.ID == "s0/a" }},
+		{"one shard", func(u *fleetUpstream) bool { return u.spec.Index == "s0" }},
+		{"one zone", func(u *fleetUpstream) bool { return u.spec.Zone == "a" }},
+		{"all but one shard", func(u *fleetUpstream) bool { return u.spec.Index != "s0" }},
+	} {
+		for _, hangs := range []bool{false, true} {
+			t.Run(fmt.Sprintf("%s, hangs %v", tc.name, hangs), func(t *testing.T) {
+				f := newFleet(3, 2, 10, 24)
+				f.load("/all/", 100*time.Millisecond, 8*time.Second)
+				f.run(2 * time.Second)
+				for _, u := range f.upstreams {
+					u.down, u.hangs = tc.down(u), tc.down(u) && hangs
+				}
+				f.run(6 * time.Second)
+				for _, vm := range f.vms {
+					if at, ok := vm.noteTime("upstreams", "unreachable", startTime); ok {
+						t.Errorf("%s counts upstreams as unreachable at %v, want never", vm.id, at.Sub(startTime))
+					}
+				}
+			})
+		}
+	}
+}
--- a/core/proxy/router.go
+++ b/core/proxy/router.go
@@ -41,6 +41,7 @@
 	suspects             crashSuspects
 	peers                peers
 	isolation            isolation
+	reach                reachability
 	documentOverdue      bool      // a newer document may have to be in force by now
 	limitsReportedAt     time.Time // when the upstreams' limits were last reported to the control state
 	draining             bool
@@ -191,7 +192,7 @@
 		}
 	case event.TimerSweep:
 		r.suspects.expire(at)
-		out = r.checkLimits(at, r.cancelStaleAttempts(at, out))
+		out = r.checkReach(at, r.checkLimits(at, r.cancelStaleAttempts(at, out)))
 		return append(out, effect.SetTimer{ID: id, At: at.Add(sweepInterval)})
 	default:
 	}
--- a/core/proxy/warnings.go
+++ b/core/proxy/warnings.go
@@ -99,9 +99,10 @@
 	return r.warn(at, u, event.UpstreamWarning{ExtraLatency: excess}, out)
 }
 
-// warn sends a warning about an upstream to the other VMs of the zone.
+// warn sends a warning about an upstream to the other VMs of the zone, unless the
+// fault may be in the links of this VM.
 func (r *Router) warn(at time.Time, u *upstream, warning event.UpstreamWarning, out []effect.Effect) []effect.Effect {
-	if at.Sub(u.warnings.sentAt) < warningInterval {
+	if r.reach.inDoubt() || at.Sub(u.warnings.sentAt) < warningInterval {
 		return out
 	}
 	u.warnings.sentAt = at
--- a/io/proxy/client.go
+++ b/io/proxy/client.go
@@ -52,16 +52,8 @@
 	}
 	if c.attempts == nil {
 		c.attempts = make(map[model.AttemptID]*attempt)
-		c.pools = make(map[model.UpstreamID]*pool)
-	}
-	p, ok := c.pools[f.Upstream]
-	if !ok || p.addr != f.Addr {
-		if ok {
-			p.close()
-		}
-		p = &pool{addr: f.Addr}
-		c.pools[f.Upstream] = p
 	}
+	p := c.poolOf(f.Upstream, f.Addr)
 	now := time.Now()
 	a := &attempt{client: c, pool: p, request: request, forward: f, deadline: now.Add(f.Timeout)}
 	c.attempts[f.Attempt] = a
@@ -69,6 +61,36 @@
 	a.start(now)
 }
 
+// poolOf returns the pool of an upstream at an address. It must be called with mu
+// held.
+func (c *Client) poolOf(id model.UpstreamID, addr netip.AddrPort) *pool {
+	p, ok := c.pools[id]
+	if ok && p.addr == addr {
+		return p
+	}
+	if ok {
+		p.close()
+	}
+	if c.pools == nil {
+		c.pools = make(map[model.UpstreamID]*pool)
+	}
+	p = &pool{addr: addr}
+	c.pools[id] = p
+	return p
+}
+
+// OpenConn opens a connection to an upstream and posts the result later.
+func (c *Client) OpenConn(e effect.OpenConn) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	if c.closed {
+		return
+	}
+	c.wg.Add(1)
+	o := &connOpener{client: c, pool: c.poolOf(e.Upstream, e.Addr), effect: e}
+	go o.run()
+}
+
 // Cancel aborts an attempt.
 func (c *Client) Cancel(e effect.Cancel) {
 	c.mu.Lock()
--- a/io/serve/proxy_executor.go
+++ b/io/serve/proxy_executor.go
@@ -26,6 +26,8 @@
 	switch e := e.(type) {
 	case effect.Forward:
 		p.client.Forward(e)
+	case effect.OpenConn:
+		p.client.OpenConn(e)
 	case effect.Cancel:
 		p.client.Cancel(e)
 	case effect.CloseIdleConns:
