--- a/core/effect/proxy.go
+++ b/core/effect/proxy.go
@@ -8,18 +8,19 @@
 )
 
 // Forward starts an attempt that sends a caller's request to an upstream
-// unchanged, or a portion of it to another VM. Exactly one event.ResponseReceived
+// unchanged, or a portion or all of it to another VM. Exactly one event.ResponseReceived
 // or event.AttemptFailed ends the attempt, also after Cancel.
 type Forward struct {
 	Attempt        model.AttemptID
 	Request        model.RequestID
 	Upstream       model.UpstreamID
 	Addr           netip.AddrPort
-	Timeout        time.Duration  // time left until the caller's deadline
-	BodyOnly       bool           // only the receipt and the body of the response are needed
-	IdleTimeout    time.Duration  // of the connection after this attempt; 0 for the front end's default
-	AvoidStaleConn bool           // do not reuse a connection that was idle for long: it may fail, and the request must not be repeated
-	Portion        *model.Portion // set when Upstream is a VM that queries these shards; event.PortionResult replaces ResponseReceived
+	Timeout        time.Duration   // time left until the caller's deadline
+	BodyOnly       bool            // only the receipt and the body of the response are needed
+	IdleTimeout    time.Duration   // of the connection after this attempt; 0 for the front end's default
+	AvoidStaleConn bool            // do not reuse a connection that was idle for long: it may fail, and the request must not be repeated
+	Portion        *model.Portion  // set when Upstream is a VM that queries these shards; event.PortionResult replaces ResponseReceived
+	Handover       *model.Handover // set when Upstream is a VM that serves the whole request; event.HandoverResult replaces ResponseReceived
 }
 
 // OpenConn opens a connection to an upstream without sending anything, to see
@@ -67,7 +68,8 @@
 	DocumentVersion uint64        // of the routing document used
 	UpstreamListAge time.Duration // time since the list of upstreams was read, when the request arrived
 	Services        []model.ServiceTrace
-	IncludedShards  int // number of shards in the response
+	IncludedShards  int  // number of shards in the response
+	Handover        bool // another VM handed the request over
 }
 
 func (Forward) effect()            {}
--- a/core/event/proxy.go
+++ b/core/event/proxy.go
@@ -16,9 +16,10 @@
 	Path            string
 	Wait            time.Duration // how long the caller waits for the response; 0 when not stated
 	Fingerprint     model.Fingerprint
-	Portion         *model.Portion // the shards that another VM requests; nil for a caller's request
-	NewConn         bool           // the caller has just opened the connection; this is the first request on it
-	RoundTrip       time.Duration  // between this VM and the caller, on the network; 0 when unknown
+	Portion         *model.Portion  // the shards that another VM requests; nil for a caller's request
+	Handover        *model.Handover // set when another VM hands the request over
+	NewConn         bool            // the caller has just opened the connection; this is the first request on it
+	RoundTrip       time.Duration   // between this VM and the caller, on the network; 0 when unknown
 }
 
 // PortionResult is another VM's answer to an attempt to have it query a
@@ -30,6 +31,13 @@
 	More    bool   // further frames follow
 }
 
+// HandoverResult is another VM's answer to a request that was handed over to it.
+type HandoverResult struct {
+	Attempt  model.AttemptID
+	Response model.Response // passed to the caller unchanged
+	Refusal  *model.Refusal // the other VM did not serve the request; Response is then not set
+}
+
 // ResponseReceived is an upstream's complete response to an effect.Forward.
 type ResponseReceived struct {
 	Attempt       model.AttemptID
@@ -53,4 +61,5 @@
 func (ConnChecked) body()      {}
 func (ProxyRequest) body()     {}
 func (ResponseReceived) body() {}
+func (HandoverResult) body()   {}
 func (PortionResult) body()    {}
--- a/core/model/portion.go
+++ b/core/model/portion.go
@@ -16,6 +16,14 @@
 	Shards          []int  // indexes into the route's Shards, ascending
 }
 
+// Handover accompanies a request that a VM hands over as a whole to another one,
+// because it reaches no upstream itself. The other VM serves it like a caller's
+// request, but does not hand it over again.
+type Handover struct {
+	DocumentVersion uint64 // of the routing document of the VM that received the request
+	MaxAttempts     int    // attempts that are left for each service
+}
+
 // ShardResult is the result of one shard of a portion. Without a Receipt the
 // shard has failed, unless it is Pending.
 type ShardResult struct {
--- a/core/model/reason.go
+++ b/core/model/reason.go
@@ -28,27 +28,28 @@
 
 // Refusal reasons. Each one has an expvar counter of the same name.
 const (
-	RefusedBusy       RefusalReason = "busy"       // the queue of the contract's class is full, or the VM handles too many requests
-	RefusedConflict   RefusalReason = "conflict"   // the idempotency key was used with another body
-	RefusedCoverage   RefusalReason = "coverage"   // the class's minimum coverage was not reached in time
-	RefusedCredential RefusalReason = "credential" // unknown customer or wrong secret
-	RefusedDeadline   RefusalReason = "deadline"   // the deadline cannot be met
-	RefusedDraining   RefusalReason = "draining"   // the VM is shutting down
-	RefusedExhausted  RefusalReason = "exhausted"  // no attempt ran: the limits allowed none, or upstreams declined all of them
-	RefusedExpired    RefusalReason = "expired"    // the idempotency key is older than the retention
-	RefusedIndex      RefusalReason = "index"      // the contract does not include the index
-	RefusedInvalid    RefusalReason = "invalid"    // the request is malformed
-	RefusedIsolated   RefusalReason = "isolated"   // the zone is cut off from the others and lacks upstreams for shards of the request
-	RefusedLimit      RefusalReason = "limit"      // the limits that upstreams state leave no room
-	RefusedMajority   RefusalReason = "majority"   // the replicated log has no reachable majority
-	RefusedPending    RefusalReason = "pending"    // the idempotency key is claimed and its outcome is unknown
-	RefusedQuarantine RefusalReason = "quarantine" // upstreams crashed while running equal requests
-	RefusedFailed     RefusalReason = "failed"     // the attempt failed and the upstream may have run the request
-	RefusedRoute      RefusalReason = "route"      // no route of the document matches
-	RefusedTimeout    RefusalReason = "timeout"    // no answer in time, and upstreams may have run the request
-	RefusedSnapshot   RefusalReason = "snapshot"   // no snapshot of the index is known
-	RefusedStale      RefusalReason = "stale"      // the VM has no configuration yet, or not the one that the request refers to or may need
-	RefusedWait       RefusalReason = "wait"       // the stated wait is below every class of the contract
+	RefusedBusy        RefusalReason = "busy"        // the queue of the contract's class is full, or the VM handles too many requests
+	RefusedConflict    RefusalReason = "conflict"    // the idempotency key was used with another body
+	RefusedCoverage    RefusalReason = "coverage"    // the class's minimum coverage was not reached in time
+	RefusedCredential  RefusalReason = "credential"  // unknown customer or wrong secret
+	RefusedDeadline    RefusalReason = "deadline"    // the deadline cannot be met
+	RefusedDraining    RefusalReason = "draining"    // the VM is shutting down
+	RefusedExhausted   RefusalReason = "exhausted"   // no attempt ran: the limits allowed none, or upstreams declined all of them
+	RefusedExpired     RefusalReason = "expired"     // the idempotency key is older than the retention
+	RefusedIndex       RefusalReason = "index"       // the contract does not include the index
+	RefusedInvalid     RefusalReason = "invalid"     // the request is malformed
+	RefusedIsolated    RefusalReason = "isolated"    // the zone is cut off from the others and lacks upstreams for shards of the request
+	RefusedLimit       RefusalReason = "limit"       // the limits that upstreams state leave no room
+	RefusedMajority    RefusalReason = "majority"    // the replicated log has no reachable majority
+	RefusedPending     RefusalReason = "pending"     // the idempotency key is claimed and its outcome is unknown
+	RefusedQuarantine  RefusalReason = "quarantine"  // upstreams crashed while running equal requests
+	RefusedFailed      RefusalReason = "failed"      // the attempt failed and the upstream may have run the request
+	RefusedRoute       RefusalReason = "route"       // no route of the document matches
+	RefusedTimeout     RefusalReason = "timeout"     // no answer in time, and upstreams may have run the request
+	RefusedSnapshot    RefusalReason = "snapshot"    // no snapshot of the index is known
+	RefusedUnreachable RefusalReason = "unreachable" // the VM reaches no upstream, and no other VM took the request
+	RefusedStale       RefusalReason = "stale"       // the VM has no configuration yet, or not the one that the request refers to or may need
+	RefusedWait        RefusalReason = "wait"        // the stated wait is below every class of the contract
 )
 
 // RefusalReasons lists every refusal reason, sorted by name.
@@ -56,7 +57,7 @@
 	return []RefusalReason{
 		RefusedBusy, RefusedConflict, RefusedCoverage, RefusedCredential, RefusedDeadline, RefusedDraining,
 		RefusedExhausted, RefusedExpired, RefusedFailed, RefusedIndex, RefusedInvalid, RefusedIsolated, RefusedLimit, RefusedMajority, RefusedPending,
-		RefusedQuarantine, RefusedRoute, RefusedSnapshot, RefusedStale, RefusedTimeout, RefusedWait,
+		RefusedQuarantine, RefusedRoute, RefusedSnapshot, RefusedStale, RefusedTimeout, RefusedUnreachable, RefusedWait,
 	}
 }
 
@@ -66,21 +67,22 @@
 
 // Failure reasons of attempts.
 const (
-	FailedCancelled FailureReason = "cancelled" // this tier cancelled the attempt
-	FailedCold      FailureReason = "cold"      // the upstream is still starting up
-	FailedDrained   FailureReason = "drained"   // the upstream is draining
-	FailedInvalid   FailureReason = "invalid"   // the answer was malformed or named another version, shard or attempt
-	FailedRefused   FailureReason = "refused"   // the connection could not be opened
-	FailedReset     FailureReason = "reset"     // the connection broke before the answer was complete
-	FailedShed      FailureReason = "shed"      // the upstream rejected the attempt because of overload
-	FailedTimeout   FailureReason = "timeout"   // the attempt took too long
-	FailedVersion   FailureReason = "version"   // the upstream does not hold the snapshot version
+	FailedCancelled   FailureReason = "cancelled"   // this tier cancelled the attempt
+	FailedCold        FailureReason = "cold"        // the upstream is still starting up
+	FailedDrained     FailureReason = "drained"     // the upstream is draining
+	FailedInvalid     FailureReason = "invalid"     // the answer was malformed or named another version, shard or attempt
+	FailedRefused     FailureReason = "refused"     // the connection could not be opened
+	FailedReset       FailureReason = "reset"       // the connection broke before the answer was complete
+	FailedShed        FailureReason = "shed"        // the upstream rejected the attempt because of overload
+	FailedTimeout     FailureReason = "timeout"     // the attempt took too long
+	FailedUnreachable FailureReason = "unreachable" // the VM that a portion went to reaches no upstream
+	FailedVersion     FailureReason = "version"     // the upstream does not hold the snapshot version
 )
 
 // FailureReasons lists every failure reason, sorted by name.
 func FailureReasons() []FailureReason {
 	return []FailureReason{
 		FailedCancelled, FailedCold, FailedDrained, FailedInvalid, FailedRefused, FailedReset, FailedShed,
-		FailedTimeout, FailedVersion,
+		FailedTimeout, FailedUnreachable, FailedVersion,
 	}
 }
--- a/core/proxy/delegate.go
+++ b/core/proxy/delegate.go
@@ -17,6 +17,7 @@
 	directAttemptFactor  = 1.5                  // direct attempts start after this many hedge delays of first frames
 	directAttemptMargins = 1.4                  // but at the latest this many times the margin for the other VM after firstFrameDeadline
 	peerMargin           = 5 * time.Millisecond // margin for the network between two VMs
+	maxPortionTries      = 4                    // VMs to which a portion goes after one has refused it
 )
 
 // delegation is a portion that was sent to another VM.
@@ -24,6 +25,8 @@
 	id        model.AttemptID
 	request   *request
 	peer      *peer
+	portion   portion
+	tries     int        // VMs that refused the portion before
 	attempts  []*attempt // one for each shard
 	sent      time.Time
 	responded bool // at least one frame has arrived
@@ -45,16 +48,17 @@
 	}
 	for _, portion := range r.portionsOf(at, req.route) {
 		if p := r.pickPeer(at, portion); p != nil && p.ID != r.settings.VM.ID {
-			out = r.sendPortion(at, req, portion.shards, p, out)
+			out = r.sendPortion(at, &delegation{request: req, peer: p, portion: portion}, out)
 		}
 	}
 	return out
 }
 
 // sendPortion sends a portion to another VM.
-func (r *Router) sendPortion(at time.Time, req *request, shards []int, p *peer, out []effect.Effect) []effect.Effect {
+func (r *Router) sendPortion(at time.Time, d *delegation, out []effect.Effect) []effect.Effect {
 	r.lastAttemptID++
-	d := &delegation{id: r.lastAttemptID, request: req, peer: p, sent: at}
+	d.id, d.sent = r.lastAttemptID, at
+	req, p, shards := d.request, d.peer, d.portion.shards
 	placeholder := &upstream{spec: model.Upstream{ID: peerUpstreamID(p.ID)}}
 	for _, n := range shards {
 		sub := req.subrequests[n]
@@ -167,6 +171,8 @@
 	outcome := e.Reason
 	switch {
 	case e.Reason == model.FailedCancelled:
+	case e.Ran == model.RanNo && e.Reason == model.FailedUnreachable:
+		d.peer.avoidUntil = at.Add(avoidFailed)
 	case e.Ran == model.RanNo && e.Reason == model.FailedShed:
 		d.peer.avoidUntil = at.Add(avoidRefusing)
 	default:
@@ -186,9 +192,30 @@
 		}
 	}
 	out = append(out, effect.Count{Counter: effect.CountFailed, Reason: "portion " + string(e.Reason), N: 1})
+	if e.Reason == model.FailedUnreachable {
+		out = r.sendPortionElsewhere(at, d, out)
+	}
 	return r.step(at, d.request, out)
 }
 
+// sendPortionElsewhere sends a portion to another VM after one has refused it, unless
+// a shard of it was answered directly meanwhile.
+func (r *Router) sendPortionElsewhere(at time.Time, d *delegation, out []effect.Effect) []effect.Effect {
+	req := d.request
+	if req.ended || d.tries >= maxPortionTries || req.deadline.Sub(at) < minDelegationTime {
+		return out
+	}
+	for _, a := range d.attempts {
+		if a.subrequest.answer != nil || a.subrequest.pending > 0 {
+			return out
+		}
+	}
+	if p := r.pickPeer(at, d.portion); p != nil && p.ID != r.settings.VM.ID {
+		return r.sendPortion(at, &delegation{request: req, peer: p, portion: d.portion, tries: d.tries + 1}, out)
+	}
+	return out
+}
+
 // avoidLatePeer avoids the VM of an overdue portion when a direct attempt is made
 // in its place. While nothing of the request has been answered, the delay may be
 // on this VM, and the other one is not avoided.
--- a/core/proxy/finish.go
+++ b/core/proxy/finish.go
@@ -32,7 +32,7 @@
 	if !e.WrongUpstream {
 		out = r.observeLimit(at, a, e.Limit, out)
 	}
-	r.reach.answeredAt = at
+	r.recordAnswer(at, u)
 	if e.NewConn {
 		out = r.recordOpenedConn(at, out)
 	}
@@ -76,6 +76,9 @@
 	if d, ok := r.peers.delegations[e.Attempt]; ok {
 		return r.delegationFailed(at, d, e, out)
 	}
+	if h, ok := r.handovers[e.Attempt]; ok {
+		return r.handoverFailed(at, h, e, out)
+	}
 	a, ok := r.attemptsByID[e.Attempt]
 	if !ok {
 		return out
@@ -182,6 +185,9 @@
 		if wait, refused := req.refusedByLimit(); refused {
 			refusal.Reason, refusal.RetryAfter = model.RefusedLimit, max(refusal.RetryAfter, wait)
 		}
+		if r.reach.lost() {
+			refusal.Reason, refusal.RetryAfter = model.RefusedUnreachable, r.unreachableRetryAfter(at)
+		}
 	case !at.Before(req.deadline):
 		refusal.Reason = model.RefusedTimeout
 	case req.sharded():
@@ -189,6 +195,9 @@
 	default:
 		refusal.Reason = model.RefusedFailed
 	}
+	if req.event.Handover != nil && r.reach.lost() {
+		refusal.Reason = model.RefusedUnreachable // the other VM may offer the request to a further one
+	}
 	if refusal.Ran == model.RanNo {
 		// The refusal states that the request never runs, so no further attempt
 		// may be made.
@@ -242,7 +251,7 @@
 	}
 	trace := effect.Trace{
 		CallerRequestID: req.event.CallerRequestID, Route: req.route.Name, Outcome: outcome, Reason: reason, Took: at.Sub(req.arrived),
-		DocumentVersion: req.documentVersion,
+		DocumentVersion: req.documentVersion, Handover: req.event.Handover != nil,
 		UpstreamListAge: req.upstreamListAge, IncludedShards: req.answered(), MaxAttempts: req.maxAttempts(),
 	}
 	for _, sub := range req.subrequests {
@@ -254,6 +263,10 @@
 		}
 		trace.Services = append(trace.Services, serviceTrace)
 	}
+	if req.handover != nil {
+		trace.Services = append(trace.Services, req.handover.trace(req))
+	}
+	out = r.cancelHandovers(req, out)
 	out = append(out, effect.Count{Counter: effect.CountServed, Reason: outcome, N: 1}, trace)
 	return r.reportDrained(out)
 }
--- a/core/proxy/fleet_test.go
+++ b/core/proxy/fleet_test.go
@@ -226,8 +226,17 @@
 	return req
 }
 
+// setLinks changes the links of the VM. When they refuse new connections, those to
+// every second upstream are closed, as happens in time.
 func (vm *fleetVM) setLinks(state linkState) {
 	vm.links = state
+	if state == linksRefuse {
+		for i, id := range slices.Sorted(maps.Keys(vm.conns)) {
+			if i%2 == 0 {
+				delete(vm.conns, id)
+			}
+		}
+	}
 	if state != linksReset {
 		return
 	}
@@ -296,15 +305,22 @@
 	switch e := e.(type) {
 	case effect.SendResponse:
 		vm.end(e.Request, "served", model.RanYes, 0, func(a *fleetAttempt) event.Body {
-			return event.ResponseReceived{Attempt: a.forward.Attempt, Response: e.Response, Receipt: "r"}
+			return event.HandoverResult{Attempt: a.forward.Attempt, Response: e.Response}
 		})
 	case effect.SendMergedResponse:
 		vm.end(e.Request, "served", model.RanYes, 0, func(a *fleetAttempt) event.Body {
-			return event.ResponseReceived{Attempt: a.forward.Attempt, Response: model.Response{Status: 200, Body: e.Response.Records}, Receipt: "r"}
+			return event.HandoverResult{Attempt: a.forward.Attempt, Response: model.Response{Status: 200, Body: e.Response.Records}}
 		})
 	case effect.Refuse:
 		vm.end(e.Refusal.Request, string(e.Refusal.Reason), e.Refusal.Ran, e.Refusal.RetryAfter, func(a *fleetAttempt) event.Body {
-			return event.AttemptFailed{Attempt: a.forward.Attempt, Reason: model.FailedShed, Ran: e.Refusal.Ran}
+			if a.forward.Handover != nil {
+				return event.HandoverResult{Attempt: a.forward.Attempt, Refusal: &e.Refusal}
+			}
+			reason := model.FailedShed
+			if e.Refusal.Reason == model.RefusedUnreachable {
+				reason = model.FailedUnreachable
+			}
+			return event.AttemptFailed{Attempt: a.forward.Attempt, Reason: reason, Ran: e.Refusal.Ran}
 		})
 	case effect.SendPortionResult:
 		req := vm.requests[e.Request]
@@ -340,6 +356,8 @@
 	switch e := result.(type) {
 	case event.ResponseReceived:
 		a.vm.apply(r.HandleResponseReceived(at, e, nil))
+	case event.HandoverResult:
+		a.vm.apply(r.HandleHandoverResult(at, e, nil))
 	case event.AttemptFailed:
 		a.vm.apply(r.HandleAttemptFailed(at, e, nil))
 	}
@@ -363,7 +381,7 @@
 		f.after(fleetOneWay, func() {
 			if !a.ended {
 				a.peer.receive(event.ProxyRequest{
-					Path: a.request.event.Path, Wait: e.Timeout, Portion: e.Portion, CallerRequestID: a.request.event.CallerRequestID,
+					Path: a.request.event.Path, Wait: e.Timeout, Portion: e.Portion, Handover: e.Handover, CallerRequestID: a.request.event.CallerRequestID,
 				}, a)
 			}
 		})
--- a/core/proxy/held.go
+++ b/core/proxy/held.go
@@ -27,7 +27,7 @@
 
 // hold keeps a request until this VM can serve it, or refuses it.
 func (r *Router) hold(at time.Time, e event.ProxyRequest, out []effect.Effect) []effect.Effect {
-	if e.Portion != nil || e.Wait <= 0 || r.draining || len(r.held) >= maxHeld {
+	if e.Portion != nil || e.Handover != nil || e.Wait <= 0 || r.draining || len(r.held) >= maxHeld {
 		return r.refuseUnsent(e, nil, model.RefusedStale, out)
 	}
 	if r.held == nil {
--- a/core/proxy/invariants_test.go
+++ b/core/proxy/invariants_test.go
@@ -1,6 +1,8 @@
 package proxy_test
 
 import (
+	"maps"
+	"slices"
 	"testing"
 	"time"
 
@@ -16,14 +18,14 @@
 // after it ran, a refusal states "not run" only when that is true, an answer
 // has shards of one document only and states its coverage, extra attempts stay
 // within their bound, attempts end before the caller's time is over, and
-// draining upstreams receive none. Portions are both sent to and received from
-// other VMs.
+// draining upstreams receive none. Portions and whole requests are both sent to
+// and received from other VMs.
 func TestRouterInvariants(t *testing.T) {
 	rapid.Check(t, func(t *rapid.T) {
 		s := newSimulation(t)
 		steps := rapid.IntRange(10, 150).Draw(t, "steps")
 		for range steps {
-			switch rapid.IntRange(0, 11).Draw(t, "action") {
+			switch rapid.IntRange(0, 14).Draw(t, "action") {
 			case 0:
 				s.request("/all/")
 			case 1:
@@ -33,7 +35,14 @@
 			case 3:
 				s.advance(time.Duration(rapid.IntRange(0, 60).Draw(t, "ms")) * time.Millisecond)
 			case 10:
-				s.requestPortion("/all/", &model.Portion{DocumentVersion: s.documentVersion, Shards: []int{1, 2, 4}})
+				s.receive("/all/", &model.Portion{DocumentVersion: s.documentVersion, Shards: []int{1, 2, 4}}, nil)
+			case 12:
+				s.receive([]string{"/all/", "/one/", "/once/"}[rapid.IntRange(0, 2).Draw(t, "path")], nil,
+					&model.Handover{DocumentVersion: s.documentVersion, MaxAttempts: 2})
+			case 13:
+				s.endChecks(rapid.IntRange(0, 2).Draw(t, "checks") == 0)
+			case 14:
+				s.loseLinks()
 			case 11:
 				s.updateEntryVMs()
 			case 4:
@@ -51,6 +60,27 @@
 	})
 }
 
+// loseLinks fails every connection for a while, with requests that need some, and
+// the checks that follow.
+func (s *simulation) loseLinks() {
+	for range 2 {
+		s.request("/one/")
+	}
+	for _, id := range slices.Sorted(maps.Keys(s.attempts)) {
+		a := s.attempts[id]
+		if a.delegated || a.handedOver || a.ran {
+			continue
+		}
+		delete(s.attempts, id)
+		a.connFailed = true
+		s.apply(s.router.HandleAttemptFailed(s.now, event.AttemptFailed{Attempt: id, Reason: model.FailedRefused, Ran: model.RanNo}, nil))
+	}
+	s.advance(100 * time.Millisecond)
+	s.endChecks(false)
+	s.advance(100 * time.Millisecond)
+	s.endChecks(false)
+}
+
 // change updates the document or the upstream list, disconnects a caller, or ends
 // every request.
 func (s *simulation) change(kind int) {
--- a/core/proxy/reach.go
+++ b/core/proxy/reach.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"slices"
@@ -14,7 +15,7 @@
 // Parameters of the detection that this VM reaches no upstream at all.
 const (
 	minSuspectUpstreams = 2                      // upstreams that must fail before the links of this VM are in doubt
-	minSilence          = 100 * time.Millisecond // without an answer from any upstream, before none counts as reachable
+	minDoubt            = 100 * time.Millisecond // in which upstreams that still answer do so
 	connCheckUpstreams  = 4                      // upstreams to which a check opens a connection
 	connCheckTimeout    = 250 * time.Millisecond // several round trips to a distant zone
 	doubtCheckInterval  = time.Second            // between two checks while upstreams still answer
@@ -23,15 +24,16 @@
 )
 
 // reachability is what this VM knows about its links to all upstreams together. An
-// upstream that fails may be down itself; when several fail at once and no other
-// answers, a check of further ones shows whether this VM is cut off. In the zero
-// value upstreams are reachable.
+// upstream that fails may be down itself; when several fail at once, connections to
+// those that answered last show whether this VM is cut off. Connections that were
+// open before may go on working. In the zero value upstreams are reachable.
 type reachability struct {
 	answeredAt  time.Time                     // when an upstream last answered an attempt
 	failedConns map[model.UpstreamID]struct{} // upstreams to which connections failed since one was last opened
-	doubtedAt   time.Time                     // since when the links are in doubt, with no answer since; zero when they are not
-	lostAt      time.Time                     // since when no upstream is reachable; zero while one is
-	regainedAt  time.Time                     // when upstreams became reachable again
+	doubtedAt   time.Time                     // since when the links are in doubt; zero when they are not
+	lostAt      time.Time                     // since when no connection can be opened; zero while one can
+	silent      bool                          // open connections get no answer either
+	regainedAt  time.Time                     // when a connection could be opened again
 	check       connCheck
 }
 
@@ -40,17 +42,18 @@
 	startedAt time.Time
 	pending   map[model.UpstreamID]struct{}
 	failed    int
+	repeated  bool // goes to upstreams that answered during an earlier check
 }
 
-// lost reports whether this VM reaches no upstream.
+// lost reports whether this VM can open no connection to an upstream.
 func (s *reachability) lost() bool { return !s.lostAt.IsZero() }
 
 // inDoubt reports whether failures of upstreams may be failures of this VM's own
 // links. They are then no reason to warn other VMs.
 func (s *reachability) inDoubt() bool { return s.lost() || !s.doubtedAt.IsZero() }
 
-// untilNextCheck returns the time until the next check while no upstream is
-// reachable.
+// untilNextCheck returns the time until the next check while no connection can be
+// opened.
 func (s *reachability) untilNextCheck(at time.Time) time.Duration {
 	return max(0, s.check.startedAt.Add(lostCheckInterval).Sub(at))
 }
@@ -75,7 +78,7 @@
 	out = append(out, effect.Note{
 		At: at, Subject: "upstreams", Action: "reachable again", Cause: "a connection was opened after " + at.Sub(s.lostAt).Truncate(time.Millisecond).String(),
 	})
-	s.lostAt, s.regainedAt = time.Time{}, at
+	s.lostAt, s.silent, s.regainedAt = time.Time{}, false, at
 	for _, u := range r.upstreams {
 		// What failed meanwhile was this VM's link.
 		u.backoffUntil, u.connFailures, u.failureRate = time.Time{}, 0, average{}
@@ -83,15 +86,18 @@
 	return out
 }
 
-// linksInDoubt reports whether several upstreams fail and none answers.
-func (r *Router) linksInDoubt(at time.Time) bool {
-	needed := min(minSuspectUpstreams, len(r.upstreams))
-	return needed > 0 && (len(r.reach.failedConns) >= needed || r.silentUpstreams(at) >= needed)
+// recordAnswer records that an upstream answered.
+func (r *Router) recordAnswer(at time.Time, u *upstream) {
+	u.answeredAt, r.reach.answeredAt, r.reach.silent = at, at, false
 }
 
-// silentUpstreams counts the upstreams that owe an answer for so long that others
+// minSuspects is the number of failing upstreams from which on the links of this VM are
+// in doubt.
+func (r *Router) minSuspects() int { return max(1, min(minSuspectUpstreams, len(r.upstreams))) }
+
+// noAnswers reports whether several upstreams owe an answer for so long that others
 // would have answered meanwhile.
-func (r *Router) silentUpstreams(at time.Time) int {
+func (r *Router) noAnswers(at time.Time) bool {
 	silent := make(map[*upstream]struct{})
 	for _, a := range r.attemptsByID {
 		overdue := slowFactor*a.expected + minSlowExcess
@@ -99,36 +105,36 @@
 			silent[a.upstream] = struct{}{}
 		}
 	}
-	return len(silent)
+	return len(silent) >= r.minSuspects()
 }
 
 // checkReach checks the links to the upstreams while they are in doubt, and draws
 // the conclusion.
 func (r *Router) checkReach(at time.Time, out []effect.Effect) []effect.Effect {
 	s := &r.reach
-	interval := lostCheckInterval
-	if !s.lost() {
-		interval = doubtCheckInterval
-		if !r.linksInDoubt(at) {
-			s.doubtedAt = time.Time{}
+	if s.lost() {
+		out = r.checkSilence(at, out)
+		if at.Sub(s.check.startedAt) < lostCheckInterval {
 			return out
 		}
-		if s.doubtedAt.IsZero() {
-			s.doubtedAt = at
-		}
+		return r.startConnCheck(at, out)
 	}
-	if out = r.concludeConnCheck(at, out); at.Sub(s.check.startedAt) < interval {
+	if len(s.failedConns) < r.minSuspects() && !r.noAnswers(at) {
+		s.doubtedAt = time.Time{}
 		return out
 	}
-	return r.startConnCheck(at, out)
+	if s.doubtedAt.IsZero() {
+		s.doubtedAt = at
+	}
+	if at.Sub(s.check.startedAt) >= doubtCheckInterval {
+		return r.startConnCheck(at, out)
+	}
+	return r.concludeConnCheck(at, out)
 }
 
-// startConnCheck opens connections to upstreams of different zones.
+// startConnCheck opens connections to several upstreams.
 func (r *Router) startConnCheck(at time.Time, out []effect.Effect) []effect.Effect {
 	s := &r.reach
-	if s.answeredAt.After(s.doubtedAt) && !s.lost() {
-		s.doubtedAt = at
-	}
 	s.check = connCheck{startedAt: at, pending: make(map[model.UpstreamID]struct{})}
 	for _, u := range r.upstreamsToCheck() {
 		s.check.pending[u.spec.ID] = struct{}{}
@@ -137,29 +143,25 @@
 	return out
 }
 
-// upstreamsToCheck returns random upstreams, the zones in turn.
+// upstreamsToCheck returns the upstreams that answered last, the zones in turn. The
+// order of the others is random.
 func (r *Router) upstreamsToCheck() []*upstream {
-	byZone := make(map[model.Zone][]*upstream)
+	var all []*upstream
 	for _, id := range slices.Sorted(maps.Keys(r.upstreams)) {
 		if u := r.upstreams[id]; !u.wrongUpstream && u.spec.State == model.StateActive {
-			byZone[u.spec.Zone] = append(byZone[u.spec.Zone], u)
+			all = append(all, u)
 		}
 	}
-	var list []*upstream
-	for len(list) < connCheckUpstreams && len(byZone) > 0 {
-		for _, zone := range slices.Sorted(maps.Keys(byZone)) {
-			rest := byZone[zone]
-			n := r.random.IntN(len(rest))
-			list = append(list, rest[n])
-			if byZone[zone] = slices.Delete(rest, n, n+1); len(byZone[zone]) == 0 {
-				delete(byZone, zone)
-			}
-			if len(list) == connCheckUpstreams {
-				break
-			}
-		}
+	r.random.Shuffle(len(all), func(i, j int) { all[i], all[j] = all[j], all[i] })
+	slices.SortStableFunc(all, func(a, b *upstream) int { return b.answeredAt.Compare(a.answeredAt) })
+	inZone := make(map[model.Zone]int)
+	rank := make(map[*upstream]int, len(all))
+	for _, u := range all {
+		rank[u] = inZone[u.spec.Zone]
+		inZone[u.spec.Zone]++
 	}
-	return list
+	slices.SortStableFunc(all, func(a, b *upstream) int { return cmp.Compare(rank[a], rank[b]) })
+	return all[:min(len(all), connCheckUpstreams)]
 }
 
 // HandleConnChecked handles the result of opening a connection for a check.
@@ -176,17 +178,32 @@
 	return r.concludeConnCheck(at, out)
 }
 
-// concludeConnCheck counts all upstreams as unreachable when a check failed and none
-// answered since the links came into doubt.
+// concludeConnCheck concludes from a check in which no connection could be opened.
+// When other upstreams answered meanwhile, it is repeated with those.
 func (r *Router) concludeConnCheck(at time.Time, out []effect.Effect) []effect.Effect {
 	s := &r.reach
-	if s.lost() || s.doubtedAt.IsZero() || s.check.failed == 0 || len(s.check.pending) > 0 || s.check.startedAt.Before(s.doubtedAt) ||
-		s.answeredAt.After(s.doubtedAt) || at.Sub(s.doubtedAt) < minSilence {
+	if s.lost() || s.doubtedAt.IsZero() || s.check.failed == 0 || len(s.check.pending) > 0 || at.Sub(s.doubtedAt) < minDoubt {
+		return out
+	}
+	if !s.check.repeated && s.answeredAt.After(s.check.startedAt) {
+		out = r.startConnCheck(at, out)
+		s.check.repeated = true
 		return out
 	}
 	s.lostAt = at
-	return append(out, effect.Note{
+	out = append(out, effect.Note{
 		At: at, Subject: "upstreams", Action: "unreachable", Alert: true,
-		Cause: fmt.Sprintf("%d connections could not be opened, no answer for %v", s.check.failed, at.Sub(s.answeredAt).Truncate(time.Millisecond)),
+		Cause: fmt.Sprintf("%d connections could not be opened, last answer %v ago", s.check.failed, at.Sub(s.answeredAt).Truncate(time.Millisecond)),
 	})
+	return r.checkSilence(at, out)
+}
+
+// checkSilence goes through the requests in flight once it is clear that open
+// connections get no answer either.
+func (r *Router) checkSilence(at time.Time, out []effect.Effect) []effect.Effect {
+	if r.reach.silent || !r.noAnswers(at) {
+		return out
+	}
+	r.reach.silent = true
+	return r.handleLostUpstreams(at, out)
 }
--- a/core/proxy/reach_test.go
+++ b/core/proxy/reach_test.go
@@ -47,6 +47,8 @@
 		{"zone is reset, single service", 3, 4, 1, 24, "/one/", linksReset, func(zone, _ int) bool { return zone == 0 }},
 		{"most hang, portions", 4, 12, 36, 24, "/all/", linksHang, func(_, n int) bool { return n < 7 }},
 		{"zone is reset, portions", 4, 6, 36, 24, "/all/", linksReset, func(zone, _ int) bool { return zone == 0 }},
+		{"zone refuses, portions", 4, 6, 36, 24, "/all/", linksRefuse, func(zone, _ int) bool { return zone == 0 }},
+		{"most refuse, portions", 4, 12, 36, 24, "/all/", linksRefuse, func(_, n int) bool { return n < 7 }},
 		{"one VM a zone", 3, 1, 10, 24, "/all/", linksHang, func(zone, _ int) bool { return zone == 0 }},
 	} {
 		t.Run(tc.name, func(t *testing.T) {
--- a/core/proxy/request.go
+++ b/core/proxy/request.go
@@ -1,6 +1,7 @@
 package proxy
 
 import (
+	"slices"
 	"time"
 
 	"comfreypulley/core/event"
@@ -24,6 +25,8 @@
 	timerDue        time.Time          // when the timer is due; zero when none is set
 	crashed         []model.UpstreamID // upstreams that reset the connection
 	reply           portionReply       // only for a portion of another VM's request
+	handover        *handover          // nil unless the request is handed over to another VM
+	offered         bool               // was handed over, and no VM took it
 	limitDraw       float64            // for limits that allow less than a whole request; 0 until drawn
 }
 
@@ -118,9 +121,22 @@
 	return reachable < q.required()
 }
 
+// awaitsPortion reports whether another VM still gathers shards of the request.
+func (q *request) awaitsPortion() bool {
+	for _, sub := range q.subrequests {
+		if slices.ContainsFunc(sub.attempts, func(a *attempt) bool { return a.delegation != nil && a.outcome == "" }) {
+			return true
+		}
+	}
+	return false
+}
+
 // ran states whether the request may have run on any upstream.
 func (q *request) ran() model.Ran {
 	ran := model.RanNo
+	if h := q.handover; h != nil && (h.unknown || h.pending) {
+		ran = model.RanUnknown
+	}
 	for _, sub := range q.subrequests {
 		switch {
 		case sub.answer != nil || sub.ran == model.RanYes:
--- a/core/proxy/retry_budget.go
+++ b/core/proxy/retry_budget.go
@@ -34,6 +34,21 @@
 	}
 }
 
+// earnRetries counts a request in the retry budgets of its services. A request that
+// is handed over counts at the VM that serves it.
+func (r *Router) earnRetries(at time.Time, req *request) {
+	for _, sub := range req.subrequests {
+		r.retryBudget(at, sub.service).Earn()
+	}
+}
+
+// returnRetries takes a request out of the retry budgets.
+func (r *Router) returnRetries(at time.Time, req *request) {
+	for _, sub := range req.subrequests {
+		r.retryBudget(at, sub.service).Return()
+	}
+}
+
 // retryBudget returns this VM's retry budget for a service. In a new process it
 // is not full, because the process before it may have spent a whole budget in the
 // same window.
--- a/core/proxy/router.go
+++ b/core/proxy/router.go
@@ -30,13 +30,14 @@
 	upstreamListChecksum uint64
 	entryVMCount         int // 0 while not known
 	upstreams            map[model.UpstreamID]*upstream
-	byService            map[string][]*upstream          // upstreams of a service
-	latencies            map[string]*latencyStats        // by route
-	roundRobins          map[string]*roundRobin          // by route
-	retryBudgets         map[string]*retry.TokenBucket   // by service
-	requests             map[model.RequestID]*request    // without those that have ended
-	held                 map[model.RequestID]heldRequest // wait for the first document and upstream list
-	attemptsByID         map[model.AttemptID]*attempt    // in flight, also of requests that have ended
+	byService            map[string][]*upstream               // upstreams of a service
+	latencies            map[string]*latencyStats             // by route
+	roundRobins          map[string]*roundRobin               // by route
+	retryBudgets         map[string]*retry.TokenBucket        // by service
+	requests             map[model.RequestID]*request         // without those that have ended
+	held                 map[model.RequestID]heldRequest      // wait for the first document and upstream list
+	attemptsByID         map[model.AttemptID]*attempt         // in flight, also of requests that have ended
+	handovers            map[model.AttemptID]*handoverAttempt // in flight, also of requests that have ended
 	lastAttemptID        model.AttemptID
 	suspects             crashSuspects
 	peers                peers
@@ -161,7 +162,7 @@
 // CutOff ends the requests that are still in flight: each is answered with what was
 // received, or refused.
 func (r *Router) CutOff(at time.Time, out []effect.Effect) []effect.Effect {
-	for _, id := range slices.Sorted(maps.Keys(r.requests)) {
+	for _, id := range r.requestsInOrder() {
 		req := r.requests[id]
 		if req.event.Portion != nil {
 			out = r.endPortion(at, req, out)
@@ -172,6 +173,9 @@
 	return out
 }
 
+// requestsInOrder returns the requests in the order of their arrival.
+func (r *Router) requestsInOrder() []model.RequestID { return slices.Sorted(maps.Keys(r.requests)) }
+
 func (r *Router) reportDrained(out []effect.Effect) []effect.Effect {
 	if r.draining && len(r.requests) == 0 {
 		out = append(out, effect.Drained{})
--- a/core/proxy/simulation_test.go
+++ b/core/proxy/simulation_test.go
@@ -38,6 +38,7 @@
 	firstArrivals   map[string]int // first attempts that reached an upstream, by service
 	extraArrivals   map[string]int // further attempts of the same requests
 	lastID          model.RequestID
+	checks          []model.UpstreamID // upstreams to which a connection is being opened
 }
 
 type simUpstream struct {
@@ -51,6 +52,7 @@
 	ran        bool
 	connFailed bool
 	delegated  bool  // a portion that was sent to another VM
+	handedOver bool  // a whole request that was sent to another VM
 	reported   []int // shards of the portion that were answered or failed
 }
 
@@ -62,10 +64,11 @@
 	runs            map[string]int // by service
 	ends            int
 	disconnected    bool
-	refusedAsNotRun bool           // the refusal stated that the request never runs
-	portion         *model.Portion // received from another VM; nil for a caller's request
-	reported        []int          // shards whose result the other VM has
-	answered        bool           // the other VM has at least one answer
+	refusedAsNotRun bool            // the refusal stated that the request never runs
+	portion         *model.Portion  // received from another VM; nil for a caller's request
+	handover        *model.Handover // the same for a request that another VM handed over
+	reported        []int           // shards whose result the other VM has
+	answered        bool            // the other VM has at least one answer
 }
 
 func simService(version uint64, n int) string { return fmt.Sprintf("set%d-%d", version%2, n) }
@@ -152,13 +155,15 @@
 	s.apply(s.router.HandleUpstreamList(s.now, event.UpstreamList{Upstreams: list, Checksum: s.listChecksum, ReadAt: s.now, EntryVMCount: 1}, nil))
 }
 
-func (s *simulation) request(path string) { s.requestPortion(path, nil) }
+func (s *simulation) request(path string) { s.receive(path, nil, nil) }
 
-func (s *simulation) requestPortion(path string, portion *model.Portion) {
+// receive passes a request to the router: a caller's, a portion of another VM's, or
+// one that another VM hands over.
+func (s *simulation) receive(path string, portion *model.Portion, handover *model.Handover) {
 	s.lastID++
-	s.requests[s.lastID] = &simRequest{path: path, arrived: s.now, documentVersion: s.documentVersion, runs: make(map[string]int), portion: portion}
+	s.requests[s.lastID] = &simRequest{path: path, arrived: s.now, documentVersion: s.documentVersion, runs: make(map[string]int), portion: portion, handover: handover}
 	s.apply(s.router.HandleProxyRequest(s.now, event.ProxyRequest{
-		ID: s.lastID, Host: "a.example:80", Path: path + "x", Fingerprint: model.Fingerprint(s.lastID), Wait: 500 * time.Millisecond, Portion: portion,
+		ID: s.lastID, Host: "a.example:80", Path: path + "x", Fingerprint: model.Fingerprint(s.lastID), Wait: 500 * time.Millisecond, Portion: portion, Handover: handover,
 	}, nil))
 }
 
@@ -172,6 +177,8 @@
 			delete(s.timers, e.ID)
 		case effect.Forward:
 			s.checkForward(e)
+		case effect.OpenConn:
+			s.checks = append(s.checks, e.Upstream)
 		case effect.SendResponse:
 			s.recordEnd(e.Request)
 		case effect.SendMergedResponse:
@@ -196,6 +203,10 @@
 		s.checkDelegation(e, req)
 		return
 	}
+	if e.Handover != nil {
+		s.checkHandover(e, req)
+		return
+	}
 	u := s.upstreams[e.Upstream]
 	a := &simAttempt{forward: e, service: u.spec.Index}
 	switch {
@@ -232,6 +243,85 @@
 	s.attempts[e.Attempt] = &simAttempt{forward: e, delegated: true}
 }
 
+// checkHandover checks and records a request handed over to another VM.
+func (s *simulation) checkHandover(e effect.Forward, req *simRequest) {
+	switch {
+	case req.ends > 0 || req.disconnected || req.portion != nil || req.handover != nil:
+		s.t.Fatalf("request %d to %s is handed over", e.Request, req.path)
+	case e.Handover.DocumentVersion != req.documentVersion:
+		s.t.Fatalf("request %d is handed over with version %d, want %d", e.Request, e.Handover.DocumentVersion, req.documentVersion)
+	case req.arrived.Add(500 * time.Millisecond).Before(s.now.Add(e.Timeout)):
+		s.t.Fatalf("request %d may take %v at another VM", e.Request, e.Timeout)
+	case req.path == "/once/" && len(req.runs) > 0:
+		s.t.Fatalf("request %d may run once and is handed over after it ran", e.Request)
+	}
+	made := make(map[string]int)
+	for _, a := range req.attempts {
+		if !a.connFailed {
+			made[a.service]++
+		}
+	}
+	for service, n := range made {
+		if n+e.Handover.MaxAttempts > 2 {
+			s.t.Fatalf("request %d has %d attempts on %s and may have %d more, want 2 at most", e.Request, n, service, e.Handover.MaxAttempts)
+		}
+	}
+	s.attempts[e.Attempt] = &simAttempt{forward: e, handedOver: true}
+}
+
+// answerHandover lets another VM serve a request, refuse it, or break the connection.
+func (s *simulation) answerHandover(id model.AttemptID, a *simAttempt, outcome int) {
+	req := s.requests[a.forward.Request]
+	delete(s.attempts, id)
+	run := func() {
+		services := []string{"single"}
+		if req.path == "/all/" {
+			services = nil
+			for n := range simShards {
+				services = append(services, simService(req.documentVersion, n))
+			}
+		}
+		for _, service := range services {
+			sub := &simAttempt{forward: a.forward, service: service}
+			req.attempts = append(req.attempts, sub)
+			s.recordArrival(sub)
+			if req.runs[service]++; req.path == "/once/" && (req.runs[service] > 1 || req.refusedAsNotRun) {
+				s.t.Fatalf("request %d ran %d times, refused as not run: %v", a.forward.Request, req.runs[service], req.refusedAsNotRun)
+			}
+		}
+	}
+	result := event.HandoverResult{Attempt: id}
+	switch outcome {
+	case 0, 1, 2:
+		run()
+		result.Response = model.Response{Status: 200, Body: []byte("body")}
+	case 3:
+		result.Refusal = &model.Refusal{Reason: model.RefusedUnreachable, Ran: model.RanNo}
+	case 4:
+		run()
+		result.Refusal = &model.Refusal{Reason: model.RefusedFailed, Ran: model.RanUnknown}
+	case 5:
+		result.Refusal = &model.Refusal{Reason: model.RefusedExhausted, Ran: model.RanNo, RetryAfter: time.Second}
+	case 6:
+		s.apply(s.router.HandleAttemptFailed(s.now, event.AttemptFailed{Attempt: id, Reason: model.FailedRefused, Ran: model.RanNo}, nil))
+		return
+	default:
+		run()
+		s.apply(s.router.HandleAttemptFailed(s.now, event.AttemptFailed{Attempt: id, Reason: model.FailedReset, Ran: model.RanUnknown}, nil))
+		return
+	}
+	s.apply(s.router.HandleHandoverResult(s.now, result, nil))
+}
+
+// endChecks ends the connection checks that are under way.
+func (s *simulation) endChecks(opened bool) {
+	checks := s.checks
+	s.checks = nil
+	for _, id := range checks {
+		s.apply(s.router.HandleConnChecked(s.now, event.ConnChecked{Upstream: id, Opened: opened}, nil))
+	}
+}
+
 // checkPortionResult checks a frame of the answer to another VM.
 func (s *simulation) checkPortionResult(e effect.SendPortionResult) {
 	req := s.requests[e.Request]
@@ -415,6 +505,10 @@
 		s.answerPortion(id, a, outcome)
 		return
 	}
+	if a.handedOver {
+		s.answerHandover(id, a, outcome)
+		return
+	}
 	delete(s.attempts, id)
 	req := s.requests[a.forward.Request]
 	ran := func() {
--- a/core/proxy/step.go
+++ b/core/proxy/step.go
@@ -39,6 +39,10 @@
 	}
 	route := routes.find(e.Host, e.Path)
 	switch {
+	case (e.Portion != nil || e.Handover != nil) && r.reach.lost():
+		return r.refuseUnsent(e, route, model.RefusedUnreachable, out)
+	case e.Handover != nil && e.Handover.DocumentVersion > version:
+		return r.refuseUnsent(e, route, model.RefusedStale, out)
 	case route == nil && r.documentOverdue:
 		return r.refuseUnsent(e, nil, model.RefusedStale, out)
 	case route == nil:
@@ -48,6 +52,9 @@
 	case r.suspects.quarantined(at, e.Fingerprint):
 		return r.refuseUnsent(e, route, model.RefusedQuarantine, out)
 	}
+	if e.Handover != nil {
+		route = limitAttempts(route, e.Handover.MaxAttempts)
+	}
 	req := &request{
 		event: e, route: route, latency: r.latencyStats(route), documentVersion: version, arrived: at, lastAnswer: at,
 		upstreamListAge: at.Sub(r.upstreamListReadAt),
@@ -68,8 +75,12 @@
 	}
 	for _, service := range r.servicesOf(route) {
 		req.subrequests = append(req.subrequests, &subrequest{service: service, ran: model.RanNo})
-		r.retryBudget(at, service).Earn()
 	}
+	if r.handsOver(at, e) {
+		r.requests[e.ID] = req
+		return r.handOver(at, req, max(1, route.MaxAttempts), out)
+	}
+	r.earnRetries(at, req)
 	if !r.mayDelegate(at, req) && !r.reserve(at, req) {
 		wait, _ := req.refusedByLimit()
 		return r.refuse(e, route, model.RefusedLimit, wait, out)
@@ -79,6 +90,13 @@
 	return r.step(at, req, out)
 }
 
+// limitAttempts returns a route with at most a number of attempts.
+func limitAttempts(route *model.Route, attempts int) *model.Route {
+	limited := *route
+	limited.MaxAttempts = max(1, min(limited.MaxAttempts, attempts))
+	return &limited
+}
+
 // servicesOf returns the services that a request of the route goes to: all
 // shards, or one target.
 func (r *Router) servicesOf(route *model.Route) []string {
@@ -118,6 +136,9 @@
 	if req.event.Portion != nil {
 		return r.stepPortion(at, req, out)
 	}
+	if req.handover != nil {
+		return r.stepHandover(at, req, out)
+	}
 	open := 0
 	for _, sub := range req.subrequests {
 		if sub.answer != nil {
@@ -128,6 +149,12 @@
 			open++
 		}
 	}
+	if open == 0 && r.reach.inDoubt() && req.ran() == model.RanNo {
+		if allowed, ok := r.mayHandOverLate(at, req); ok {
+			r.returnRetries(at, req)
+			return r.handOver(at, req, allowed, out)
+		}
+	}
 	switch {
 	case open == 0 || req.sharded() && req.coverageUnreachable(at):
 		return r.finish(at, req, out)
@@ -144,6 +171,10 @@
 	if sub.abandoned || at.Before(sub.nextAttempt) {
 		return out
 	}
+	if r.reach.silent {
+		sub.abandoned = true
+		return out
+	}
 	if len(sub.attempts) > 0 && !r.mayRepeat(at, req, sub) {
 		return out
 	}
--- a/core/proxy/upstream.go
+++ b/core/proxy/upstream.go
@@ -40,6 +40,7 @@
 	backoffUntil  time.Time // receives an attempt before this only when no other upstream can be tried
 	connFailures  int       // consecutive failed connections
 	wrongUpstream bool      // another upstream answers at the address
+	answeredAt    time.Time // when it last answered
 	closedAt      time.Time // when the upstream last closed a connection on its own
 	warmUpUntil   time.Time
 	warnings      warnings
--- a/core/retry/token_bucket.go
+++ b/core/retry/token_bucket.go
@@ -31,6 +31,9 @@
 	b.tokens = min(b.tokens+b.ratio, b.capacity)
 }
 
+// Return removes the tokens of a first attempt that is made elsewhere.
+func (b *TokenBucket) Return() { b.tokens = max(0, b.tokens-b.ratio) }
+
 // Tokens returns how many extra attempts are allowed now.
 func (b *TokenBucket) Tokens() float64 { return b.tokens }
 
--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -97,7 +97,7 @@
 // conn.readLoop ends the attempt.
 func (a *attempt) write(c *conn) {
 	a.request.encodeOnce.Do(func() { a.request.encodeSharedHead(a.client.HeaderNames) })
-	if _, err := c.Write(a.request.encodeAttempt(a.client.HeaderNames, a.deadline, a.forward.Upstream, a.forward.Portion)); err != nil {
+	if _, err := c.Write(a.request.encodeAttempt(a.client.HeaderNames, a.deadline, &a.forward)); err != nil {
 		c.Close()
 	}
 }
@@ -197,6 +197,13 @@
 		}
 		return result, idleTimeout, err
 	}
+	if a.forward.Handover != nil {
+		result, err = a.readHandoverResult(response)
+		if !response.Close && c.reader.Buffered() == 0 {
+			idleTimeout = a.idleTimeoutFor(response.Header)
+		}
+		return result, idleTimeout, err
+	}
 	body, err := a.client.bodies.ReadAll(response.Body, response.ContentLength)
 	if err != nil {
 		return nil, 0, fmt.Errorf("read the response body: %w", err)
@@ -231,7 +238,11 @@
 func (a *attempt) readPortionResults(response *http.Response) (result event.Body, err error) {
 	if response.StatusCode != http.StatusOK {
 		_, err = a.client.bodies.ReadAll(response.Body, response.ContentLength)
-		return event.AttemptFailed{Attempt: a.forward.Attempt, Reason: model.FailedShed, Ran: model.RanNo, NewConn: a.newConn}, err
+		reason := model.FailedShed
+		if r := parseRefusal(response.Header); r != nil && r.Reason == model.RefusedUnreachable {
+			reason = model.FailedUnreachable
+		}
+		return event.AttemptFailed{Attempt: a.forward.Attempt, Reason: reason, Ran: model.RanNo, NewConn: a.newConn}, err
 	}
 	limited := a.client.bodies.NewReader(response.Body)
 	defer limited.Release()
@@ -257,12 +268,14 @@
 }
 
 // responseHeaders returns the headers that are passed to the caller. The server
-// sets Content-Length and Date itself.
+// sets Content-Length and Date itself, and the headers between VMs are only theirs.
 func responseHeaders(h http.Header) []model.Header {
 	var list []model.Header
 	for name, values := range endToEndHeaders(h) {
 		for _, value := range values {
-			if name != "Content-Length" && name != "Date" {
+			switch name {
+			case "Content-Length", "Date", handoverHeader, refusalHeader:
+			default:
 				list = append(list, model.Header{Name: name, Value: value})
 			}
 		}
--- a/io/proxy/portion.go
+++ b/io/proxy/portion.go
@@ -87,13 +87,17 @@
 	return p, nil
 }
 
-// PortionHandler is the http.Handler for portions of other VMs' requests. It
-// passes them to a Server.
+// PortionHandler is the http.Handler for other VMs' requests, which are portions or
+// requests that are handed over. It passes them to a Server.
 type PortionHandler struct{ Server *Server }
 
 // ServeHTTP implements http.Handler.
 func (h *PortionHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	s := h.Server
+	if text := r.Header.Get(handoverHeader); text != "" {
+		h.serveHandover(w, r, text)
+		return
+	}
 	p, err := parsePortion(r.Header.Get(portionHeader))
 	if err != nil {
 		// The other VM treats the status as a refusal of the portion.
@@ -106,7 +110,22 @@
 		// is still accepted, because it ends long before the process does.
 		w.Header().Set("Connection", "close")
 	}
-	s.serve(w, r, p)
+	s.serve(w, r, p, nil)
+}
+
+// serveHandover serves a request that another VM hands over.
+func (h *PortionHandler) serveHandover(w http.ResponseWriter, r *http.Request, text string) {
+	handover, err := parseHandover(text)
+	if err != nil {
+		http.Error(w, err.Error(), http.StatusBadRequest)
+		return
+	}
+	r.Header.Del(handoverHeader)
+	w.Header().Set(handoverHeader, text)
+	if h.Server.draining.Load() {
+		w.Header().Set("Connection", "close")
+	}
+	h.Server.serve(w, r, nil, handover)
 }
 
 // streamPortionResults writes frames to another VM up to the last one, or a
--- a/io/proxy/request.go
+++ b/io/proxy/request.go
@@ -46,7 +46,7 @@
 	var b bytes.Buffer
 	b.WriteString(r.Method + " " + r.URI + " HTTP/1.1\r\nHost: " + r.Host + "\r\n")
 	headers := endToEndHeaders(r.Headers)
-	for _, name := range []string{"Host", "Content-Length", names.Wait, names.ExpectedUpstream, portionHeader} {
+	for _, name := range []string{"Host", "Content-Length", names.Wait, names.ExpectedUpstream, portionHeader, handoverHeader} {
 		headers.Del(name)
 	}
 	if len(r.Body) > 0 || r.Method != http.MethodGet && r.Method != http.MethodHead {
@@ -57,8 +57,8 @@
 }
 
 // encodeAttempt returns the bytes of one attempt's request: the shared head, the
-// time left, the intended upstream or the portion for another VM, and the body.
-func (r *CallerRequest) encodeAttempt(names *HeaderNames, deadline time.Time, upstream model.UpstreamID, portion *model.Portion) []byte {
+// time left, the intended upstream or what another VM is asked to do, and the body.
+func (r *CallerRequest) encodeAttempt(names *HeaderNames, deadline time.Time, f *effect.Forward) []byte {
 	const addedBytes = 128 // room for the headers added here
 	b := make([]byte, 0, len(r.sharedHead)+addedBytes+len(r.Body))
 	b = append(b, r.sharedHead...)
@@ -66,12 +66,15 @@
 	b = append(b, ": "...)
 	b = strconv.AppendInt(b, max(1, time.Until(deadline).Milliseconds()), 10)
 	b = append(b, "\r\n"...)
-	if portion != nil {
-		b = append(b, portionHeader+": "+formatPortion(portion)...)
-	} else {
+	switch {
+	case f.Portion != nil:
+		b = append(b, portionHeader+": "+formatPortion(f.Portion)...)
+	case f.Handover != nil:
+		b = append(b, handoverHeader+": "+formatHandover(f.Handover)...)
+	default:
 		b = append(b, names.ExpectedUpstream...)
 		b = append(b, ": "...)
-		b = append(b, upstream...)
+		b = append(b, f.Upstream...)
 	}
 	b = append(b, "\r\n\r\n"...)
 	return append(b, r.Body...)
--- a/io/proxy/server.go
+++ b/io/proxy/server.go
@@ -81,11 +81,11 @@
 		// The load balancer sends this caller's next connection to another VM.
 		w.Header().Set("Connection", "close")
 	}
-	s.serve(w, r, nil)
+	s.serve(w, r, nil, nil)
 }
 
-// serve handles a caller's request, or a portion of another VM's request.
-func (s *Server) serve(w http.ResponseWriter, r *http.Request, portion *model.Portion) {
+// serve handles a caller's request, or a portion or the whole of another VM's request.
+func (s *Server) serve(w http.ResponseWriter, r *http.Request, portion *model.Portion, handover *model.Handover) {
 	if !s.gate.Enter() {
 		s.writeRefusal(w, model.Refusal{Reason: model.RefusedDraining, Ran: model.RanNo, RetryAfter: drainingRetryAfter})
 		return
@@ -117,7 +117,7 @@
 	path, _, _ := strings.Cut(request.URI, "?")
 	s.Post(event.ProxyRequest{
 		ID: id, CallerRequestID: request.ID, Host: r.Host, Path: path, Wait: s.HeaderNames.parseWait(r.Header),
-		Fingerprint: request.fingerprint(), Portion: portion, NewConn: isFirstRequest(r), RoundTrip: roundTripOf(r),
+		Fingerprint: request.fingerprint(), Portion: portion, Handover: handover, NewConn: isFirstRequest(r), RoundTrip: roundTripOf(r),
 	})
 	if portion != nil {
 		if !s.streamPortionResults(w, r, request) {
@@ -203,6 +203,10 @@
 		status = http.StatusGatewayTimeout
 	default:
 	}
+	if r.Ran != model.RanNo && (status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests) {
+		status = http.StatusBadGateway // the other statuses state that the request did not run
+	}
+	w.Header().Set(refusalHeader, formatRefusal(r))
 	if status == http.StatusServiceUnavailable || status == http.StatusTooManyRequests {
 		seconds := math.Ceil(r.RetryAfter.Seconds()*1000) / 1000
 		w.Header().Set("Retry-After", strconv.FormatFloat(seconds, 'f', -1, 64))
