Deliver requests that are handed over in the test of stated limits

A VM that loses the connections to several upstreams at a cut of its zone may hand a request over; the simulated fleet ended with an index out of range.

--- a/core/node/limit_sim_test.go
+++ b/core/node/limit_sim_test.go
@@ -6,6 +6,7 @@
 	"math/rand/v2"
 	"net/netip"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -46,6 +47,7 @@
 	arrivals  map[model.UpstreamID][]limitArrival
 	informed  map[model.VMID]map[model.UpstreamID]time.Time // first answer of an upstream that stated a limit
 	firstSeen map[model.UpstreamID]time.Time
+	handovers map[model.RequestID]limitHandover
 	requests  int
 	served    int
 	refused   int
@@ -72,9 +74,9 @@
 func newLimitFleet(zones, entryVMs int, rate float64) *limitFleet {
 	f := &limitFleet{
 		now: startTime, zones: zones, random: rand.New(rand.NewPCG(1, 1)), vms: make(map[model.VMID]*limitVM),
-		limit:    func(time.Time) *model.Limit { return &model.Limit{Rate: rate} },
-		weight:   func(int) float64 { return 1 },
-		arrivals: make(map[model.UpstreamID][]limitArrival), informed: make(map[model.VMID]map[model.UpstreamID]time.Time),
+		limit:     func(time.Time) *model.Limit { return &model.Limit{Rate: rate} },
+		weight:    func(int) float64 { return 1 },
+		handovers: make(map[model.RequestID]limitHandover), arrivals: make(map[model.UpstreamID][]limitArrival), informed: make(map[model.VMID]map[model.UpstreamID]time.Time),
 		firstSeen: make(map[model.UpstreamID]time.Time),
 	}
 	for z := range zones {
@@ -229,9 +231,13 @@
 		case effect.Forward:
 			f.forward(id, e)
 		case effect.SendResponse:
-			f.served++
+			if !f.endHandover(e.Request, event.HandoverResult{Response: e.Response}) {
+				f.served++
+			}
 		case effect.Refuse:
-			f.refused++
+			if !f.endHandover(e.Refusal.Request, event.HandoverResult{Refusal: &e.Refusal}) {
+				f.refused++
+			}
 		}
 	}
 }
@@ -259,6 +265,10 @@
 // forward delivers an attempt to its upstream and the answer to the VM.
 func (f *limitFleet) forward(id model.VMID, e effect.Forward) {
 	vm, boot := f.vms[id], f.vms[id].boot
+	if e.Handover != nil {
+		f.handOver(id, e)
+		return
+	}
 	i := slices.IndexFunc(f.upstreams, func(u model.Upstream) bool { return u.ID == e.Upstream })
 	if !f.reachable(vm.vm.Zone, f.upstreams[i].Zone) {
 		f.after(limitService, func() {
@@ -286,6 +296,46 @@
 	})
 }
 
+// limitHandover is a request that one VM has handed over to another.
+type limitHandover struct {
+	vm      model.VMID
+	boot    int
+	attempt model.AttemptID
+}
+
+// handOver delivers a request to the VM that it is handed over to.
+func (f *limitFleet) handOver(id model.VMID, e effect.Forward) {
+	from, to := f.vms[id], model.VMID(strings.TrimPrefix(string(e.Upstream), "vm "))
+	boot, peer := from.boot, f.vms[to]
+	if peer == nil || to == f.down || !f.reachable(from.vm.Zone, peer.vm.Zone) {
+		f.after(limitService, func() {
+			f.post(id, boot, event.RoleProxy, event.AttemptFailed{Attempt: e.Attempt, Reason: model.FailedRefused, Ran: model.RanNo})
+		})
+		return
+	}
+	f.lastID++
+	requestID := f.lastID
+	f.handovers[requestID] = limitHandover{vm: id, boot: boot, attempt: e.Attempt}
+	peerBoot := peer.boot
+	f.after(limitMessage, func() {
+		f.post(to, peerBoot, event.RoleProxy, event.ProxyRequest{
+			ID: requestID, CallerRequestID: fmt.Sprint(requestID), Host: "h", Path: "/x", Wait: e.Timeout, Fingerprint: model.Fingerprint(requestID),
+			Handover: e.Handover,
+		})
+	})
+}
+
+// endHandover delivers the answer to a request that was handed over. It reports false
+// for a caller's request.
+func (f *limitFleet) endHandover(id model.RequestID, result event.HandoverResult) bool {
+	h, ok := f.handovers[id]
+	if ok {
+		result.Attempt = h.attempt
+		f.after(limitMessage, func() { f.post(h.vm, h.boot, event.RoleProxy, result) })
+	}
+	return ok
+}
+
 // request sends a request to an entry VM.
 func (f *limitFleet) request() {
 	sum := 0.0
