Keep to the whole pause that an upstream asks for in the own protocol

core/route cut the Retry-After of a shed or cold upstream to 5 s, so that one that asked for longer got attempts in its pause. It now uses retry.Pause, which ends early only when the upstream has restarted; afterwards one attempt at a time and then more are sent. A shard whose replicas are all in a pause beyond the time of its query is given up at once. The traffic loops of a process share pauses.

TestUpstreamGetsNothingInItsPause: on the code before, the replica was chosen again 6 s into a pause of 10.5 s.

--- a/core/node/internal.go
+++ b/core/node/internal.go
@@ -20,6 +20,9 @@
 		if s.role == event.RoleControl {
 			return append(out, effect.ToTraffic{Loop: effect.AllLoops, Body: body})
 		}
+		if s.role == event.RoleQuery {
+			return s.query.HandleUpstreamPause(at, body, out)
+		}
 		return s.proxy.HandleUpstreamPause(at, body, out)
 	case event.LimitReport:
 		return s.control.HandleLimitReport(at, body, out)
--- a/core/query/results.go
+++ b/core/query/results.go
@@ -75,6 +75,13 @@
 	return t.advance(at, q, out)
 }
 
+// HandleUpstreamPause applies a pause that an upstream has asked another loop of this
+// process for.
+func (t *Table) HandleUpstreamPause(at time.Time, e event.UpstreamPause, out []effect.Effect) []effect.Effect {
+	t.balancer.RecordPause(at, e.Upstream, e.Length)
+	return out
+}
+
 // HandleAttemptFailed handles the end of an attempt without an answer.
 func (t *Table) HandleAttemptFailed(at time.Time, f event.AttemptFailed, out []effect.Effect) []effect.Effect {
 	sent, ok := t.attempts[f.Attempt]
@@ -87,6 +94,9 @@
 	if f.Reason == model.FailedVersion {
 		out = t.probeIndex(at, sent.index, out)
 	}
+	if f.RetryAfter > 0 && t.start.Loops > 1 {
+		out = append(out, effect.ToControl{Body: event.UpstreamPause{Upstream: sent.upstream, Length: f.RetryAfter}})
+	}
 	if f.Reason == model.FailedShed {
 		t.limiter.RecordShed(sent.index)
 	}
--- a/core/query/wait_queue.go
+++ b/core/query/wait_queue.go
@@ -73,7 +73,8 @@
 }
 
 // awaitCapacity makes shard i wait for capacity of any of its replicas. It gives the
-// shard up when all of them have been down for longer than the query has time left.
+// shard up when all of them have been down, or are in a pause, for longer than the query
+// has time left.
 func (t *Table) awaitCapacity(at time.Time, q *query, i int) {
 	holders, next := t.balancer.ActiveReplicas(at, q.request.Index, q.version, i)
 	if len(holders) == 0 {
@@ -81,7 +82,12 @@
 		return
 	}
 	// Replicas that have been down for long are not expected back soon.
-	if down := t.balancer.UnreachableFor(at, holders); q.idempotent() && down > 0 && down >= q.deadline().Sub(at) {
+	left := q.deadline().Sub(at)
+	if down := t.balancer.UnreachableFor(at, holders); q.idempotent() && down > 0 && down >= left {
+		q.abandon(i)
+		return
+	}
+	if paused := t.balancer.PausedFor(at, holders); q.idempotent() && paused > 0 && paused >= left {
 		q.abandon(i)
 		return
 	}
--- a/core/route/attempts.go
+++ b/core/route/attempts.go
@@ -58,14 +58,15 @@
 		u.nextProbe = at
 	case model.FailedShed:
 		u.recordShed(at)
-		u.backoffUntil = at.Add(min(f.RetryAfter, maxRetryAfter))
+		u.pause.Ask(at, f.RetryAfter, 0)
 	case model.FailedDrained:
 		u.draining = true
 		u.drainRefusedAt = at
 		b.epoch++
 	case model.FailedCold:
 		u.beginSlowStart(at)
-		u.backoffUntil = at.Add(min(max(f.RetryAfter, initialBackoff), maxRetryAfter))
+		u.backoffUntil = at.Add(initialBackoff)
+		u.pause.Ask(at, f.RetryAfter, 0)
 	case model.FailedVersion:
 		if h, ok := b.snapshots[snapshot{u.Index, version}]; ok && shard < len(h.replicas) {
 			h.remove(shard, u)
@@ -85,6 +86,14 @@
 	}
 }
 
+// RecordPause records that an upstream has asked another loop of this process for a
+// pause.
+func (b *Balancer) RecordPause(at time.Time, id model.UpstreamID, length time.Duration) {
+	if u, ok := b.upstreams[id]; ok {
+		u.pause.Ask(at, length, 0)
+	}
+}
+
 // attemptEnded records the end of an attempt; newConn says that it opened a new
 // connection.
 func (u *upstream) attemptEnded(newConn bool) {
--- a/core/route/balancer.go
+++ b/core/route/balancer.go
@@ -108,7 +108,7 @@
 
 // ActiveReplicas returns the replicas of a shard that are not draining,
 // including those that are not usable now. It also returns when the earliest
-// backoff of one of them ends, or zero when none is backed off.
+// backoff or pause of one of them ends, or zero when there is none.
 func (b *Balancer) ActiveReplicas(
 	at time.Time, index string, version model.SnapshotVersion, shard int,
 ) (ids []model.UpstreamID, next time.Time) {
@@ -117,13 +117,30 @@
 			continue
 		}
 		ids = append(ids, u.ID)
-		if u.live() && at.Before(u.backoffUntil) && (next.IsZero() || u.backoffUntil.Before(next)) {
-			next = u.backoffUntil
+		wait := u.unusableFor(at)
+		if usableAt := at.Add(wait); u.live() && wait > 0 && (next.IsZero() || usableAt.Before(next)) {
+			next = usableAt
 		}
 	}
 	return ids, next
 }
 
+// PausedFor returns the time until one of the upstreams is outside of a pause that it
+// has asked for; 0 when one is.
+func (b *Balancer) PausedFor(at time.Time, ids []model.UpstreamID) time.Duration {
+	var shortest time.Duration
+	for _, id := range ids {
+		u, ok := b.upstreams[id]
+		if !ok || u.pause.Left(at) == 0 {
+			return 0
+		}
+		if left := u.pause.Left(at); shortest == 0 || left < shortest {
+			shortest = left
+		}
+	}
+	return shortest
+}
+
 // UnreachableFor returns for how long none of the upstreams has been reachable; 0 when
 // one is, or has never been.
 func (b *Balancer) UnreachableFor(at time.Time, ids []model.UpstreamID) time.Duration {
@@ -144,7 +161,7 @@
 // attempt.
 func (b *Balancer) HasCapacity(at time.Time, id model.UpstreamID) bool {
 	u, ok := b.upstreams[id]
-	return ok && u.usable(at) && u.hasCapacity()
+	return ok && u.usable(at) && u.hasCapacity(at)
 }
 
 func (b *Balancer) replicas(index string, version model.SnapshotVersion, shard int) []*upstream {
@@ -163,7 +180,7 @@
 	replicas := b.replicas(index, version, shard)
 	lowest := lowestLatency(replicas)
 	for _, u := range replicas {
-		if !u.usable(at) || !u.hasCapacity() || slices.Contains(exclude, u.ID) {
+		if !u.usable(at) || !u.hasCapacity(at) || slices.Contains(exclude, u.ID) {
 			continue
 		}
 		if cost := u.cost(at, lowest, b.distance(u.Zone)); best == nil || cost < bestCost {
--- a/core/route/balancer_test.go
+++ b/core/route/balancer_test.go
@@ -141,6 +141,30 @@
 	}
 }
 
+// Guards against attempts within the whole pause that an upstream asks for, also a long
+// one, and against a pause that goes on after a restart of the upstream.
+func TestUpstreamGetsNothingInItsPause(t *testing.T) {
+	for _, reason := range []model.FailureReason{model.FailedShed, model.FailedCold} {
+		b := newBalancer("a", "b")
+		b.RecordFailure(startTime, "ua", 1, 0, 0, event.AttemptFailed{Reason: reason, RetryAfter: 10500 * time.Millisecond})
+		b.RecordProbe(startTime.Add(time.Second), healthyReport("ua"))
+		for _, after := range []time.Duration{0, 4 * time.Second, 6 * time.Second, 10400 * time.Millisecond} {
+			if got := b.mustPick(t, startTime.Add(after)); got != "ub" {
+				t.Errorf("%s: got replica %s %v into a pause of 10.5s, want the other one", reason, got, after)
+			}
+		}
+		if got, want := b.PausedFor(startTime.Add(10*time.Second), []model.UpstreamID{"ua"}), 500*time.Millisecond; got != want {
+			t.Errorf("%s: got a pause for %v more, want %v", reason, got, want)
+		}
+		b.RecordFailure(startTime, "ua", 1, 0, 0, event.AttemptFailed{Reason: model.FailedRefused})
+		b.RecordProbe(startTime.Add(2*time.Second), event.ProbeResult{Upstream: "ua"})
+		b.RecordProbe(startTime.Add(3*time.Second), healthyReport("ua"))
+		if got := b.PausedFor(startTime.Add(3*time.Second), []model.UpstreamID{"ua"}); got != 0 {
+			t.Errorf("%s: got a pause for %v more after a restart, want none", reason, got)
+		}
+	}
+}
+
 // Guards against pinning the newest version while its replicas cover fewer of
 // its shards than those of an older one.
 func TestSelectVersionPrefersCoverageThenTheNewest(t *testing.T) {
--- a/core/route/probes.go
+++ b/core/route/probes.go
@@ -6,6 +6,7 @@
 
 	"comfreypulley/core/event"
 	"comfreypulley/core/model"
+	"comfreypulley/core/retry"
 )
 
 // DueProbes returns the upstreams whose next probe is due, and schedules the
@@ -78,6 +79,9 @@
 	if r.Cold || !u.reachable && u.wasDown {
 		u.beginSlowStart(at)
 	}
+	if !u.reachable && u.wasDown {
+		u.pause = retry.Pause{} // it has started again and knows nothing of the pause
+	}
 	u.cold = r.Cold
 	u.reachable, u.unreachableSince = true, time.Time{}
 	u.wasDown = r.Cold
--- a/core/route/upstream.go
+++ b/core/route/upstream.go
@@ -6,6 +6,7 @@
 	"time"
 
 	"comfreypulley/core/model"
+	"comfreypulley/core/retry"
 )
 
 // Parameters of the latency estimate, the load estimate and the limits.
@@ -17,7 +18,6 @@
 	initialLatency      = 5 * time.Millisecond   // assumed before the first sample
 	initialBackoff      = 100 * time.Millisecond // backoff after a failed connection; doubles with each further failure
 	maxBackoffDoublings = 4                      // how often initialBackoff doubles at most
-	maxRetryAfter       = 5 * time.Second        // upper bound of the Retry-After that an upstream states, which may be wrong
 	shedFactor          = 0.5                    // factor on the attempt limit when the upstream sheds
 	maxSlotMultiple     = 2                      // upper bound of the attempt limit, in multiples of the slots
 	slowStartLength     = 5 * time.Second        // length of the slow start after a restart
@@ -49,6 +49,7 @@
 	avgLatency         time.Duration        // exponential moving average
 	baseLatency        time.Duration        // slowly rising minimum of the latency
 	backoffUntil       time.Time            // no attempts before
+	pause              retry.Pause          // that it has asked for
 	connFailures       int                  // failed connections in a row
 	lastShed           time.Time            // when attemptLimit was last lowered
 	lastAnswer         time.Time            // to an attempt
@@ -131,14 +132,19 @@
 	return u.State == model.StateActive && !u.draining && u.reachable && !u.cold && u.connLimit > 0
 }
 
-// usable reports whether the upstream is live and not backed off.
+// usable reports whether the upstream is live, not backed off and not in a pause.
 func (u *upstream) usable(at time.Time) bool {
-	return u.live() && !at.Before(u.backoffUntil)
+	return u.live() && u.unusableFor(at) == 0
+}
+
+// unusableFor returns the time until the end of the backoff and the pause.
+func (u *upstream) unusableFor(at time.Time) time.Duration {
+	return max(0, u.backoffUntil.Sub(at), u.pause.Left(at))
 }
 
 // hasCapacity reports whether the limits allow another attempt.
-func (u *upstream) hasCapacity() bool {
-	return u.inFlight < max(1, int(u.attemptLimit)) && u.inFlight < u.connLimit
+func (u *upstream) hasCapacity(at time.Time) bool {
+	return u.inFlight < max(1, int(u.attemptLimit)) && u.inFlight < u.pause.Room(at, u.connLimit)
 }
 
 // probeInterval returns the time until the next probe.
