Send nothing new to an upstream that says it is about to stop

The header with which an upstream says so in its answers was read nowhere: a VM went on sending to it until a list showed it as draining. An answer of any kind now binds the VM that has it, in all loops, for first attempts, retries, hedges and portions. What another VM has learnt while it gathered a portion or served a request that was handed over comes with its answer. Lists do not end it, unless they show a new start: a warm-up, or active after draining.

--- a/core/effect/proxy.go
+++ b/core/effect/proxy.go
@@ -37,12 +37,14 @@
 type SendResponse struct {
 	Request  model.RequestID
 	Response model.Response
+	Leaving  []model.UpstreamID // upstreams in the answer that are about to stop, for a VM that has handed the request over
 }
 
 // SendMergedResponse answers a caller with the merged records of several shards.
 type SendMergedResponse struct {
 	Request  model.RequestID
 	Response model.MergedResponse
+	Leaving  []model.UpstreamID // as in SendResponse
 }
 
 // SendPortionResult answers another VM with results for shards of its portion.
--- a/core/event/proxy.go
+++ b/core/event/proxy.go
@@ -34,8 +34,9 @@
 // HandoverResult is another VM's answer to a request that was handed over to it.
 type HandoverResult struct {
 	Attempt  model.AttemptID
-	Response model.Response // passed to the caller unchanged
-	Refusal  *model.Refusal // the other VM did not serve the request; Response is then not set
+	Response model.Response     // passed to the caller unchanged
+	Leaving  []model.UpstreamID // upstreams that said in the answer that they are about to stop
+	Refusal  *model.Refusal     // the other VM did not serve the request; Response is then not set
 }
 
 // ResponseReceived is an upstream's complete response to an effect.Forward.
@@ -48,6 +49,7 @@
 	ClosesConn    bool          // the upstream closes the connection after this response
 	RetryAfter    time.Duration // from the Retry-After header; 0 when absent
 	Load          *model.Load   // nil when the upstream did not report its load
+	Leaving       bool          // the upstream is about to stop and wants no new requests
 	Limit         *model.Limit  // nil when the upstream stated no limit
 	NewConn       bool          // a new connection was opened for the attempt
 }
--- a/core/event/states.go
+++ b/core/event/states.go
@@ -85,23 +85,24 @@
 // upstreams state.
 type LimitShares struct{ Shares []model.LimitShare }
 
-// UpstreamPause shares the pause that an upstream has asked for among the traffic
-// states of the process.
-type UpstreamPause struct {
+// UpstreamStatement shares what an upstream says of itself among the traffic states of
+// the process.
+type UpstreamStatement struct {
 	Upstream model.UpstreamID
-	Length   time.Duration
+	Pause    time.Duration // for which it wants no requests; 0 for none
+	Leaving  bool          // it is about to stop and wants no new requests
 }
 
-func (UpstreamPause) body()   {}
-func (ConfigOverdue) body()   {}
-func (EntryVMs) body()        {}
-func (LimitReport) body()     {}
-func (LimitShares) body()     {}
-func (UpstreamWarning) body() {}
-func (ZoneIsolation) body()   {}
-func (UpstreamList) body()    {}
-func (View) body()            {}
-func (DemandReport) body()    {}
-func (ProposeRequest) body()  {}
-func (ProposeResponse) body() {}
-func (CrashReport) body()     {}
+func (UpstreamStatement) body() {}
+func (ConfigOverdue) body()     {}
+func (EntryVMs) body()          {}
+func (LimitReport) body()       {}
+func (LimitShares) body()       {}
+func (UpstreamWarning) body()   {}
+func (ZoneIsolation) body()     {}
+func (UpstreamList) body()      {}
+func (View) body()              {}
+func (DemandReport) body()      {}
+func (ProposeRequest) body()    {}
+func (ProposeResponse) body()   {}
+func (CrashReport) body()       {}
--- a/core/model/portion.go
+++ b/core/model/portion.go
@@ -30,5 +30,6 @@
 	Shard    int        `msgpack:"Leg"`     // index into the route's Shards
 	Receipt  string     `msgpack:"Receipt"` // of the shard's answer; empty without an answer
 	Upstream UpstreamID `msgpack:"Tried"`   // that the attempt was sent to; empty when there was none
-	Pending  bool       `msgpack:"Open"`    // the answer may still arrive; another result follows
+	Leaving  bool       // the upstream has said that it is about to stop
+	Pending  bool       `msgpack:"Open"` // the answer may still arrive; another result follows
 }
--- a/core/node/internal.go
+++ b/core/node/internal.go
@@ -16,14 +16,14 @@
 			return s.control.HandleUpstreamWarning(at, body, out)
 		}
 		return s.proxy.HandleUpstreamWarning(at, body, out)
-	case event.UpstreamPause:
+	case event.UpstreamStatement:
 		if s.role == event.RoleControl {
 			return append(out, effect.ToTraffic{Loop: effect.AllLoops, Body: body})
 		}
 		if s.role == event.RoleQuery {
-			return s.query.HandleUpstreamPause(at, body, out)
+			return s.query.HandleUpstreamStatement(at, body, out)
 		}
-		return s.proxy.HandleUpstreamPause(at, body, out)
+		return s.proxy.HandleUpstreamStatement(at, body, out)
 	case event.LimitReport:
 		return s.control.HandleLimitReport(at, body, out)
 	case event.LimitShares:
--- a/core/proxy/delegate.go
+++ b/core/proxy/delegate.go
@@ -101,6 +101,9 @@
 		}
 		sub := req.subrequests[result.Shard]
 		results[sub] = result
+		if result.Leaving {
+			out = r.upstreamLeaves(at, result.Upstream, out)
+		}
 		newAnswer = newAnswer || result.Receipt != "" && sub.answer == nil
 	}
 	records := e.Records
@@ -142,7 +145,7 @@
 	}
 	switch {
 	case result.Receipt != "":
-		a.outcome = "answered"
+		a.outcome = outcomeAnswered
 		a.subrequest.ran = model.RanYes
 		a.request.latency.add(a.request.route, a.took)
 	case result.Upstream != "":
--- a/core/proxy/finish.go
+++ b/core/proxy/finish.go
@@ -37,6 +37,9 @@
 		out = r.recordOpenedConn(at, out)
 	}
 	out = r.zoneReached(at, u.spec.Zone, a.sent, out)
+	if e.Leaving && !e.WrongUpstream {
+		out = r.upstreamLeaves(at, u.spec.ID, out)
+	}
 	status := e.Response.Status
 	if status == statusPause && e.RetryAfter > 0 && !e.WrongUpstream {
 		out = r.pauseUpstream(at, u, e.RetryAfter, out)
@@ -65,7 +68,7 @@
 	a.request.latency.add(a.request.route, took)
 	u.recordSuccess(at, float64(took)/float64(max(expected, time.Millisecond)))
 	r.suspects.clear(a.request.event.Fingerprint)
-	r.endAttempt(at, a, "answered")
+	r.endAttempt(at, a, outcomeAnswered)
 	a.subrequest.ran = model.RanYes
 	a.request.lastAnswer = at
 	if a.subrequest.answer == nil {
@@ -168,14 +171,14 @@
 	switch {
 	case req.sharded() && req.coverageMet():
 		merged := merge(req.subrequests, req.route.TopK)
-		out = append(out, effect.SendMergedResponse{Request: req.event.ID, Response: merged})
+		out = append(out, effect.SendMergedResponse{Request: req.event.ID, Response: merged, Leaving: req.leavingUpstreams()})
 		outcome := "served"
 		if merged.MissingShards > 0 {
 			outcome = "partial"
 		}
 		return r.close(at, req, outcome, "", out)
 	case !req.sharded() && n == 1:
-		out = append(out, effect.SendResponse{Request: req.event.ID, Response: req.subrequests[0].answer.response})
+		out = append(out, effect.SendResponse{Request: req.event.ID, Response: req.subrequests[0].answer.response, Leaving: req.leavingUpstreams()})
 		return r.close(at, req, "served", "", out)
 	case !req.sharded() && req.subrequests[0].errorAnswer != nil:
 		out = append(out, effect.SendResponse{Request: req.event.ID, Response: req.subrequests[0].errorAnswer.response})
--- a/core/proxy/fleet_test.go
+++ b/core/proxy/fleet_test.go
@@ -306,11 +306,11 @@
 	switch e := e.(type) {
 	case effect.SendResponse:
 		vm.end(e.Request, "served", model.RanYes, 0, func(a *fleetAttempt) event.Body {
-			return event.HandoverResult{Attempt: a.forward.Attempt, Response: e.Response}
+			return event.HandoverResult{Attempt: a.forward.Attempt, Leaving: e.Leaving, Response: e.Response}
 		})
 	case effect.SendMergedResponse:
 		vm.end(e.Request, "served", model.RanYes, 0, func(a *fleetAttempt) event.Body {
-			return event.HandoverResult{Attempt: a.forward.Attempt, Response: model.Response{Status: 200, Body: e.Response.Records}}
+			return event.HandoverResult{Attempt: a.forward.Attempt, Leaving: e.Leaving, Response: model.Response{Status: 200, Body: e.Response.Records}}
 		})
 	case effect.Refuse:
 		vm.end(e.Refusal.Request, string(e.Refusal.Reason), e.Refusal.Ran, e.Refusal.RetryAfter, func(a *fleetAttempt) event.Body {
--- a/core/proxy/handover.go
+++ b/core/proxy/handover.go
@@ -197,6 +197,9 @@
 	if e.Response.Status < 200 || e.Response.Status >= 300 {
 		outcome = "failed"
 	}
+	for _, id := range e.Leaving {
+		out = r.upstreamLeaves(at, id, out)
+	}
 	out = append(out, effect.SendResponse{Request: req.event.ID, Response: e.Response})
 	return r.close(at, req, outcome, "", out)
 }
--- a/core/proxy/peers.go
+++ b/core/proxy/peers.go
@@ -251,6 +251,6 @@
 // hasUpstream reports whether the zone has an active upstream of the service.
 func (r *Router) hasUpstream(service string, zone model.Zone) bool {
 	return slices.ContainsFunc(r.byService[service], func(u *upstream) bool {
-		return u.spec.Zone == zone && u.spec.State == model.StateActive && !u.wrongUpstream
+		return u.spec.Zone == zone && u.acceptsNew()
 	})
 }
--- a/core/proxy/pick.go
+++ b/core/proxy/pick.go
@@ -3,8 +3,6 @@
 import (
 	"slices"
 	"time"
-
-	"comfreypulley/core/model"
 )
 
 const (
@@ -47,7 +45,7 @@
 	var best, backingOff *upstream
 	var lowest time.Duration
 	for _, u := range r.byService[sub.service] {
-		if u.wrongUpstream || u.spec.State != model.StateActive || sub.triedOn(u) || slices.Contains(full, u) {
+		if !u.acceptsNew() || sub.triedOn(u) || slices.Contains(full, u) {
 			continue
 		}
 		if left := u.pause.Left(at); left > 0 {
@@ -79,7 +77,7 @@
 // none in a pause, that the subrequest was not sent to.
 func (r *Router) hasUntried(at time.Time, sub *subrequest) bool {
 	for _, u := range r.byService[sub.service] {
-		if !u.wrongUpstream && u.spec.State == model.StateActive && !sub.triedOn(u) && u.pause.Left(at) == 0 {
+		if u.acceptsNew() && !sub.triedOn(u) && u.pause.Left(at) == 0 {
 			return true
 		}
 	}
--- a/core/proxy/portion.go
+++ b/core/proxy/portion.go
@@ -148,7 +148,7 @@
 		result := model.ShardResult{Shard: req.event.Portion.Shards[n], Pending: !sub.reported}
 		for _, a := range sub.attempts {
 			if a.outcome != string(model.FailedRefused) {
-				result.Upstream = a.upstream.spec.ID
+				result.Upstream, result.Leaving = a.upstream.spec.ID, a.upstream.leaving
 			}
 		}
 		if sub.answer != nil {
--- a/core/proxy/reach.go
+++ b/core/proxy/reach.go
@@ -148,7 +148,7 @@
 func (r *Router) upstreamsToCheck() []*upstream {
 	var all []*upstream
 	for _, id := range slices.Sorted(maps.Keys(r.upstreams)) {
-		if u := r.upstreams[id]; !u.wrongUpstream && u.spec.State == model.StateActive {
+		if u := r.upstreams[id]; u.acceptsNew() {
 			all = append(all, u)
 		}
 	}
--- a/core/proxy/request.go
+++ b/core/proxy/request.go
@@ -71,6 +71,9 @@
 	cancelled  bool        // cancelled because its request had ended
 }
 
+// outcomeAnswered is the outcome of an attempt with a successful response.
+const outcomeAnswered = "answered"
+
 // sharded reports whether the answer is merged from several shards.
 func (q *request) sharded() bool { return len(q.route.Shards) > 0 }
 
--- a/core/proxy/router.go
+++ b/core/proxy/router.go
@@ -116,8 +116,8 @@
 		if !known || u.spec.Addr != spec.Addr || u.spec.Index != spec.Index {
 			u = &upstream{inFlight: make(map[model.AttemptID]*attempt)}
 		}
-		if known && spec.WarmUpLeft > 0 && u.spec.WarmUpLeft <= 0 {
-			u.pause = retry.Pause{} // it has started again and knows nothing of the pause
+		if known && hasRestarted(u.spec, spec) {
+			u.forgetStatement()
 		}
 		if spec.WarmUpLeft > 0 && u.warmUpUntil.IsZero() {
 			u.warmUpUntil = list.ReadAt.Add(spec.WarmUpLeft)
--- a/core/proxy/upstream.go
+++ b/core/proxy/upstream.go
@@ -46,6 +46,7 @@
 	warmUpUntil   time.Time
 	warnings      warnings
 	pauses        pausePredictor
+	leaving       bool        // it has said that it is about to stop
 	pause         retry.Pause // that the upstream has asked this VM for
 	limit         limitState
 }
@@ -69,6 +70,11 @@
 	a.value, a.at = old+averageGain*(sample-old), at
 }
 
+// acceptsNew reports whether new requests may go to the upstream, in a pause or not.
+func (u *upstream) acceptsNew() bool {
+	return !u.wrongUpstream && !u.leaving && u.spec.State == model.StateActive
+}
+
 // recordSuccess records the latency of a successful attempt, relative to the
 // typical one.
 func (u *upstream) recordSuccess(at time.Time, ratio float64) {
--- a/core/query/results.go
+++ b/core/query/results.go
@@ -75,10 +75,10 @@
 	return t.advance(at, q, out)
 }
 
-// HandleUpstreamPause applies a pause that an upstream has asked another loop of this
-// process for.
-func (t *Table) HandleUpstreamPause(at time.Time, e event.UpstreamPause, out []effect.Effect) []effect.Effect {
-	t.balancer.RecordPause(at, e.Upstream, e.Length)
+// HandleUpstreamStatement applies the pause that an upstream has asked another loop of
+// this process for.
+func (t *Table) HandleUpstreamStatement(at time.Time, e event.UpstreamStatement, out []effect.Effect) []effect.Effect {
+	t.balancer.RecordPause(at, e.Upstream, e.Pause)
 	return out
 }
 
@@ -95,7 +95,7 @@
 		out = t.probeIndex(at, sent.index, out)
 	}
 	if f.RetryAfter > 0 && t.start.Loops > 1 {
-		out = append(out, effect.ToControl{Body: event.UpstreamPause{Upstream: sent.upstream, Length: f.RetryAfter}})
+		out = append(out, effect.ToControl{Body: event.UpstreamStatement{Upstream: sent.upstream, Pause: f.RetryAfter}})
 	}
 	if f.Reason == model.FailedShed {
 		t.limiter.RecordShed(sent.index)
--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -223,6 +223,7 @@
 		Attempt: a.forward.Attempt, Receipt: response.Header.Get(names.Receipt), ClosesConn: response.Close,
 		NotRun: response.Header.Get(names.NotRun) != "", WrongUpstream: response.StatusCode == http.StatusMisdirectedRequest,
 		RetryAfter: heads.ParseRetryAfter(response.Header), Load: heads.ParseLoad(response.Header.Get(names.Load)), NewConn: a.newConn,
+		Leaving:  response.Header.Get(names.Leaving) != "",
 		Limit:    heads.ParseLimit(response.Header.Get(names.Limit)),
 		Response: model.Response{Status: response.StatusCode, Body: body},
 	}
@@ -274,7 +275,7 @@
 	for name, values := range endToEndHeaders(h) {
 		for _, value := range values {
 			switch name {
-			case "Content-Length", "Date", handoverHeader, refusalHeader:
+			case "Content-Length", "Date", handoverHeader, refusalHeader, leavingHeader:
 			default:
 				list = append(list, model.Header{Name: name, Value: value})
 			}
--- a/io/proxy/client_test.go
+++ b/io/proxy/client_test.go
@@ -20,6 +20,7 @@
 
 var headerNames = &proxy.HeaderNames{
 	RequestID: "Tag", Wait: "Wait", Receipt: "Receipt", ExpectedUpstream: "Expect-Upstream", NotRun: "Not-Run", Load: "Load",
+	Leaving:  "Leaving",
 	Receipts: "Receipts", MissingShards: "Missing",
 }
 
@@ -261,6 +262,15 @@
 	}
 }
 
+// Guards against an upstream's own word being lost on its way to the decisions.
+func TestStatementsOfAnUpstream(t *testing.T) {
+	u := newScriptedUpstream(t, "HTTP/1.1 503 Service Unavailable\r\nTag: t\r\nNot-Run: 1\r\nLeaving: 1\r\nRetry-After: 2.5\r\nContent-Length: 0\r\n\r\n")
+	got, ok := newSender(t).send(u, time.Second).(event.ResponseReceived)
+	if !ok || !got.Leaving || !got.NotRun || got.RetryAfter != 2500*time.Millisecond {
+		t.Errorf("got %+v, want a pause of 2.5s of an upstream that is about to stop", got)
+	}
+}
+
 // Guards against treating a request as possibly run although no connection could
 // be opened.
 func TestRefusedConnection(t *testing.T) {
--- a/io/proxy/handover.go
+++ b/io/proxy/handover.go
@@ -22,6 +22,10 @@
 	// refusalHeader is in the answer of a VM that did not serve the request: the
 	// reason and whether the request ran, separated by a semicolon.
 	refusalHeader = "Comfreypulley-Refusal"
+
+	// leavingHeader names an upstream that said in the answer that it is about to
+	// stop. It may appear more than once.
+	leavingHeader = "Comfreypulley-Leaving"
 )
 
 // HandoverError reports an invalid value of a header between VMs.
@@ -86,8 +90,11 @@
 	case refusal != nil:
 		return event.HandoverResult{Attempt: a.forward.Attempt, Refusal: refusal}, nil
 	}
-	response.Header.Del(handoverHeader)
-	return event.HandoverResult{Attempt: a.forward.Attempt, Response: model.Response{
+	var leaving []model.UpstreamID
+	for _, id := range response.Header.Values(leavingHeader) {
+		leaving = append(leaving, model.UpstreamID(id))
+	}
+	return event.HandoverResult{Attempt: a.forward.Attempt, Leaving: leaving, Response: model.Response{
 		Status: response.StatusCode, Headers: responseHeaders(response.Header), Body: body,
 	}}, nil
 }
--- a/io/proxy/handover_test.go
+++ b/io/proxy/handover_test.go
@@ -5,6 +5,7 @@
 	"net/http/httptest"
 	"net/netip"
 	"reflect"
+	"slices"
 	"testing"
 	"time"
 
@@ -38,7 +39,7 @@
 	}
 
 	request := receive()
-	peer.Respond(request.ID, effect.SendResponse{Request: request.ID, Response: model.Response{
+	peer.Respond(request.ID, effect.SendResponse{Request: request.ID, Leaving: []model.UpstreamID{"u1"}, Response: model.Response{
 		Status: 201, Headers: []model.Header{{Name: "Receipt", Value: "r"}, {Name: "Tag", Value: "t"}}, Body: []byte("body"),
 	}})
 	got, ok := (<-s.results).(event.HandoverResult)
@@ -46,7 +47,8 @@
 	for _, h := range got.Response.Headers {
 		headers[h.Name] = h.Value
 	}
-	if !ok || got.Refusal != nil || got.Response.Status != 201 || string(got.Response.Body) != "body" || headers["Receipt"] != "r" || len(headers) != 2 {
+	if !ok || got.Refusal != nil || got.Response.Status != 201 || string(got.Response.Body) != "body" || headers["Receipt"] != "r" || len(headers) != 2 ||
+		!slices.Equal(got.Leaving, []model.UpstreamID{"u1"}) {
 		t.Errorf("got %+v, want the answer with its two headers", got)
 	}
 
--- a/io/proxy/headers.go
+++ b/io/proxy/headers.go
@@ -17,6 +17,7 @@
 	NotRun           string // set in a response when the upstream did not run the request
 	Load             string // load of the upstream: running requests, waiting requests and slots, separated by commas
 	Limit            string // requests per second that the upstream accepts from all VMs together
+	Leaving          string // set when the upstream is about to stop
 	Receipts         string // receipts of the shards included in a merged response, one header each
 	MissingShards    string // number of shards left out of a merged response
 }
--- a/io/proxy/server.go
+++ b/io/proxy/server.go
@@ -164,11 +164,13 @@
 func (s *Server) writeEffect(w http.ResponseWriter, e effect.Effect) {
 	switch e := e.(type) {
 	case effect.SendResponse:
+		addLeaving(w, e.Leaving)
 		for _, h := range e.Response.Headers {
 			w.Header().Add(h.Name, h.Value)
 		}
 		s.writeBody(w, e.Response.Status, e.Response.Body)
 	case effect.SendMergedResponse:
+		addLeaving(w, e.Leaving)
 		for _, receipt := range e.Response.Receipts {
 			w.Header().Add(s.HeaderNames.Receipts, receipt)
 		}
@@ -179,6 +181,17 @@
 	}
 }
 
+// addLeaving names upstreams that are about to stop in the answer to a VM that has
+// handed a request over.
+func addLeaving(w http.ResponseWriter, ids []model.UpstreamID) {
+	if w.Header().Get(handoverHeader) == "" {
+		return
+	}
+	for _, id := range ids {
+		w.Header().Add(leavingHeader, string(id))
+	}
+}
+
 func (s *Server) writeBody(w http.ResponseWriter, status int, body []byte) {
 	if w.Header().Get("Content-Type") == "" {
 		w.Header()["Content-Type"] = nil // keeps net/http from guessing one
