--- a/io/heads/heads.go
+++ b/io/heads/heads.go
@@ -22,6 +22,12 @@
 // maxRetryAfter is the longest Retry-After; a longer one counts as this one.
 const maxRetryAfter = time.Hour
 
+// Upper bounds of what an upstream may report. A report above them is not believed.
+const (
+	maxLoad = 1 << 20 // requests or slots
+	maxRate = 1e9     // requests per second
+)
+
 // ParseRetryAfter parses Retry-After, which is a number of seconds with an
 // optional fraction. It returns 0 when the header is missing or invalid, and an hour
 // when it states more.
@@ -45,7 +51,7 @@
 	var n [3]int
 	for i, part := range parts {
 		v, err := strconv.Atoi(strings.TrimSpace(part))
-		if err != nil || v < 0 {
+		if err != nil || v < 0 || v > maxLoad {
 			return nil
 		}
 		n[i] = v
@@ -57,7 +63,7 @@
 // requests per second. It returns nil for any other text.
 func ParseLimit(text string) *model.Limit {
 	rate, err := strconv.ParseFloat(strings.TrimSpace(text), 64)
-	if err != nil || !(rate >= 0) || math.IsInf(rate, 0) {
+	if err != nil || !(rate >= 0) || rate > maxRate {
 		return nil
 	}
 	return &model.Limit{Rate: rate}
--- a/io/heads/heads_test.go
+++ b/io/heads/heads_test.go
@@ -17,7 +17,7 @@
 			t.Errorf("Retry-After %q: got %v, want %v", text, got, want)
 		}
 	}
-	for text, want := range map[string]float64{"": -1, "x": -1, "-1": -1, "NaN": -1, "Inf": -1, "0": 0, "12.5": 12.5} {
+	for text, want := range map[string]float64{"": -1, "x": -1, "-1": -1, "NaN": -1, "Inf": -1, "1e10": -1, "1e400": -1, "0": 0, "12.5": 12.5} {
 		got := -1.0
 		if limit := ParseLimit(text); limit != nil {
 			got = limit.Rate
@@ -27,7 +27,7 @@
 		}
 	}
 	for text, want := range map[string]*model.Load{
-		"": nil, "1,2": nil, "1,2,x": nil, "1,-2,3": nil, "3, 0,8": {InFlight: 3, Slots: 8},
+		"": nil, "1,2": nil, "1,2,x": nil, "1,-2,3": nil, "9223372036854775807,1,1": nil, "1,9223372036854775808,1": nil, "3, 0,8": {InFlight: 3, Slots: 8},
 	} {
 		if got := ParseLoad(text); (got == nil) != (want == nil) || got != nil && *got != *want {
 			t.Errorf("load %q: got %+v, want %+v", text, got, want)
