--- a/core/effect/traffic.go
+++ b/core/effect/traffic.go
@@ -77,6 +77,7 @@
 	CountServed   Counter = "served"   // by class
 	CountCharged  Counter = "charged"  // by customer, in thousandths of the currency unit
 	CountControl  Counter = "control"  // by kind of control event
+	CountIgnored  Counter = "ignored"  // by kind of input: entries that were left out since they cannot be used
 )
 
 // Ready sets what the load balancer's health check reports: whether the VM
--- a/core/plane/upstream_list.go
+++ b/core/plane/upstream_list.go
@@ -98,6 +98,9 @@
 			At: at, Subject: "roster", Action: "entries ignored", Cause: strconv.Itoa(read.Ignored) + " name no usable upstream",
 		})
 	}
+	if read.Ignored > 0 {
+		out = append(out, effect.Count{Counter: effect.CountIgnored, Reason: "upstreams", N: int64(read.Ignored)})
+	}
 	list.ignored = read.Ignored
 	if started.IsZero() {
 		started = at
