Reset the connection of an attempt that is given up

A closed connection still delivers what is in its buffer. While a partition holds it up, a request that was given up long ago then reaches its upstream when the partition is over. The connection of an attempt that is cancelled or timed out is now reset, so that such bytes are lost.

TestGivenUpAttemptResetsItsConnection saw the end of the stream instead of a reset without the change.

--- a/io/proxy/attempt.go
+++ b/io/proxy/attempt.go
@@ -117,7 +117,7 @@
 	defer a.mu.Unlock()
 	a.cancelled = true
 	if a.conn != nil && !a.done {
-		a.conn.Close()
+		a.conn.abort()
 	}
 }
 
--- a/io/proxy/client_test.go
+++ b/io/proxy/client_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"errors"
 	"fmt"
 	"io"
 	"net"
@@ -9,6 +10,7 @@
 	"net/http/httptest"
 	"runtime"
 	"strings"
+	"syscall"
 	"testing"
 	"time"
 
@@ -281,6 +283,58 @@
 	}
 }
 
+// resetObserver accepts one connection, reads a request and reports how the connection
+// ends.
+type resetObserver struct {
+	listener net.Listener
+	read     chan struct{}
+	end      chan error
+}
+
+func (o *resetObserver) run() {
+	conn, err := o.listener.Accept()
+	if err != nil {
+		o.end <- err
+		return
+	}
+	defer conn.Close()
+	r := bufio.NewReader(conn)
+	if _, err := http.ReadRequest(r); err != nil {
+		o.end <- err
+		return
+	}
+	o.read <- struct{}{}
+	_, err = r.ReadByte()
+	o.end <- err
+}
+
+// Guards against a request that is given up, stays in the buffer of a connection that a
+// partition holds up, and runs when the partition is over.
+func TestGivenUpAttemptResetsItsConnection(t *testing.T) {
+	for _, how := range []string{"cancelled", "timeout"} {
+		l, err := net.Listen("tcp", "127.0.0.1:0")
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer l.Close()
+		o := &resetObserver{listener: l, read: make(chan struct{}, 1), end: make(chan error, 1)}
+		go o.run()
+		s := newSender(t)
+		timeout := 10 * time.Second
+		if how == "timeout" {
+			timeout = 100 * time.Millisecond
+		}
+		s.client.Forward(effect.Forward{Attempt: 1, Request: 1, Upstream: "u1", Addr: l.Addr().(*net.TCPAddr).AddrPort(), Timeout: timeout})
+		<-o.read
+		if how == "cancelled" {
+			s.client.Cancel(effect.Cancel{Attempt: 1})
+		}
+		if got := <-o.end; !errors.Is(got, syscall.ECONNRESET) {
+			t.Errorf("%s: got %v at the upstream, want a reset", how, got)
+		}
+	}
+}
+
 // Guards against upstreams that continue to work on a cancelled attempt:
 // cancelling closes the connection, which ends the attempt.
 func TestCancelClosesConnection(t *testing.T) {
--- a/io/proxy/conn.go
+++ b/io/proxy/conn.go
@@ -67,16 +67,28 @@
 }
 
 // terminate closes the connection and returns the attempt that was using it, nil
-// without one.
+// without one. An attempt that is given up is aborted.
 func (c *conn) terminate() *attempt {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	a := c.current
 	c.current, c.closed = nil, true
+	if a != nil {
+		c.abort()
+	}
 	c.Close()
 	return a
 }
 
+// abort resets the connection. A request that has not arrived by then, such as one
+// that is held up by a partition, is lost and does not run later.
+func (c *conn) abort() {
+	if tcp, ok := c.Conn.(*net.TCPConn); ok {
+		_ = tcp.SetLinger(0) // fails only on a closed connection
+	}
+	c.Close()
+}
+
 // readLoop reads responses until the connection is closed.
 func (c *conn) readLoop() {
 	defer c.client.wg.Done()
