--- a/core/proxy/fleet_test.go
+++ b/core/proxy/fleet_test.go
@@ -211,7 +211,7 @@
 }
 
 // receive passes a request to the VM: a caller's, or another VM's.
-func (vm *fleetVM) receive(e event.ProxyRequest, origin *fleetAttempt) *fleetRequest {
+func (vm *fleetVM) receive(e event.ProxyRequest, origin *fleetAttempt) {
 	vm.lastID++
 	e.ID, e.Host = vm.lastID, "h"
 	if e.CallerRequestID == "" {
@@ -224,7 +224,6 @@
 		origin.peerID = e.ID
 	}
 	vm.apply(vm.router.HandleProxyRequest(vm.fleet.now, e, nil))
-	return req
 }
 
 // setLinks changes the links of the VM. When they refuse new connections, those to
@@ -418,7 +417,7 @@
 		vm.conns[u.spec.ID]++
 	}
 	response := event.ResponseReceived{
-		Attempt: a.forward.Attempt, Receipt: "r-" + string(u.spec.Index), Response: model.Response{Status: 200, Body: make([]byte, 16)}, NewConn: a.newConn,
+		Attempt: a.forward.Attempt, Receipt: "r-" + u.spec.Index, Response: model.Response{Status: 200, Body: make([]byte, 16)}, NewConn: a.newConn,
 	}
 	if u.respond != nil {
 		if other := u.respond(a); other != nil {
--- a/core/proxy/step.go
+++ b/core/proxy/step.go
@@ -38,34 +38,10 @@
 		}
 	}
 	route := routes.find(e.Host, e.Path)
-	switch {
-	case (e.Portion != nil || e.Handover != nil) && r.reach.lost():
-		return r.refuseUnsent(e, route, model.RefusedUnreachable, out)
-	case e.Handover != nil && e.Handover.DocumentVersion > version:
-		return r.refuseUnsent(e, route, model.RefusedStale, out)
-	case route == nil && r.documentOverdue:
-		return r.refuseUnsent(e, nil, model.RefusedStale, out)
-	case route == nil:
-		return r.refuseUnsent(e, nil, model.RefusedRoute, out)
-	case e.Portion == nil && r.needsOtherZones(route):
-		return r.refuseUnsent(e, route, model.RefusedIsolated, out)
-	case r.suspects.quarantined(at, e.Fingerprint):
-		return r.refuseUnsent(e, route, model.RefusedQuarantine, out)
-	}
-	if e.Handover != nil {
-		route = limitAttempts(route, e.Handover.MaxAttempts)
-	}
-	req := &request{
-		event: e, route: route, latency: r.latencyStats(route), documentVersion: version, arrived: at, lastAnswer: at,
-		upstreamListAge: at.Sub(r.upstreamListReadAt),
-	}
-	wait := route.Timeout
-	if e.Wait > 0 {
-		wait = min(wait, e.Wait)
+	if reason := r.refusalOnArrival(at, e, route, version); reason != "" {
+		return r.refuseUnsent(e, route, reason, out)
 	}
-	margins := callerMargins{roundTrip: e.RoundTrip, newConn: e.NewConn, processing: r.processingTime()}
-	req.deadline = at.Add(wait - margins.beforeDeadline(wait))
-	req.partialAfter = at.Add(targetLatency(route) - margins.beforeTarget(targetLatency(route)))
+	req := r.newRequest(at, e, route, version)
 	if e.Portion != nil {
 		if !r.selectShards(req) {
 			return r.refuseUnsent(e, route, model.RefusedStale, out)
@@ -93,6 +69,46 @@
 	return r.step(at, req, out)
 }
 
+// refusalOnArrival returns why a request is refused without any attempt, or "". route
+// is nil when none of the document with the given version matches.
+func (r *Router) refusalOnArrival(at time.Time, e event.ProxyRequest, route *model.Route, version uint64) model.RefusalReason {
+	switch {
+	case (e.Portion != nil || e.Handover != nil) && r.reach.lost():
+		return model.RefusedUnreachable
+	case e.Handover != nil && e.Handover.DocumentVersion > version:
+		return model.RefusedStale
+	case route == nil && r.documentOverdue:
+		return model.RefusedStale
+	case route == nil:
+		return model.RefusedRoute
+	case e.Portion == nil && r.needsOtherZones(route):
+		return model.RefusedIsolated
+	case r.suspects.quarantined(at, e.Fingerprint):
+		return model.RefusedQuarantine
+	default:
+		return ""
+	}
+}
+
+// newRequest returns the state of a request along a route, without its subrequests.
+func (r *Router) newRequest(at time.Time, e event.ProxyRequest, route *model.Route, version uint64) *request {
+	if e.Handover != nil {
+		route = limitAttempts(route, e.Handover.MaxAttempts)
+	}
+	req := &request{
+		event: e, route: route, latency: r.latencyStats(route), documentVersion: version, arrived: at, lastAnswer: at,
+		upstreamListAge: at.Sub(r.upstreamListReadAt),
+	}
+	wait := route.Timeout
+	if e.Wait > 0 {
+		wait = min(wait, e.Wait)
+	}
+	margins := callerMargins{roundTrip: e.RoundTrip, newConn: e.NewConn, processing: r.processingTime()}
+	req.deadline = at.Add(wait - margins.beforeDeadline(wait))
+	req.partialAfter = at.Add(targetLatency(route) - margins.beforeTarget(targetLatency(route)))
+	return req
+}
+
 // limitAttempts returns a route with at most a number of attempts.
 func limitAttempts(route *model.Route, attempts int) *model.Route {
 	limited := *route
--- a/io/proxy/handover_test.go
+++ b/io/proxy/handover_test.go
@@ -21,24 +21,25 @@
 	})
 }
 
-// Guards against changes of a request that is handed over, or of its answer, and
-// against a refusal that is taken for an answer or for one of a request that ran.
+// handOverTo hands a request over to a VM and returns it as received there.
+func handOverTo(s *sender, peer *peerVM) event.ProxyRequest {
+	s.t.Helper()
+	want := &model.Handover{DocumentVersion: 7, MaxAttempts: 2}
+	sendHandover(s, peer.httpServer.Listener.Addr().String(), want)
+	request := (<-peer.events).(event.ProxyRequest)
+	if !reflect.DeepEqual(request.Handover, want) || request.Portion != nil || request.CallerRequestID != "t" ||
+		request.Path != "/x/1" || request.Wait <= 0 || request.Wait > 2*time.Second {
+		s.t.Errorf("got request %+v, want %+v handed over", request, want)
+	}
+	return request
+}
+
+// Guards against changes of a request that is handed over, or of its answer.
 func TestHandoverPassesUnchanged(t *testing.T) {
 	peer := newPeerVM(t)
 	s := newSender(t)
 	s.portionHeader = "1;9" // set by the caller, to be ignored
-	want := &model.Handover{DocumentVersion: 7, MaxAttempts: 2}
-	receive := func() event.ProxyRequest {
-		sendHandover(s, peer.httpServer.Listener.Addr().String(), want)
-		request := (<-peer.events).(event.ProxyRequest)
-		if !reflect.DeepEqual(request.Handover, want) || request.Portion != nil || request.CallerRequestID != "t" ||
-			request.Path != "/x/1" || request.Wait <= 0 || request.Wait > 2*time.Second {
-			t.Errorf("got request %+v, want %+v handed over", request, want)
-		}
-		return request
-	}
-
-	request := receive()
+	request := handOverTo(s, peer)
 	peer.Respond(request.ID, effect.SendResponse{Request: request.ID, Leaving: []model.UpstreamID{"u1"}, Response: model.Response{
 		Status: 201, Headers: []model.Header{{Name: "Receipt", Value: "r"}, {Name: "Tag", Value: "t"}}, Body: []byte("body"),
 	}})
@@ -47,26 +48,32 @@
 	for _, h := range got.Response.Headers {
 		headers[h.Name] = h.Value
 	}
-	if !ok || got.Refusal != nil || got.Response.Status != 201 || string(got.Response.Body) != "body" || headers["Receipt"] != "r" || len(headers) != 2 ||
-		!slices.Equal(got.Leaving, []model.UpstreamID{"u1"}) {
+	if !ok || got.Refusal != nil || got.Response.Status != 201 || string(got.Response.Body) != "body" ||
+		!reflect.DeepEqual(headers, map[string]string{"Receipt": "r", "Tag": "t"}) || !slices.Equal(got.Leaving, []model.UpstreamID{"u1"}) {
 		t.Errorf("got %+v, want the answer with its two headers", got)
 	}
 
-	request = receive()
+	request = handOverTo(s, peer)
 	peer.Respond(request.ID, effect.SendMergedResponse{Request: request.ID, Response: model.MergedResponse{
 		Receipts: []string{"r1", "r2"}, MissingShards: 1, Records: []byte("0123456789abcdef"),
 	}})
 	if got, ok := (<-s.results).(event.HandoverResult); !ok || got.Response.Status != 200 || len(got.Response.Headers) != 3 {
 		t.Errorf("got %+v, want the merged answer with its receipts", got)
 	}
+}
 
+// Guards against a refusal that is taken for an answer, or for one of a request that
+// ran or did not run.
+func TestRefusalOfAHandover(t *testing.T) {
+	peer := newPeerVM(t)
+	s := newSender(t)
 	for _, want := range []model.Refusal{
 		{Reason: model.RefusedUnreachable, Ran: model.RanNo, RetryAfter: 250 * time.Millisecond},
 		{Reason: model.RefusedUnreachable, Ran: model.RanUnknown},
 		{Reason: model.RefusedTimeout, Ran: model.RanUnknown},
 		{Reason: model.RefusedRoute, Ran: model.RanNo},
 	} {
-		request = receive()
+		request := handOverTo(s, peer)
 		refusal := want
 		refusal.Request = request.ID
 		peer.Respond(request.ID, effect.Refuse{Refusal: refusal})
