Have the soak's upstreams ask for pauses and judge what they get in them

The stand-in can turn requests away with a Retry-After, and tells which VM a request came from: its proxy connects from the client's address. A finding is a VM that sends more than two requests between half a second after the answer and the end of the pause, unless it or the link was disturbed.

--- a/core/soak/effect.go
+++ b/core/soak/effect.go
@@ -92,6 +92,13 @@
 		SlowFactor float64 // factor on its service times; 1 is normal
 	}
 
+	// PauseUpstream makes an upstream turn all requests away and ask for a pause of a
+	// length; 0 ends that.
+	PauseUpstream struct {
+		Upstream int
+		Length   time.Duration
+	}
+
 	// SwapUpstreams makes two upstreams exchange their addresses, each under a new
 	// id. With Listed set it instead shows an earlier exchange in the list of
 	// upstreams.
@@ -123,6 +130,7 @@
 func (SetLinkFaults) isEffect()   {}
 func (ResetLink) isEffect()       {}
 func (ChangeUpstream) isEffect()  {}
+func (PauseUpstream) isEffect()   {}
 func (SwapUpstreams) isEffect()   {}
 func (SetUpstreamList) isEffect() {}
 func (SubmitDocument) isEffect()  {}
--- a/core/soak/event.go
+++ b/core/soak/event.go
@@ -41,6 +41,8 @@
 	Wait      time.Duration // time left, as stated to the upstream
 	Accepted  bool          // false when the upstream states that it does not run the request
 	Records   []byte        // the upstream's answer
+	Sender    int           // VM that sent it; -1 when it is not known
+	Pause     time.Duration // that the upstream asked for; 0 for none
 }
 
 // Event types.
--- a/core/soak/request.go
+++ b/core/soak/request.go
@@ -58,6 +58,7 @@
 	case r.Accepted && !s.mayRunOn(req, r.Service):
 		s.addFinding("ROUTE", "request %s reached service %s", r.RequestID, r.Service)
 	}
+	s.judgePause(&r)
 	if r.Wait <= 0 || r.Wait > req.Wait+cancelSlack {
 		s.addFinding("BUDGET", "request %s waits %v and its upstream was told %v", r.RequestID, req.Wait, r.Wait)
 	}
--- a/core/soak/soak_test.go
+++ b/core/soak/soak_test.go
@@ -435,3 +435,43 @@
 		}
 	}
 }
+
+// Guards against a check of pauses that misses requests in them, or reports those that
+// were under way, that another VM sent, or that came after a restart of the VM.
+func TestPauseOfAnUpstream(t *testing.T) {
+	for _, tc := range []struct {
+		name     string
+		sender   int
+		arrivals []time.Duration // after the upstream asked
+		restart  bool
+		want     string
+	}{
+		{"too many", testVM, []time.Duration{600 * time.Millisecond, 900 * time.Millisecond, 1900 * time.Millisecond}, false, "BUDGET"},
+		{"two", testVM, []time.Duration{600 * time.Millisecond, 900 * time.Millisecond}, false, ""},
+		{"under way", testVM, []time.Duration{0, 0, 0, 500 * time.Millisecond}, false, ""},
+		{"afterwards", testVM, []time.Duration{2 * time.Second, 2 * time.Second, 3 * time.Second}, false, ""},
+		{"another VM", testVM + 1, []time.Duration{time.Second, time.Second, time.Second}, false, ""},
+		{"restarted", testVM, []time.Duration{time.Second, time.Second, time.Second}, true, ""},
+	} {
+		t.Run(tc.name, func(t *testing.T) {
+			f := newFixture(t)
+			f.sendRequest("t", Fetch)
+			arrive := func(vm int, pause time.Duration) {
+				f.apply(RequestArrived{Run{RequestID: "t", Upstream: 1, Service: plainService, Digest: 7, Wait: 400 * time.Millisecond, Sender: vm, Pause: pause}})
+			}
+			arrive(testVM, 2*time.Second)
+			asked := f.at
+			if tc.restart {
+				f.disturbances.add(component{componentVM, testVM}, f.at, false).end = f.at
+			}
+			for _, after := range tc.arrivals {
+				f.at = asked.Add(after)
+				f.now = f.at
+				f.judgePause(&Run{Upstream: 1, Sender: tc.sender})
+			}
+			if got := f.findingRules(); got != tc.want {
+				t.Errorf("got findings %q, want %q", got, tc.want)
+			}
+		})
+	}
+}
--- a/core/soak/state.go
+++ b/core/soak/state.go
@@ -35,10 +35,11 @@
 	requests      map[string]*request    // by request id
 	runs          map[string]*run        // by receipt
 	extraAttempts map[string][]time.Time // times of retries and hedges, by service
-	drainListedAt map[int]time.Time      // when the list first showed an upstream as draining
-	lateArrivals  int                    // runs that started too long after their caller had disconnected
-	lateRunEnds   int                    // runs that ended too long after their caller had disconnected
-	lateAnswers   int                    // requests answered too long after the timeout of their route
+	pauses        map[pauseKey][]pauseWindow
+	drainListedAt map[int]time.Time // when the list first showed an upstream as draining
+	lateArrivals  int               // runs that started too long after their caller had disconnected
+	lateRunEnds   int               // runs that ended too long after their caller had disconnected
+	lateAnswers   int               // requests answered too long after the timeout of their route
 
 	report        Report
 	findingCounts map[string]int // number of findings by rule
--- a/io/fault/connection.go
+++ b/io/fault/connection.go
@@ -42,6 +42,9 @@
 	ctx, cancel := context.WithTimeout(context.Background(), dialTimeout)
 	defer cancel()
 	var d net.Dialer
+	if c.proxy.KeepSource {
+		d.LocalAddr = net.TCPAddrFromAddrPort(netip.AddrPortFrom(c.source, 0))
+	}
 	conn, err := d.DialContext(ctx, "tcp", c.proxy.target.String())
 	if err != nil {
 		return false
--- a/io/fault/proxy.go
+++ b/io/fault/proxy.go
@@ -15,6 +15,8 @@
 // Proxy forwards TCP connections to a target and applies Rules to them. Create it
 // with Listen.
 type Proxy struct {
+	KeepSource bool // connect to the target from the address of the client; only on loopback. Set before Run.
+
 	listener *net.TCPListener
 	target   netip.AddrPort
 	wg       sync.WaitGroup
--- a/io/soak/effects.go
+++ b/io/soak/effects.go
@@ -38,6 +38,8 @@
 		}
 	case soak.ChangeUpstream:
 		return s.upstreams[e.Upstream].change(e)
+	case soak.PauseUpstream:
+		return s.upstreams[e.Upstream].stub.Change(func(next *stub.Settings) { next.Pause = e.Length })
 	case soak.SwapUpstreams:
 		s.swapUpstreams(e)
 	case soak.SetUpstreamList:
--- a/io/soak/proxy.go
+++ b/io/soak/proxy.go
@@ -7,12 +7,14 @@
 	"comfreypulley/io/fault"
 )
 
-// startProxy starts a fault-injecting proxy.
-func (s *Soak) startProxy(addr, target netip.AddrPort) (*fault.Proxy, error) {
+// startProxy starts a fault-injecting proxy, which may connect from the address of its
+// client.
+func (s *Soak) startProxy(addr, target netip.AddrPort, keepSource bool) (*fault.Proxy, error) {
 	p, err := fault.Listen(addr, target, s.Seed)
 	if err != nil {
 		return nil, err
 	}
+	p.KeepSource = keepSource
 	s.mu.Lock()
 	s.proxies = append(s.proxies, p)
 	s.mu.Unlock()
--- a/io/soak/upstream.go
+++ b/io/soak/upstream.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"net/netip"
+	"slices"
 	"sync/atomic"
 
 	"comfreypulley/core/soak"
@@ -50,7 +51,7 @@
 		return err
 	}
 	go u.run()
-	u.proxy, err = s.startProxy(anyPort, u.server.Addr(0))
+	u.proxy, err = s.startProxy(anyPort, u.server.Addr(0), true)
 	s.upstreams = append(s.upstreams, u)
 	return err
 }
@@ -67,6 +68,7 @@
 	u.soak.post(soak.RequestArrived{Run: soak.Run{
 		Receipt: a.Receipt, Upstream: u.number, Service: u.soak.serviceOf(a.Intended), RequestID: a.CallerRequestID, Digest: a.RequestHash,
 		Wait: a.Wait, Accepted: a.Accepted, Records: a.Records,
+		Sender: u.soak.vmAt(a.Source), Pause: a.Pause,
 	}})
 }
 
@@ -75,6 +77,11 @@
 	u.soak.post(soak.RunEnded{Receipt: receipt, RequestID: tag, Finished: finished})
 }
 
+// vmAt returns the number of the VM at an address, -1 if there is none.
+func (s *Soak) vmAt(addr netip.Addr) int {
+	return slices.IndexFunc(s.vms, func(v *vm) bool { return v.site.VM.PeerAddr.Addr() == addr })
+}
+
 // serviceOf returns the service of an upstream.
 func (s *Soak) serviceOf(id string) string {
 	s.mu.Lock()
--- a/io/soak/vm.go
+++ b/io/soak/vm.go
@@ -76,7 +76,7 @@
 			ChangeBound: soak.ApplyWithin,
 		},
 	}
-	if v.peerProxy, err = s.startProxy(at(peerPort), v.site.PeerListenAddr); err != nil {
+	if v.peerProxy, err = s.startProxy(at(peerPort), v.site.PeerListenAddr, false); err != nil {
 		return nil, err
 	}
 	if hasDisk {
@@ -85,10 +85,10 @@
 	}
 	v.site.CallerAddr, v.site.ReadyAddr = at(callerPort), at(readyPort)
 	v.site.PortionAddr, v.site.MinShardsToDelegate = at(portionPort), minShardsToDelegate
-	if v.portionProxy, err = s.startProxy(v.site.PortionAddr, at(processPort+1)); err != nil {
+	if v.portionProxy, err = s.startProxy(v.site.PortionAddr, at(processPort+1), false); err != nil {
 		return nil, err
 	}
-	v.callerProxy, err = s.startProxy(anyPort, v.site.CallerAddr)
+	v.callerProxy, err = s.startProxy(anyPort, v.site.CallerAddr, false)
 	return v, err
 }
 
--- a/io/stub/config.go
+++ b/io/stub/config.go
@@ -40,6 +40,7 @@
 	WarmUpPeriod      time.Duration // after the cold period, time during which the factor on service times falls from WarmUpFactor to 1
 	WarmUpFactor      float64
 	RestartDelay      time.Duration  // time from a crash to the next start; 0 means no restart
+	Pause             time.Duration  // for which forwarded requests are turned away, as their Retry-After states; 0 for none
 	ReportAge         time.Duration  // age of the reported load and state
 	FalseReport       *FalseReport   // reported instead of the true load and state; nil reports the truth
 	Snapshots         []HeldSnapshot // snapshots that the stub has shards of
--- a/io/stub/forwarded.go
+++ b/io/stub/forwarded.go
@@ -5,6 +5,7 @@
 	"encoding/binary"
 	"io"
 	"net/http"
+	"net/netip"
 	"strconv"
 	"time"
 
@@ -43,6 +44,8 @@
 	CallerRequestID string        // request id chosen by the caller
 	RequestHash     uint64        // hash of its method, URI and body
 	Wait            time.Duration // how long the caller waits, as its header states; 0 when the header is missing or invalid
+	Source          netip.Addr    // address that it came from
+	Pause           time.Duration // that the stub asked for in its answer; 0 for none
 	Accepted        bool          // false when the request is not run
 	Records         []byte        // body of the answer
 }
@@ -79,6 +82,9 @@
 		Upstream: id, Intended: cmp.Or(r.Header.Get(d.ExpectedUpstream), id), CallerRequestID: tag,
 		RequestHash: HashRequest(r.Method, r.RequestURI, body), Wait: time.Duration(ms) * time.Millisecond,
 	}
+	if from, err := netip.ParseAddrPort(r.RemoteAddr); err == nil {
+		a.Source = from.Addr().Unmap()
+	}
 	refuse := func(status int) {
 		s.forwarding.Watcher.Arrived(a)
 		w.Header().Set(d.NotRun, "1")
@@ -88,6 +94,11 @@
 		refuse(http.StatusMisdirectedRequest)
 		return
 	}
+	if a.Pause = settings.Pause; a.Pause > 0 {
+		w.Header().Set("Retry-After", strconv.FormatFloat(a.Pause.Seconds(), 'f', -1, 64))
+		refuse(http.StatusServiceUnavailable)
+		return
+	}
 	switch s.slots.acquire(r.Context(), settings, a.Wait) {
 	case acquired:
 		s.runForwarded(w, r, settings, a)
--- a/io/stub/stub_test.go
+++ b/io/stub/stub_test.go
@@ -394,7 +394,7 @@
 	ran := watcher.arrivals[0]
 	want := Arrival{
 		Upstream: "u", Intended: "u", Receipt: answered.Get("R"), CallerRequestID: "tag", RequestHash: HashRequest(http.MethodGet, "/a?b", nil),
-		Wait: 70 * time.Millisecond, Accepted: true, Records: []byte(body),
+		Wait: 70 * time.Millisecond, Source: netip.MustParseAddr("127.0.0.1"), Accepted: true, Records: []byte(body),
 	}
 	if ran.Receipt == "" || !reflect.DeepEqual(ran, want) {
 		t.Errorf("got %+v, want %+v", ran, want)
