Do not take a reset of this VM's own links for crashes of upstreams

When the links of some VMs are reset while they run requests, every upstream of a request breaks off.

TestResetLinksAreNotTakenForCrashes saw reports with a quarantine of a minute before.

--- a/core/proxy/crash_suspect.go
+++ b/core/proxy/crash_suspect.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"comfreypulley/core/effect"
 	"comfreypulley/core/event"
 	"comfreypulley/core/model"
 )
@@ -14,6 +15,8 @@
 	suspectPeriod       = 10 * time.Second
 	quarantinePeriod    = time.Minute
 	maxSuspects         = 4096
+	maxPendingCrashes   = 256
+	crashDelay          = 2 * minDoubt // after which a suspicion counts although no upstream has answered
 )
 
 // crashSuspects are the requests that may have crashed upstreams: the upstreams
@@ -26,6 +29,37 @@
 	quarantinedUntil time.Time // zero when it never was in quarantine
 }
 
+// pendingCrash is a request that may have crashed upstreams, until it is clear that the
+// links of this VM work.
+type pendingCrash struct {
+	fingerprint model.Fingerprint
+	upstreams   []model.UpstreamID
+	at          time.Time
+}
+
+// suspectCrashes notes that upstreams reset the connections of a request. It counts
+// only once another upstream answers or the links have not come into doubt, since a
+// failure of this VM's own links resets all connections, too.
+func (r *Router) suspectCrashes(at time.Time, req *request) {
+	if len(req.crashed) == 0 || req.answered() > 0 || len(r.pendingCrashes) >= maxPendingCrashes {
+		return
+	}
+	r.pendingCrashes = append(r.pendingCrashes, pendingCrash{req.event.Fingerprint, slices.Clone(req.crashed), at})
+}
+
+// confirmCrashes counts the requests that were suspected before a time, and reports to
+// the other VMs what is new.
+func (r *Router) confirmCrashes(at, before time.Time, out []effect.Effect) []effect.Effect {
+	for len(r.pendingCrashes) > 0 && r.pendingCrashes[0].at.Before(before) {
+		p := r.pendingCrashes[0]
+		r.pendingCrashes = r.pendingCrashes[1:]
+		if report, changed := r.suspects.add(at, p.fingerprint, p.upstreams...); changed {
+			out = append(out, effect.ToControl{Body: report})
+		}
+	}
+	return out
+}
+
 // quarantined reports whether a request must not run.
 func (s crashSuspects) quarantined(at time.Time, fp model.Fingerprint) bool {
 	suspect, ok := s[fp]
--- a/core/proxy/crash_suspect_test.go
+++ b/core/proxy/crash_suspect_test.go
@@ -57,6 +57,9 @@
 				direct = append(direct, more...)
 			}
 		}
+		// The links of the VM have not come into doubt meanwhile.
+		sweep := at.Add(300 * time.Millisecond)
+		reports += countCrashReports(router.HandleTimer(sweep, event.TimerID{Kind: event.TimerSweep}, nil))
 		all := crashes == shardCount
 		if got := isQuarantined(router, at.Add(time.Second), 1); got != all || reports > 0 != all {
 			t.Errorf("%d of %d shards reset the connection: got quarantine %v and %d crash reports, want %v", crashes, shardCount, got, reports, all)
--- a/core/proxy/finish.go
+++ b/core/proxy/finish.go
@@ -32,7 +32,7 @@
 	if !e.WrongUpstream {
 		out = r.observeLimit(at, a, e.Limit, out)
 	}
-	r.recordAnswer(at, u)
+	out = r.recordAnswer(at, u, out)
 	if e.NewConn {
 		out = r.recordOpenedConn(at, out)
 	}
@@ -99,24 +99,12 @@
 	if e.Reason == model.FailedReset && e.Ran != model.RanNo {
 		a.request.crashed = append(a.request.crashed, a.upstream.spec.ID)
 		if !a.request.sharded() {
-			out = r.recordCrashes(at, a.request, out)
+			r.suspectCrashes(at, a.request)
 		}
 	}
 	return r.failAttempt(at, a, e.Reason, e.Ran, e.RetryAfter, out)
 }
 
-// recordCrashes records the request as a suspect of crashing the upstreams that
-// reset its connections, and reports it to the other VMs when that is new.
-func (r *Router) recordCrashes(at time.Time, req *request, out []effect.Effect) []effect.Effect {
-	if len(req.crashed) == 0 || req.answered() > 0 {
-		return out
-	}
-	if report, changed := r.suspects.add(at, req.event.Fingerprint, req.crashed...); changed {
-		out = append(out, effect.ToControl{Body: report})
-	}
-	return out
-}
-
 // failAttempt ends an attempt without a successful response and continues its
 // request.
 func (r *Router) failAttempt(
@@ -252,7 +240,7 @@
 	delete(r.requests, req.event.ID)
 	// Among many shards some upstreams may crash independently of the request,
 	// so crashes count only here, when it is known that no shard answered.
-	out = r.recordCrashes(at, req, out)
+	r.suspectCrashes(at, req)
 	if !req.timerDue.IsZero() {
 		out = append(out, effect.StopTimer{ID: event.TimerID{Kind: event.TimerProxyRequest, N: uint64(req.event.ID)}})
 	}
--- a/core/proxy/fleet_test.go
+++ b/core/proxy/fleet_test.go
@@ -59,6 +59,7 @@
 	timers   map[event.TimerID]int // the order of the timer that is set
 	lastID   model.RequestID
 	notes    []effect.Note
+	reports  []event.CrashReport
 	ready    bool
 }
 
@@ -278,6 +279,10 @@
 			vm.openConn(e)
 		case effect.Ready:
 			vm.ready = e.Ready
+		case effect.ToControl:
+			if report, ok := e.Body.(event.CrashReport); ok {
+				vm.reports = append(vm.reports, report)
+			}
 		case effect.Note:
 			vm.notes = append(vm.notes, e)
 		default:
--- a/core/proxy/reach.go
+++ b/core/proxy/reach.go
@@ -87,8 +87,9 @@
 }
 
 // recordAnswer records that an upstream answered.
-func (r *Router) recordAnswer(at time.Time, u *upstream) {
+func (r *Router) recordAnswer(at time.Time, u *upstream, out []effect.Effect) []effect.Effect {
 	u.answeredAt, r.reach.answeredAt, r.reach.silent = at, at, false
+	return r.confirmCrashes(at, at, out)
 }
 
 // minSuspects is the number of failing upstreams from which on the links of this VM are
@@ -190,7 +191,7 @@
 		s.check.repeated = true
 		return out
 	}
-	s.lostAt = at
+	s.lostAt, r.pendingCrashes = at, nil
 	out = append(out, effect.Note{
 		At: at, Subject: "upstreams", Action: "unreachable", Alert: true,
 		Cause: fmt.Sprintf("%d connections could not be opened, last answer %v ago", s.check.failed, at.Sub(s.answeredAt).Truncate(time.Millisecond)),
--- a/core/proxy/reach_test.go
+++ b/core/proxy/reach_test.go
@@ -161,3 +161,22 @@
 		}
 	}
 }
+
+// Guards against requests that are refused everywhere as crashing upstreams, because the
+// links of some VMs were reset while they ran.
+func TestResetLinksAreNotTakenForCrashes(t *testing.T) {
+	f := newFleet(3, 4, 10, 24)
+	f.load("/all/", 20*time.Millisecond, 4*time.Second)
+	f.run(2 * time.Second)
+	for i, vm := range f.vms {
+		if i%4 < 2 {
+			vm.setLinks(linksReset)
+		}
+	}
+	f.run(2 * time.Second)
+	for _, vm := range f.vms {
+		for _, report := range vm.reports {
+			t.Fatalf("%s reports %+v, want no report of a crash", vm.id, report)
+		}
+	}
+}
--- a/core/proxy/router.go
+++ b/core/proxy/router.go
@@ -40,6 +40,7 @@
 	handovers            map[model.AttemptID]*handoverAttempt // in flight, also of requests that have ended
 	lastAttemptID        model.AttemptID
 	suspects             crashSuspects
+	pendingCrashes       []pendingCrash // oldest first
 	peers                peers
 	isolation            isolation
 	reach                reachability
@@ -200,6 +201,9 @@
 	case event.TimerSweep:
 		r.suspects.expire(at)
 		out = r.checkReach(at, r.checkLimits(at, r.cancelStaleAttempts(at, out)))
+		if !r.reach.inDoubt() {
+			out = r.confirmCrashes(at, at.Add(-crashDelay), out)
+		}
 		return append(out, effect.SetTimer{ID: id, At: at.Add(sweepInterval)})
 	default:
 	}
