--- a/core/proxy/doc.go
+++ b/core/proxy/doc.go
@@ -27,5 +27,9 @@
 // peers.go divides the request, delegate.go tracks a portion sent to another
 // VM, and portion.go answers a portion received from one.
 //
+// reach.go finds out whether this VM reaches any upstream; while it does not,
+// handover.go hands whole requests over to other VMs. statement.go applies what
+// upstreams say of themselves: that they want a pause, or that they stop.
+//
 // Fractions are between 0 and 1. The only clock is the time of the events.
 package proxy
