--- a/io/heads/heads_test.go
+++ b/io/heads/heads_test.go
@@ -34,3 +34,20 @@
 		}
 	}
 }
+
+// Guards against headers of an upstream that panic or give a value out of range.
+func FuzzHeaders(f *testing.F) {
+	f.Add("2.5", "3,0,8", "12.5")
+	f.Add("1e400", "9223372036854775807,1,1", "NaN")
+	f.Fuzz(func(t *testing.T, retryAfter, load, limit string) {
+		if got := ParseRetryAfter(http.Header{"Retry-After": {retryAfter}}); got < 0 || got > maxRetryAfter {
+			t.Errorf("Retry-After %q: got %v", retryAfter, got)
+		}
+		if got := ParseLoad(load); got != nil && (min(got.InFlight, got.Queued, got.Slots) < 0 || got.InFlight+got.Queued+got.Slots > 3*maxLoad) {
+			t.Errorf("load %q: got %+v", load, got)
+		}
+		if got := ParseLimit(limit); got != nil && !(got.Rate >= 0 && got.Rate <= maxRate) {
+			t.Errorf("limit %q: got %v", limit, got.Rate)
+		}
+	})
+}
--- a/io/proxy/fuzz_test.go
+++ b/io/proxy/fuzz_test.go
@@ -5,6 +5,7 @@
 	"bytes"
 	"net"
 	"net/http"
+	"strings"
 	"testing"
 	"time"
 
@@ -75,3 +76,22 @@
 		}
 	})
 }
+
+// Guards against headers between VMs that panic or change their meaning, and against a
+// refusal that claims more than it says.
+func FuzzHandoverHeaders(f *testing.F) {
+	f.Add("7;2", "unreachable;no", "0.25")
+	f.Add("18446744073709551616;1", "odd;no", "1e400")
+	f.Add("1;-9223372036854775808", "timeout;", "-1")
+	f.Fuzz(func(t *testing.T, handover, refusal, retryAfter string) {
+		if h, err := parseHandover(handover); err == nil {
+			if again, err := parseHandover(formatHandover(h)); err != nil || *again != *h || h.MaxAttempts < 1 {
+				t.Errorf("got %+v, %v after formatting %+v", again, err, h)
+			}
+		}
+		r := parseRefusal(http.Header{refusalHeader: {refusal}, "Retry-After": {retryAfter}})
+		if r != nil && (r.RetryAfter < 0 || r.Ran == model.RanNo && !strings.HasSuffix(refusal, ";no")) {
+			t.Errorf("got %+v from %q with Retry-After %q", r, refusal, retryAfter)
+		}
+	})
+}
