--- /dev/null
+++ b/core/proxy/arrival.go
@@ -0,0 +1,130 @@
+package proxy
+
+import (
+	"time"
+
+	"comfreypulley/core/effect"
+	"comfreypulley/core/event"
+	"comfreypulley/core/model"
+)
+
+// HandleProxyRequest handles a new request and starts its first attempts.
+func (r *Router) HandleProxyRequest(at time.Time, e event.ProxyRequest, out []effect.Effect) []effect.Effect {
+	if r.document == nil || !r.hasUpstreamList {
+		return r.hold(at, e, out)
+	}
+	version, routes := r.document.Version, &r.routes
+	if e.Portion != nil {
+		version = e.Portion.DocumentVersion
+		if routes = r.routesOf(at, version); routes == nil {
+			return r.refuseUnsent(e, nil, model.RefusedStale, out)
+		}
+	}
+	route := routes.find(e.Host, e.Path)
+	if reason := r.refusalOnArrival(at, e, route, version); reason != "" {
+		return r.refuseUnsent(e, route, reason, out)
+	}
+	req := r.newRequest(at, e, route, version)
+	if e.Portion != nil {
+		if !r.selectShards(req) {
+			return r.refuseUnsent(e, route, model.RefusedStale, out)
+		}
+		r.requests[e.ID] = req
+		return r.step(at, req, out)
+	}
+	for _, service := range r.servicesOf(route) {
+		req.subrequests = append(req.subrequests, &subrequest{service: service, ran: model.RanNo})
+	}
+	if r.handsOver(at, e) {
+		r.requests[e.ID] = req
+		return r.handOver(at, req, max(1, route.MaxAttempts), out)
+	}
+	if wait := r.waitForPauses(at, req); !at.Add(wait).Before(req.partialAfter) {
+		return r.refuse(e, route, model.RefusedPaused, wait, out)
+	}
+	r.earnRetries(at, req)
+	if !r.mayDelegate(at, req) && !r.reserve(at, req) {
+		wait, _ := req.refusedByLimit()
+		return r.refuse(e, route, model.RefusedLimit, wait, out)
+	}
+	r.requests[e.ID] = req
+	out = r.delegate(at, req, out)
+	return r.step(at, req, out)
+}
+
+// refusalOnArrival returns why a request is refused without any attempt, or "". route
+// is nil when none of the document with the given version matches.
+func (r *Router) refusalOnArrival(at time.Time, e event.ProxyRequest, route *model.Route, version uint64) model.RefusalReason {
+	switch {
+	case (e.Portion != nil || e.Handover != nil) && r.reach.lost():
+		return model.RefusedUnreachable
+	case e.Handover != nil && e.Handover.DocumentVersion > version:
+		return model.RefusedStale
+	case route == nil && r.documentOverdue:
+		return model.RefusedStale
+	case route == nil:
+		return model.RefusedRoute
+	case e.Portion == nil && r.needsOtherZones(route):
+		return model.RefusedIsolated
+	case r.suspects.quarantined(at, e.Fingerprint):
+		return model.RefusedQuarantine
+	default:
+		return ""
+	}
+}
+
+// newRequest returns the state of a request along a route, without its subrequests.
+func (r *Router) newRequest(at time.Time, e event.ProxyRequest, route *model.Route, version uint64) *request {
+	if e.Handover != nil {
+		route = limitAttempts(route, e.Handover.MaxAttempts)
+	}
+	req := &request{
+		event: e, route: route, latency: r.latencyStats(route), documentVersion: version, arrived: at, lastAnswer: at,
+		upstreamListAge: at.Sub(r.upstreamListReadAt),
+	}
+	wait := route.Timeout
+	if e.Wait > 0 {
+		wait = min(wait, e.Wait)
+	}
+	margins := callerMargins{roundTrip: e.RoundTrip, newConn: e.NewConn, processing: r.processingTime()}
+	req.deadline = at.Add(wait - margins.beforeDeadline(wait))
+	req.partialAfter = at.Add(targetLatency(route) - margins.beforeTarget(targetLatency(route)))
+	return req
+}
+
+// limitAttempts returns a route with at most a number of attempts.
+func limitAttempts(route *model.Route, attempts int) *model.Route {
+	limited := *route
+	limited.MaxAttempts = max(1, min(limited.MaxAttempts, attempts))
+	return &limited
+}
+
+// servicesOf returns the services that a request of the route goes to: all
+// shards, or one target.
+func (r *Router) servicesOf(route *model.Route) []string {
+	if len(route.Shards) > 0 {
+		return route.Shards
+	}
+	if len(route.Targets) == 1 {
+		return []string{route.Targets[0].Service}
+	}
+	rr, ok := r.roundRobins[route.Name]
+	if !ok {
+		rr = &roundRobin{}
+		r.roundRobins[route.Name] = rr
+	}
+	return []string{rr.next(route, r.random.Float64)}
+}
+
+func (r *Router) latencyStats(route *model.Route) *latencyStats {
+	return r.latencyStatsByName(route.Name)
+}
+
+func (r *Router) latencyStatsByName(name string) *latencyStats {
+	s, ok := r.latencies[name]
+	if !ok {
+		s = &latencyStats{}
+		r.latencies[name] = s
+	}
+	return s
+}
--- a/core/proxy/doc.go
+++ b/core/proxy/doc.go
@@ -20,7 +20,7 @@
 //
 // match.go finds the route, upstream.go tracks the health and load of an
 // upstream, pick.go chooses one, request.go holds the state of one request,
-// step.go decides what is sent next, and finish.go ends a request.
+// arrival.go begins it, step.go decides what is sent next, and finish.go ends a request.
 //
 // A request over many shards is divided among entry VMs. Each portion is sent
 // to another VM, which queries its shards and returns the merged records:
