Test fleets without any upstream, the return of requests, and a wrong verdict

A request that was handed over is not handed over again; when no VM reaches an upstream, nine in ten requests are refused within 5 ms as not run and VMs offer each other few; after the links are back at most half of the requests go to the upstreams in the first fifth of a second; a VM that takes its links for lost by mistake serves its callers through others.

--- a/core/proxy/fleet_test.go
+++ b/core/proxy/fleet_test.go
@@ -37,6 +37,7 @@
 	vms       []*fleetVM
 	upstreams map[model.UpstreamID]*fleetUpstream
 	shards    int
+	handovers int // requests that VMs handed over
 }
 
 type fleetUpstream struct {
@@ -61,6 +62,9 @@
 	notes    []effect.Note
 	reports  []event.CrashReport
 	ready    bool
+
+	upstreamAttempts int
+	failChecks       bool // connections that a check opens fail
 }
 
 // fleetRequest is a request at a VM: a caller's, or one that another VM sent.
@@ -73,6 +77,7 @@
 	retry    time.Duration
 	took     time.Duration
 	attempts int           // at upstreams and other VMs
+	offers   int           // to other VMs, as a whole
 	origin   *fleetAttempt // of another VM; nil for a caller's request
 }
 
@@ -293,7 +298,7 @@
 
 // openConn opens a connection to an upstream, unless the links do not allow it.
 func (vm *fleetVM) openConn(e effect.OpenConn) {
-	opened, took := vm.links == linksWork && !vm.fleet.upstreams[e.Upstream].down, 2*fleetOneWay
+	opened, took := vm.links == linksWork && !vm.failChecks && !vm.fleet.upstreams[e.Upstream].down, 2*fleetOneWay
 	if vm.links == linksHang || vm.fleet.upstreams[e.Upstream].hangs {
 		took = e.Timeout
 	}
@@ -380,6 +385,10 @@
 	a.request.attempts++
 	if i := slices.IndexFunc(f.vms, func(other *fleetVM) bool { return "vm "+model.UpstreamID(other.id) == e.Upstream }); i >= 0 {
 		a.peer = f.vms[i]
+		if e.Handover != nil {
+			f.handovers++
+			a.request.offers++
+		}
 		if vm.peersCut || a.peer.peersCut {
 			f.after(min(fleetDial, e.Timeout), func() { a.fail(model.FailedRefused, model.RanNo) })
 			return
@@ -393,6 +402,7 @@
 		})
 		return
 	}
+	vm.upstreamAttempts++
 	u := f.upstreams[e.Upstream]
 	a.newConn = vm.conns[e.Upstream] == 0
 	if !a.newConn {
--- a/core/proxy/reach_test.go
+++ b/core/proxy/reach_test.go
@@ -4,6 +4,8 @@
 	"fmt"
 	"testing"
 	"time"
+
+	"comfreypulley/core/model"
 )
 
 // stableWindow is the time after the begin of a fault from which the users judge
@@ -180,3 +182,88 @@
 		}
 	}
 }
+
+// Guards against requests that go from VM to VM, or wait, when no VM reaches an upstream,
+// and against refusals of them that say anything but that they did not run.
+func TestNoVMReachesAnUpstream(t *testing.T) {
+	f := newFleet(3, 4, 10, 24)
+	f.load("/one/", 20*time.Millisecond, 6*time.Second)
+	f.run(2 * time.Second)
+	for _, vm := range f.vms {
+		vm.setLinks(linksReset)
+	}
+	f.run(time.Second)
+	since, offers := f.now, f.handovers
+	const window = 2 * time.Second // for which a VM that refused is avoided
+	f.run(window)
+	atOnce, all := 0, 0
+	for _, vm := range f.vms {
+		for _, req := range vm.requests {
+			if req.origin != nil && req.offers > 0 {
+				t.Fatalf("a request that was handed over to %s was handed over again", vm.id)
+			}
+			if req.origin != nil || !req.answered || req.sentAt.Before(since) {
+				continue
+			}
+			if all++; req.took <= 5*time.Millisecond {
+				atOnce++
+			}
+			if req.status != "unreachable" && req.status != "exhausted" || req.ran != model.RanNo || req.retry <= 0 || req.offers > 8 {
+				t.Fatalf("got status %s, ran %v, Retry-After %v after %d offers, want a refusal as not run", req.status, req.ran, req.retry, req.offers)
+			}
+		}
+	}
+	if atOnce*10 < all*9 {
+		t.Errorf("%d of %d requests were refused at once, want nine in ten", atOnce, all)
+	}
+	if got, want := f.handovers-offers, 2*len(f.vms)*(len(f.vms)-1); got > want {
+		t.Errorf("VMs offered each other %d requests in %v, want at most %d: twice for each pair", got, window, want)
+	}
+}
+
+// Guards against all requests of a VM going to its upstreams at once, over new
+// connections, when its links are back.
+func TestRequestsReturnGradually(t *testing.T) {
+	f := newFleet(3, 4, 10, 24)
+	f.load("/one/", 5*time.Millisecond, 8*time.Second)
+	f.run(2 * time.Second)
+	vm := f.vms[0]
+	vm.setLinks(linksReset)
+	f.run(2 * time.Second)
+	vm.setLinks(linksWork)
+	for !vm.ready || len(vm.notes) == 0 || vm.notes[len(vm.notes)-1].Action != "reachable again" {
+		f.run(time.Millisecond)
+	}
+	const step = 200 * time.Millisecond
+	var direct []int
+	for range 7 {
+		before := vm.upstreamAttempts
+		f.run(step)
+		direct = append(direct, vm.upstreamAttempts-before)
+	}
+	if direct[0]*2 > direct[6] || direct[6] == 0 {
+		t.Errorf("got %v attempts on upstreams in the steps of %v after the links were back, want at most half of the last in the first", direct, step)
+	}
+}
+
+// Guards against a VM that takes its links for lost by mistake: its callers pay a hop.
+func TestWrongVerdictCostsAHop(t *testing.T) {
+	f := newFleet(3, 2, 10, 24)
+	f.load("/all/", 50*time.Millisecond, 4*time.Second)
+	f.run(2 * time.Second)
+	since, vm := f.now, f.vms[0]
+	vm.failChecks = true
+	// Connections to two upstreams fail; those to the others are open already.
+	for id := range f.upstreams {
+		vm.conns[id] = 10
+	}
+	f.upstreams["s0/a"].down, f.upstreams["s1/a"].down = true, true
+	f.run(time.Second)
+	if _, ok := vm.noteTime("upstreams", "unreachable", since); !ok {
+		t.Fatal("the VM does not take its links for lost")
+	}
+	served, all := f.served(since, f.now.Add(-fleetTimeout), func(other *fleetVM) bool { return other == vm })
+	if served < all || all == 0 {
+		t.Errorf("%d of %d requests were served, want all", served, all)
+	}
+}
