Offer a request to VMs of other zones once its own zone has refused it

Offers now go to the zones that have refused the request least often, the own one first among equals.

--- a/core/proxy/handover.go
+++ b/core/proxy/handover.go
@@ -118,38 +118,47 @@
 	return r.step(at, req, out)
 }
 
-// pickHandoverPeer chooses a random VM, preferably of the own zone. When most VMs of
-// the own zone take no requests, the others are spread over all zones. It returns nil
-// when there is none, or no time for it.
+// pickHandoverPeer chooses a random VM of the zones that have refused the request least
+// often, if possible of the own zone. It returns nil when there is none, or no time for
+// it.
 func (r *Router) pickHandoverPeer(at time.Time, req *request) *peer {
-	h, own := req.handover, r.settings.VM.Zone
+	h := req.handover
 	if len(h.attempts) >= maxHandovers || req.deadline.Sub(at) < minHandoverTime {
 		return nil
 	}
-	usable := func(p *peer) bool {
-		return p.ID != r.settings.VM.ID && p.PortionAddr.IsValid() && !at.Before(p.avoidUntil) && !h.triedOn(p)
+	refusals := make(map[model.Zone]int)
+	for _, a := range h.attempts {
+		refusals[a.peer.Zone]++
 	}
-	var near, all []*peer
-	for _, zone := range r.zonesInOrder() {
-		if f, ok := r.peers.zoneFailures[zone]; ok && at.Before(f.avoidUntil) {
-			continue
-		}
-		for _, p := range r.peers.byZone[zone] {
-			if usable(p) {
-				all = append(all, p)
-				if zone == own {
-					near = append(near, p)
-				}
-			}
+	var best []*peer
+	for _, zone := range r.zonesInOrder() { // the own one first
+		usable := r.handoverPeers(at, zone, h)
+		switch {
+		case len(usable) == 0:
+		case len(best) == 0 || refusals[zone] < refusals[best[0].Zone]:
+			best = usable
+		case refusals[zone] == refusals[best[0].Zone] && best[0].Zone != r.settings.VM.Zone:
+			best = append(best, usable...)
 		}
 	}
-	if others := len(r.peers.byZone[own]) - 1; len(near) > 0 && 2*len(near) >= others {
-		all = near
+	if len(best) == 0 {
+		return nil
 	}
-	if len(all) == 0 {
+	return best[r.random.IntN(len(best))]
+}
+
+// handoverPeers returns the VMs of a zone to which a request may be handed over now.
+func (r *Router) handoverPeers(at time.Time, zone model.Zone, h *handover) []*peer {
+	if f, ok := r.peers.zoneFailures[zone]; ok && at.Before(f.avoidUntil) {
 		return nil
 	}
-	return all[r.random.IntN(len(all))]
+	var usable []*peer
+	for _, p := range r.peers.byZone[zone] {
+		if p.ID != r.settings.VM.ID && p.PortionAddr.IsValid() && !at.Before(p.avoidUntil) && !h.triedOn(p) {
+			usable = append(usable, p)
+		}
+	}
+	return usable
 }
 
 // sendHandover sends a request to another VM.
--- a/core/proxy/reach_test.go
+++ b/core/proxy/reach_test.go
@@ -267,3 +267,22 @@
 		t.Errorf("%d of %d requests were served, want all", served, all)
 	}
 }
+
+// Guards against requests that are offered only to VMs of a large zone that is cut off as
+// a whole, and with so few requests that a VM has forgotten who refused the last one.
+func TestRequestsLeaveALargeZoneWithoutUpstreams(t *testing.T) {
+	for _, links := range []linkState{linksHang, linksReset, linksRefuse} {
+		t.Run(fmt.Sprint(links), func(t *testing.T) {
+			const vmsPerZone = 20
+			f := newFleet(3, vmsPerZone, 10, 24)
+			f.load("/all/", 2500*time.Millisecond, 20*time.Second)
+			f.run(3 * time.Second)
+			for _, vm := range f.vms[:vmsPerZone] {
+				vm.setLinks(links)
+			}
+			since := f.now.Add(stableWindow)
+			f.run(15 * time.Second)
+			checkServedAlike(t, f, since, f.now.Add(-2*fleetTimeout))
+		})
+	}
+}
