--- a/core/proxy/reach_test.go
+++ b/core/proxy/reach_test.go
@@ -95,11 +95,11 @@
 	}
 }
 
-// noteTime returns when a VM first noted an action of a subject since a time, or
+// noteTime returns when a VM first noted a change of its upstreams since a time, or
 // false.
-func (vm *fleetVM) noteTime(subject, action string, since time.Time) (time.Time, bool) {
+func (vm *fleetVM) noteTime(action string, since time.Time) (time.Time, bool) {
 	for _, n := range vm.notes {
-		if n.Subject == subject && n.Action == action && !n.At.Before(since) {
+		if n.Subject == "upstreams" && n.Action == action && !n.At.Before(since) {
 			return n.At, true
 		}
 	}
@@ -119,13 +119,13 @@
 				cut, vm := f.now, f.vms[0]
 				vm.setLinks(links)
 				f.run(6 * time.Second)
-				if at, ok := vm.noteTime("upstreams", "unreachable", cut); !ok || at.Sub(cut) > noticeBound {
+				if at, ok := vm.noteTime("unreachable", cut); !ok || at.Sub(cut) > noticeBound {
 					t.Errorf("got a note %v after the cut (%v), want one within %v", at.Sub(cut), ok, noticeBound)
 				}
 				healed := f.now
 				vm.setLinks(linksWork)
 				f.run(2 * time.Second)
-				if at, ok := vm.noteTime("upstreams", "reachable again", healed); !ok || at.Sub(healed) > regainBound {
+				if at, ok := vm.noteTime("reachable again", healed); !ok || at.Sub(healed) > regainBound {
 					t.Errorf("got a note %v after the links were back (%v), want one within %v", at.Sub(healed), ok, regainBound)
 				}
 			})
@@ -155,7 +155,7 @@
 				}
 				f.run(6 * time.Second)
 				for _, vm := range f.vms {
-					if at, ok := vm.noteTime("upstreams", "unreachable", startTime); ok {
+					if at, ok := vm.noteTime("unreachable", startTime); ok {
 						t.Errorf("%s counts upstreams as unreachable at %v, want never", vm.id, at.Sub(startTime))
 					}
 				}
@@ -259,7 +259,7 @@
 	}
 	f.upstreams["s0/a"].down, f.upstreams["s1/a"].down = true, true
 	f.run(time.Second)
-	if _, ok := vm.noteTime("upstreams", "unreachable", since); !ok {
+	if _, ok := vm.noteTime("unreachable", since); !ok {
 		t.Fatal("the VM does not take its links for lost")
 	}
 	served, all := f.served(since, f.now.Add(-fleetTimeout), func(other *fleetVM) bool { return other == vm })
