Conclude nothing from a check of the links that has passed

When a connection of a check failed before another one opened, the failure was kept. If the links came into doubt again within a second, it counted as a failed check, and the VM handed its requests over for up to half a second although its upstreams were reachable. A check now counts only for the doubt that it belongs to, and one that passed leaves no failure behind. Found by reading; TestPassedCheckIsNotUsedAgain failed before.

--- a/core/proxy/reach.go
+++ b/core/proxy/reach.go
@@ -71,7 +71,7 @@
 func (r *Router) recordOpenedConn(at time.Time, out []effect.Effect) []effect.Effect {
 	s := &r.reach
 	clear(s.failedConns)
-	s.doubtedAt, s.check.pending = time.Time{}, nil
+	s.doubtedAt, s.check = time.Time{}, connCheck{startedAt: s.check.startedAt}
 	if !s.lost() {
 		return out
 	}
@@ -183,7 +183,8 @@
 // When other upstreams answered meanwhile, it is repeated with those.
 func (r *Router) concludeConnCheck(at time.Time, out []effect.Effect) []effect.Effect {
 	s := &r.reach
-	if s.lost() || s.doubtedAt.IsZero() || s.check.failed == 0 || len(s.check.pending) > 0 || at.Sub(s.doubtedAt) < minDoubt {
+	if s.lost() || s.doubtedAt.IsZero() || at.Sub(s.doubtedAt) < minDoubt ||
+		s.check.startedAt.Before(s.doubtedAt) || s.check.failed == 0 || len(s.check.pending) > 0 {
 		return out
 	}
 	if !s.check.repeated && s.answeredAt.After(s.check.startedAt) {
--- a/core/proxy/reach_test.go
+++ b/core/proxy/reach_test.go
@@ -5,6 +5,8 @@
 	"testing"
 	"time"
 
+	"comfreypulley/core/effect"
+	"comfreypulley/core/event"
 	"comfreypulley/core/model"
 )
 
@@ -286,3 +288,48 @@
 		})
 	}
 }
+
+// Guards against a conclusion from a check that has passed, when the links come into
+// doubt again before the next one.
+func TestPassedCheckIsNotUsedAgain(t *testing.T) {
+	tr := newTestRouter(unshardedRoute(false), "s")
+	lost := false
+	apply := func(out []effect.Effect) (checks []effect.OpenConn, forwards []effect.Forward) {
+		for _, e := range out {
+			switch e := e.(type) {
+			case effect.OpenConn:
+				checks = append(checks, e)
+			case effect.Note:
+				lost = lost || e.Action == "unreachable"
+			}
+		}
+		return checks, forwardsOf(out)
+	}
+	failConns := func() (checks []effect.OpenConn) {
+		forwards := tr.request()
+		for len(forwards) > 0 {
+			var more []effect.OpenConn
+			more, forwards = apply(tr.router.HandleAttemptFailed(tr.now, event.AttemptFailed{
+				Attempt: forwards[0].Attempt, Reason: model.FailedRefused, Ran: model.RanNo, NewConn: true,
+			}, nil))
+			checks = append(checks, more...)
+		}
+		return checks
+	}
+	checks := failConns()
+	if len(checks) < 2 {
+		t.Fatalf("got %d checks after the connections to three upstreams failed, want some", len(checks))
+	}
+	for i, c := range checks {
+		apply(tr.router.HandleConnChecked(tr.now, event.ConnChecked{Upstream: c.Upstream, Opened: i > 0}, nil))
+	}
+	tr.now = tr.now.Add(50 * time.Millisecond)
+	failConns()
+	for range 3 {
+		tr.now = tr.now.Add(100 * time.Millisecond)
+		apply(tr.router.HandleTimer(tr.now, event.TimerID{Kind: event.TimerSweep}, nil))
+	}
+	if lost {
+		t.Error("no upstream counts as reachable, although connections to two were opened")
+	}
+}
