--- a/review/standin/backend.go
+++ b/review/standin/backend.go
@@ -29,6 +29,8 @@
 	running  int
 	queued   int
 	run      map[string]int // by request id
+	ranAt    map[string]time.Time
+	conns    map[net.Conn]bool
 	listener net.Listener
 	slot     chan struct{}
 
@@ -43,7 +45,7 @@
 func (f *fleet) startBackend(service string, n, last, slots int, work time.Duration) (*backend, error) {
 	b := &backend{
 		fleet: f, id: fmt.Sprintf("i-%s%d", service, n), service: service, zone: []string{"za", "zb", "zc"}[n%3],
-		addr: fmt.Sprintf("%s.%d:%d", f.prefix, last, backendPort), slots: slots, work: work, run: map[string]int{}, slot: make(chan struct{}, slots),
+		addr: fmt.Sprintf("%s.%d:%d", f.prefix, last, backendPort), slots: slots, work: work, run: map[string]int{}, ranAt: map[string]time.Time{}, conns: map[net.Conn]bool{}, slot: make(chan struct{}, slots),
 	}
 	lc := net.ListenConfig{Control: func(_, _ string, c syscall.RawConn) error {
 		return c.Control(func(fd uintptr) {
@@ -52,6 +54,7 @@
 			_ = syscall.SetsockoptInt(int(fd), syscall.SOL_SOCKET, syscall.SO_RCVBUF, 4<<10)
 		})
 	}}
+	lc.SetMultipathTCP(false) // its sockets refuse these options
 	l, err := lc.Listen(context.Background(), "tcp", b.addr)
 	if err != nil {
 		return nil, err
@@ -74,7 +77,15 @@
 }
 
 func (b *backend) serve(c net.Conn) {
-	defer c.Close()
+	b.mu.Lock()
+	b.conns[c] = true
+	b.mu.Unlock()
+	defer func() {
+		b.mu.Lock()
+		delete(b.conns, c)
+		b.mu.Unlock()
+		c.Close()
+	}()
 	r := bufio.NewReader(c)
 	for {
 		req, err := http.ReadRequest(r)
@@ -145,6 +156,7 @@
 	b.queued--
 	b.running++
 	b.run[id]++
+	b.ranAt[id] = time.Now()
 	b.mu.Unlock()
 	b.fleet.log("server %s: runs %s %s id %s with %d bytes", b.id, req.Method, req.URL.Path, id, len(body))
 	time.Sleep(b.work)
--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -26,6 +26,8 @@
 	lastPort    = 7755
 	cloudPort   = 8229
 	backendPort = 8080
+
+	forwardedPort = 7742 // behind a forwarder on peerPort
 )
 
 // fleet is a small deployment: the project's processes on loopback addresses,
@@ -147,6 +149,9 @@
 		put("limits.memory_mb", "206")
 		put("limits.max_fds", "2870")
 	}
+	if f.extra["listen.peer"] != "" {
+		fmt.Fprintf(&b, "listen.peer=%s:%d\n", m.ip, forwardedPort)
+	}
 	put("internal_ports", fmt.Sprintf("%d,%d", peerPort, lastPort))
 	put("seeds", strings.Join(seeds, ","))
 	put("bootstrap", fmt.Sprint(m.bootstrap))
@@ -187,12 +192,6 @@
 		return err
 	}
 	cmd := exec.Command(f.binary, "platform", m.role, "--metrics", "9464")
-	if fds := f.extra["run.fds"]; fds != "" && m.role == "entry" {
-		cmd = exec.Command("/bin/sh", "-c", "ulimit -n "+fds+" && exec "+f.binary+" platform "+m.role+" --metrics 9464")
-	}
-	if t := os.Getenv("STRACE"); t != "" && m.role == "entry" {
-		cmd = exec.Command("strace", "-f", "-tt", "-e", "trace=write,close,setsockopt,shutdown", "-s", "60", "-o", t+m.name, f.binary, "platform", m.role, "--metrics", "9464")
-	}
 	cmd.Dir = f.root
 	cmd.Env = []string{"COMFREYPULLEY_BOOT=" + path, "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=C.UTF-8"}
 	cmd.Stdout, cmd.Stderr = logFile, logFile
