--- a/review/standin/early.go
+++ b/review/standin/early.go
@@ -78,7 +78,7 @@
 		b.rejectEarly = func(length int) (time.Duration, bool) {
 			mu.Lock()
 			defer mu.Unlock()
-			if length < 64<<10 || !in(time.Now()) || rejected >= 2 {
+			if length < 64<<10 || !in(time.Now()) || rejected >= 3 {
 				return 0, false
 			}
 			rejected++
@@ -171,16 +171,18 @@
 	for _, m := range entries {
 		wg.Add(1)
 		go steady(m, "r-check", "board.example", "/check/1", 25*time.Millisecond, 2*time.Second)
-		for range 4 {
+		for k := range 6 {
 			wg.Add(1)
-			go client(m, "r-fetch", "GET", "archive.example", "/fetch/1", 50*time.Millisecond, 5*time.Second, nil)
+			go client(m, "r-fetch", "GET", "archive.example", "/fetch/1", time.Duration(40+9*k)*time.Millisecond, 5*time.Second, nil)
 		}
 		// Long requests are rare here, and come from troubleAt on.
-		wg.Add(1)
-		go func() {
-			time.Sleep(troubleAt)
-			client(m, "r-store", "POST", "archive.example", "/store/1", time.Second, 5*time.Second, long)
-		}()
+		for k := range 2 {
+			wg.Add(1)
+			go func() {
+				time.Sleep(troubleAt + time.Duration(k)*333*time.Millisecond)
+				client(m, "r-store", "POST", "archive.example", "/store/1", time.Second, 5*time.Second, long)
+			}()
+		}
 	}
 	wg.Wait()
 
