--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -11,6 +11,7 @@
 	"os"
 	"os/exec"
 	"path/filepath"
+	"strconv"
 	"strings"
 	"sync"
 	"syscall"
@@ -27,6 +28,8 @@
 	cloudPort   = 8229
 	backendPort = 8080
 
+	metricsPort = 9464 // of the command in the deploy file
+
 	forwardedPort = 7742 // behind a forwarder on peerPort
 )
 
@@ -76,15 +79,25 @@
 		started: time.Now(), trouble: os.Getenv("TROUBLE") != "0", extra: map[string]string{},
 	}
 	// A free block of loopback addresses.
-	for n := os.Getpid() % 200; ; n++ {
-		f.prefix = fmt.Sprintf("127.%d.%d", 20+n%200, 1+(n/200)%200)
-		l, err := net.Listen("tcp", fmt.Sprintf("%s.9:%d", f.prefix, cloudPort))
-		if err == nil {
-			l.Close()
-			break
+	for n := range 400 {
+		f.prefix = fmt.Sprintf("127.%d.%d", 20+(os.Getpid()+n)%200, 1+n%250)
+		if f.free() {
+			return f, nil
+		}
+	}
+	return nil, fmt.Errorf("no free block of loopback addresses")
+}
+
+// free reports whether all ports are free on addresses of the block.
+func (f *fleet) free() bool {
+	for _, port := range []int{frontPort, readyPort, controlPort, peerPort, peerPort + 1, forwardedPort, forwardedPort + 1, cloudPort, backendPort, metricsPort} {
+		l, err := net.Listen("tcp", fmt.Sprintf("%s.9:%d", f.prefix, port))
+		if err != nil {
+			return false
 		}
+		l.Close()
 	}
-	return f, nil
+	return true
 }
 
 // log writes a line to the record.
@@ -191,7 +204,7 @@
 	if err != nil {
 		return err
 	}
-	cmd := exec.Command(f.binary, "platform", m.role, "--metrics", "9464")
+	cmd := exec.Command(f.binary, "platform", m.role, "--metrics", strconv.Itoa(metricsPort))
 	cmd.Dir = f.root
 	cmd.Env = []string{"COMFREYPULLEY_BOOT=" + path, "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=C.UTF-8"}
 	cmd.Stdout, cmd.Stderr = logFile, logFile
