--- a/review/standin/backend.go
+++ b/review/standin/backend.go
@@ -42,6 +42,9 @@
 
 var stampCounter atomic.Int64
 
+// notRun is the header of an answer to a request that has not run.
+var notRun = names["notRun"] + ": 1\r\n"
+
 func (f *fleet) startBackend(service string, n, last, slots int, work time.Duration) (*backend, error) {
 	b := &backend{
 		fleet: f, id: fmt.Sprintf("i-%s%d", service, n), service: service, zone: []string{"za", "zb", "zc"}[n%3],
@@ -73,7 +76,7 @@
 }
 
 func (b *backend) entry() map[string]any {
-	return map[string]any{"id": b.id, "service": b.service, "address": b.addr, "zone": b.zone, "version": "v1", "slots": b.slots, "state": "ready", "warmup_left_ms": 0}
+	return map[string]any{"id": b.id, "service": b.service, "address": b.addr, "zone": b.zone, "version": "v1", "slots": b.slots, "state": "ready", names["warmUp"]: 0}
 }
 
 func (b *backend) serve(c net.Conn) {
@@ -92,13 +95,13 @@
 		if err != nil {
 			return
 		}
-		id := req.Header.Get("Request-Id")
+		id := req.Header.Get(names["id"])
 		length := int(req.ContentLength)
 		if b.rejectEarly != nil && length > 0 {
 			if after, reject := b.rejectEarly(length); reject {
 				b.early.Add(1)
 				b.fleet.log("server %s: %s %s id %s with %d bytes rejected as not run before its body is in; it is read %v later", b.id, req.Method, req.URL.Path, id, length, after)
-				b.answer(c, id, 503, "Not-Executed: 1\r\n", nil)
+				b.answer(c, id, 503, notRun, nil)
 				time.Sleep(after)
 				if n, err := io.Copy(io.Discard, req.Body); err != nil {
 					b.fleet.log("server %s: rest of the body of %s: %d bytes, %v", b.id, id, n, err)
@@ -115,10 +118,10 @@
 		switch {
 		case req.URL.Path == "/health":
 			b.answer(c, "", 200, "", nil)
-		case req.Header.Get("Expect-Instance") != "" && req.Header.Get("Expect-Instance") != b.id:
-			b.answer(c, id, 421, "Not-Executed: 1\r\n", nil)
+		case req.Header.Get(names["expected"]) != "" && req.Header.Get(names["expected"]) != b.id:
+			b.answer(c, id, 421, notRun, nil)
 		case id == "":
-			b.answer(c, id, 400, "Not-Executed: 1\r\n", nil)
+			b.answer(c, id, 400, notRun, nil)
 		default:
 			if !b.execute(c, r, req, id, body) {
 				return
@@ -129,7 +132,7 @@
 
 // execute runs one request in a slot.
 func (b *backend) execute(c net.Conn, r *bufio.Reader, req *http.Request, id string, body []byte) bool {
-	deadline, _ := strconv.Atoi(req.Header.Get("Deadline-Ms"))
+	deadline, _ := strconv.Atoi(req.Header.Get(names["deadline"]))
 	if deadline <= 0 {
 		deadline = 60_000
 	}
@@ -138,7 +141,7 @@
 	b.mu.Lock()
 	if b.queued >= 24 {
 		b.mu.Unlock()
-		b.answer(c, id, 503, "Not-Executed: 1\r\n", nil)
+		b.answer(c, id, 503, notRun, nil)
 		return true
 	}
 	b.queued++
@@ -149,7 +152,7 @@
 		b.mu.Lock()
 		b.queued--
 		b.mu.Unlock()
-		b.answer(c, id, 503, "Not-Executed: 1\r\n", nil)
+		b.answer(c, id, 503, notRun, nil)
 		return true
 	}
 	b.mu.Lock()
@@ -165,18 +168,18 @@
 	b.running--
 	b.mu.Unlock()
 	stamp := fmt.Sprintf("%s.%x.%s.%d", b.id, stampCounter.Add(1), id, len(body))
-	b.answer(c, id, 200, "Server-Stamp: "+stamp+"\r\n", []byte("answer to "+id+" of "+b.id+"\n"))
+	b.answer(c, id, 200, names["stamp"]+": "+stamp+"\r\n", []byte("answer to "+id+" of "+b.id+"\n"))
 	return true
 }
 
 func (b *backend) answer(c net.Conn, id string, status int, header string, body []byte) {
 	var out bytes.Buffer
-	fmt.Fprintf(&out, "HTTP/1.1 %d %s\r\nInstance-Id: %s\r\n", status, http.StatusText(status), b.id)
+	fmt.Fprintf(&out, "HTTP/1.1 %d %s\r\n%s: %s\r\n", status, http.StatusText(status), names["instance"], b.id)
 	if id != "" {
-		fmt.Fprintf(&out, "Request-Id: %s\r\n", id)
+		fmt.Fprintf(&out, "%s: %s\r\n", names["id"], id)
 	}
 	b.mu.Lock()
-	fmt.Fprintf(&out, "Server-Load: %d,%d,%d\r\n", b.running, b.queued, b.slots)
+	fmt.Fprintf(&out, "%s: %d,%d,%d\r\n", names["load"], b.running, b.queued, b.slots)
 	b.mu.Unlock()
 	out.WriteString(header)
 	fmt.Fprintf(&out, "Content-Length: %d\r\n\r\n", len(body))
--- a/review/standin/early.go
+++ b/review/standin/early.go
@@ -50,14 +50,7 @@
 			return false, err
 		}
 	}
-	manifest := `{"version":7,"routes":[
-{"name":"r-check","host":"board.example","path_prefix":"/check/","kind":"safe","timeout_ms":600,"target_latency_ms":100,"priority":1,"service":"board","max_attempts":2},
-{"name":"r-fetch","host":"archive.example","path_prefix":"/fetch/","kind":"safe","timeout_ms":3000,"target_latency_ms":500,"priority":2,"service":"archive","max_attempts":2},
-{"name":"r-store","host":"archive.example","path_prefix":"/store/","kind":"unsafe","timeout_ms":3000,"target_latency_ms":500,"priority":2,"service":"archive","max_attempts":2}],
-"services":[{"name":"archive","health_path":"/health","max_connections":105,"protocol":"h1","tls":false},
-{"name":"board","health_path":"/health","max_connections":56,"protocol":"h1","tls":false}],
-"limits":{"max_header_bytes":16384,"max_body_bytes":1048576,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`
-	if err := f.put([]byte(manifest), 20*time.Second); err != nil {
+	if err := f.put(readPage("early.json"), 20*time.Second); err != nil {
 		return false, err
 	}
 	for _, m := range entries {
--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -44,10 +44,11 @@
 	started time.Time
 	trouble bool
 
+	forwarded bool // forwarders stand on the internal ports
+
 	mu       sync.Mutex
 	machines []*machine
 	listed   func() []map[string]any // entries of the platform's list
-	extra    map[string]string       // settings that a case changes
 }
 
 // machine is one machine with one process.
@@ -76,7 +77,7 @@
 	}
 	f := &fleet{
 		binary: filepath.Join(root, "target", "comfreypulley"), root: root, folder: folder, record: record,
-		started: time.Now(), trouble: os.Getenv("TROUBLE") != "0", extra: map[string]string{},
+		started: time.Now(), trouble: os.Getenv("TROUBLE") != "0",
 	}
 	// A free block of loopback addresses.
 	for n := range 400 {
@@ -118,15 +119,8 @@
 	return m
 }
 
-func (m *machine) settings() string {
+func (m *machine) settings() (string, error) {
 	f := m.fleet
-	var b strings.Builder
-	put := func(k, v string) {
-		if x, ok := f.extra[k]; ok {
-			v = x
-		}
-		fmt.Fprintf(&b, "%s=%s\n", k, v)
-	}
 	class, serves := "front", "front"
 	if m.role == "control" {
 		class, serves = "core", "control"
@@ -137,67 +131,31 @@
 			seeds = append(seeds, fmt.Sprintf("%s:%d", o.ip, controlPort))
 		}
 	}
-	put("node_name", m.name)
-	put("role", m.role)
-	put("machine_class", class)
-	put("serves", serves)
-	put("ip", m.ip)
-	put("zone", m.zone)
-	put("region", "r")
-	for _, z := range []string{"za", "zb", "zc"} {
-		put("zones."+z, "r")
-	}
+	data := filepath.Join(f.folder, m.name+"-data")
 	if m.role == "control" {
-		put("listen.control", fmt.Sprintf("%s:%d", m.ip, controlPort))
-		data := filepath.Join(f.folder, m.name+"-data")
-		_ = os.MkdirAll(data, 0o700)
-		put("data_dir", data)
-		put("limits.cpu_share", "0.48")
-		put("limits.memory_mb", "280")
-		put("limits.max_fds", "4096")
-	} else {
-		put("listen.front", fmt.Sprintf("%s:%d", m.ip, frontPort))
-		put("listen.ready", fmt.Sprintf("%s:%d", m.ip, readyPort))
-		put("limits.cpu_share", "0.272")
-		put("limits.memory_mb", "206")
-		put("limits.max_fds", "2870")
-	}
-	if f.extra["listen.peer"] != "" {
-		fmt.Fprintf(&b, "listen.peer=%s:%d\n", m.ip, forwardedPort)
-	}
-	put("internal_ports", fmt.Sprintf("%d,%d", peerPort, lastPort))
-	put("seeds", strings.Join(seeds, ","))
-	put("bootstrap", fmt.Sprint(m.bootstrap))
-	put("in_tolerance", fmt.Sprint(m.role == "control"))
-	put("limits.cores", "1")
-	put("limits.link_mbps", "700.0")
-	put("discovery", "cloud_api")
-	put("entry", "vip")
-	put("heartbeat_ms", "1200")
-	put("contracts", "base,drain,config,cost,retry,recover,scatter")
-	put("fault_tolerance.machines", "1")
-	put("fault_tolerance.zones", "1")
-	put("fault_tolerance.regions", "0")
-	for k, v := range map[string]string{
-		"seed_lag_s": "3", "address_reuse_s": "2", "stable_window_ms": "4000", "ack_ms": "5000", "catch_up_s": "4", "drain_ms": "3000",
-		"grace_s": "6", "loss_slack_ms": "200", "config_apply_ms": "3000", "rollback_slack_ms": "250", "max_stretch_ms": "12000",
-		"retry_budget_ratio": "0.2", "budget_window_s": "10", "retry_budget_extra": "116", "recovery_s": "12",
-	} {
-		put("bounds."+k, v)
+		if err := os.MkdirAll(data, 0o700); err != nil {
+			return "", err
+		}
 	}
-	put("config_mode", "highest")
-	put("cloud_api.address", fmt.Sprintf("%s.9:%d", f.prefix, cloudPort))
-	put("cloud_api.rate_per_s", "90.0")
-	put("cloud_api.duties", "")
-	put("cloud_api.lag_ms", "800")
-	return b.String()
+	var b strings.Builder
+	err := settingsTemplate.Execute(&b, map[string]any{
+		"Name": m.name, "Role": m.role, "Class": class, "Serves": serves, "IP": m.ip, "Zone": m.zone, "DataDir": data,
+		"ControlPort": controlPort, "FrontPort": frontPort, "ReadyPort": readyPort, "PeerPort": peerPort, "LastPort": lastPort,
+		"Forwarded": f.forwarded, "ForwardedPort": forwardedPort, "Seeds": strings.Join(seeds, ","), "Bootstrap": m.bootstrap,
+		"CloudIP": f.prefix + ".9", "CloudPort": cloudPort,
+	})
+	return b.String(), err
 }
 
 // start starts the process with the command of the deploy file.
 func (m *machine) start() error {
 	f := m.fleet
 	path := filepath.Join(f.folder, m.name+".conf")
-	if err := os.WriteFile(path, []byte(m.settings()), 0o600); err != nil {
+	settings, err := m.settings()
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(path, []byte(settings), 0o600); err != nil {
 		return err
 	}
 	logFile, err := os.OpenFile(filepath.Join(f.folder, m.name+".log"), os.O_CREATE|os.O_APPEND|os.O_WRONLY, 0o600)
@@ -206,7 +164,7 @@
 	}
 	cmd := exec.Command(f.binary, "platform", m.role, "--metrics", strconv.Itoa(metricsPort))
 	cmd.Dir = f.root
-	cmd.Env = []string{"COMFREYPULLEY_BOOT=" + path, "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=C.UTF-8"}
+	cmd.Env = []string{names["boot"] + "=" + path, "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=C.UTF-8"}
 	cmd.Stdout, cmd.Stderr = logFile, logFile
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
 	if err := cmd.Start(); err != nil {
@@ -278,10 +236,10 @@
 		f.mu.Unlock()
 		from := 0
 		fmt.Sscanf(r.URL.Query().Get("page_token"), "p-%d", &from)
-		page := map[string]any{"next_page_token": nil}
+		page := map[string]any{names["nextPage"]: nil}
 		end := min(from+50, len(all))
 		if end < len(all) {
-			page["next_page_token"] = fmt.Sprintf("p-%d", end)
+			page[names["nextPage"]] = fmt.Sprintf("p-%d", end)
 		}
 		page["instances"] = all[min(from, end):end]
 		w.Header().Set("Content-Type", "application/json")
@@ -373,7 +331,7 @@
 func (c *clientConn) do(method, host, path, id string, deadline time.Duration, body []byte) answer {
 	a := answer{id: id, sent: time.Now()}
 	var b bytes.Buffer
-	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\nRequest-Id: %s\r\nDeadline-Ms: %d\r\n", method, path, host, id, deadline.Milliseconds())
+	fmt.Fprintf(&b, "%s %s HTTP/1.1\r\nHost: %s\r\n%s: %s\r\n%s: %d\r\n", method, path, host, names["id"], id, names["deadline"], deadline.Milliseconds())
 	if body != nil {
 		fmt.Fprintf(&b, "Content-Length: %d\r\n", len(body))
 	}
@@ -395,7 +353,7 @@
 	a.took = time.Since(a.sent)
 	a.header = resp.Header
 	if a.err == nil {
-		a.status, a.stamp = resp.StatusCode, resp.Header.Get("Server-Stamp")
+		a.status, a.stamp = resp.StatusCode, resp.Header.Get(names["stamp"])
 	}
 	if resp.Close && a.err == nil {
 		c.conn.Close()
--- a/review/standin/handover.go
+++ b/review/standin/handover.go
@@ -80,7 +80,7 @@
 	if err := f.serveList(); err != nil {
 		return false, err
 	}
-	f.extra["listen.peer"] = "forwarded"
+	f.forwarded = true
 	zones := []string{"za", "zb", "zc"}
 	var controls, entries []*machine
 	for n, zone := range zones {
@@ -103,14 +103,7 @@
 			return false, err
 		}
 	}
-	manifest := func(version int, service string) []byte {
-		return fmt.Appendf(nil, `{"version":%d,"routes":[
-{"name":"r-fetch","host":"archive.example","path_prefix":"/fetch/","kind":"safe","timeout_ms":2000,"target_latency_ms":400,"priority":2,"service":"%s","max_attempts":2}],
-"services":[{"name":"archive","health_path":"/health","max_connections":105,"protocol":"h1","tls":false},
-{"name":"hub","health_path":"/health","max_connections":105,"protocol":"h1","tls":false}],
-"limits":{"max_header_bytes":16384,"max_body_bytes":262144,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`, version, service)
-	}
-	if err := f.put(manifest(7, "archive"), 20*time.Second); err != nil {
+	if err := f.put(readPage("handover-7.json"), 20*time.Second); err != nil {
 		return false, err
 	}
 	for _, m := range entries {
@@ -192,7 +185,7 @@
 		time.AfterFunc(strandT, func() { _ = strand("") })
 	}
 	time.Sleep(time.Until(begin.Add(putAt)))
-	if err := f.put(manifest(8, "hub"), 5*time.Second); err != nil {
+	if err := f.put(readPage("handover-8.json"), 5*time.Second); err != nil {
 		return false, err
 	}
 	wg.Wait()
--- a/review/standin/upload.go
+++ b/review/standin/upload.go
@@ -50,11 +50,7 @@
 			return false, err
 		}
 	}
-	manifest := `{"version":7,"routes":[
-{"name":"r-store","host":"archive.example","path_prefix":"/store/","kind":"unsafe","timeout_ms":3000,"target_latency_ms":500,"priority":2,"service":"archive","max_attempts":2}],
-"services":[{"name":"archive","health_path":"/health","max_connections":105,"protocol":"h1","tls":false}],
-"limits":{"max_header_bytes":16384,"max_body_bytes":262144,"header_timeout_ms":3000,"idle_timeout_ms":15000}}`
-	if err := f.put([]byte(manifest), 20*time.Second); err != nil {
+	if err := f.put(readPage("upload.json"), 20*time.Second); err != nil {
 		return false, err
 	}
 	for _, m := range entries {
@@ -92,7 +88,8 @@
 		mu.Unlock()
 		p := pending{id: id, sent: time.Now()}
 		_ = c.conn.SetDeadline(p.sent.Add(deadline))
-		head := fmt.Sprintf("POST /store/%d HTTP/1.1\r\nHost: archive.example\r\nRequest-Id: %s\r\nDeadline-Ms: %d\r\nContent-Length: %d\r\n\r\n", n, id, deadline.Milliseconds(), len(body))
+		head := fmt.Sprintf("POST /store/%d HTTP/1.1\r\nHost: archive.example\r\n%s: %s\r\n%s: %d\r\nContent-Length: %d\r\n\r\n",
+			n, names["id"], id, names["deadline"], deadline.Milliseconds(), len(body))
 		_, err := io.WriteString(c.conn, head)
 		for k := 0; k < pieces && err == nil; k++ {
 			size := len(body) / pieces
