--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -44,6 +44,7 @@
 	started time.Time
 	trouble bool
 
+	maxFDs    int  // descriptors of an entry process, 0 for no limit of its own
 	forwarded bool // forwarders stand on the internal ports
 
 	mu       sync.Mutex
@@ -163,6 +164,10 @@
 		return err
 	}
 	cmd := exec.Command(f.binary, "platform", m.role, "--metrics", strconv.Itoa(metricsPort))
+	if f.maxFDs > 0 && m.role == "entry" {
+		limited := []string{"-c", `ulimit -n "$0" && exec "$@"`, strconv.Itoa(f.maxFDs)}
+		cmd = exec.Command("/bin/sh", append(limited, cmd.Args...)...)
+	}
 	cmd.Dir = f.root
 	cmd.Env = []string{names["boot"] + "=" + path, "PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "LANG=C.UTF-8"}
 	cmd.Stdout, cmd.Stderr = logFile, logFile
--- a/review/standin/main.go
+++ b/review/standin/main.go
@@ -11,7 +11,7 @@
 )
 
 func main() {
-	cases := map[string]func(*fleet) (broken bool, err error){"early": early, "upload": upload, "handover": handover}
+	cases := map[string]func(*fleet) (broken bool, err error){"early": early, "upload": upload, "idle": idle, "handover": handover}
 	play, ok := cases[os.Args[1]]
 	if !ok {
 		fmt.Println("unknown case")
