--- a/review/standin/early.go
+++ b/review/standin/early.go
@@ -38,9 +38,7 @@
 		}
 		return all
 	}
-	if err := f.serveList(); err != nil {
-		return false, err
-	}
+	f.serveList()
 	for n, zone := range []string{"za", "zb", "zc"} {
 		f.addMachine("control", zone, 101+n, true)
 	}
--- a/review/standin/fleet.go
+++ b/review/standin/fleet.go
@@ -43,6 +43,7 @@
 	record  *os.File
 	started time.Time
 	trouble bool
+	cloud   net.Listener // of the platform's list
 
 	maxFDs    int  // descriptors of an entry process, 0 for no limit of its own
 	forwarded bool // forwarders stand on the internal ports
@@ -83,16 +84,22 @@
 	// A free block of loopback addresses.
 	for n := range 400 {
 		f.prefix = fmt.Sprintf("127.%d.%d", 20+(os.Getpid()+n)%200, 1+n%250)
+		l, err := net.Listen("tcp", fmt.Sprintf("%s.9:%d", f.prefix, cloudPort)) // claims the block
+		if err != nil {
+			continue
+		}
 		if f.free() {
+			f.cloud = l
 			return f, nil
 		}
+		l.Close()
 	}
 	return nil, fmt.Errorf("no free block of loopback addresses")
 }
 
 // free reports whether all ports are free on addresses of the block.
 func (f *fleet) free() bool {
-	for _, port := range []int{frontPort, readyPort, controlPort, peerPort, peerPort + 1, forwardedPort, forwardedPort + 1, cloudPort, backendPort, metricsPort} {
+	for _, port := range []int{frontPort, readyPort, controlPort, peerPort, peerPort + 1, forwardedPort, forwardedPort + 1, backendPort, metricsPort} {
 		l, err := net.Listen("tcp", fmt.Sprintf("%s.9:%d", f.prefix, port))
 		if err != nil {
 			return false
@@ -229,11 +236,7 @@
 }
 
 // serveList serves the platform's list of instances, 50 on a page.
-func (f *fleet) serveList() error {
-	l, err := net.Listen("tcp", fmt.Sprintf("%s.9:%d", f.prefix, cloudPort))
-	if err != nil {
-		return err
-	}
+func (f *fleet) serveList() {
 	mux := http.NewServeMux()
 	mux.HandleFunc("GET /instances", func(w http.ResponseWriter, r *http.Request) {
 		f.mu.Lock()
@@ -250,8 +253,7 @@
 		w.Header().Set("Content-Type", "application/json")
 		_ = json.NewEncoder(w).Encode(page)
 	})
-	go http.Serve(l, mux)
-	return nil
+	go http.Serve(f.cloud, mux)
 }
 
 // put sends a manifest until a control process acknowledges it.
@@ -296,6 +298,12 @@
 		resp, err := client.Get(fmt.Sprintf("http://%s:%d/ready", m.ip, readyPort))
 		if err == nil {
 			resp.Body.Close()
+			f.mu.Lock()
+			ends := m.ends
+			f.mu.Unlock()
+			if ends > 0 {
+				return fmt.Errorf("%s ended while it started", m.name)
+			}
 			if resp.StatusCode == 200 {
 				f.log("process %s is ready", m.name)
 				return nil
--- a/review/standin/handover.go
+++ b/review/standin/handover.go
@@ -77,9 +77,7 @@
 		}
 		return all
 	}
-	if err := f.serveList(); err != nil {
-		return false, err
-	}
+	f.serveList()
 	f.forwarded = true
 	zones := []string{"za", "zb", "zc"}
 	var controls, entries []*machine
