Redirect orders about zones to the order that they follow

A control VM was paused while the operator asked it to end an earlier evacuation; another VM acknowledged that and then the newer evacuation, and the paused VM carried out the old request when it woke up.

Cause: an order about a zone has no identity. A copy that reaches the log is applied, however old it is, from a paused VM, after a cut (a proposal is tried again for 10 s), or a second time after a lost answer.

Only one order can now follow each order about a zone: its operation id names the revision of the one before. The VM that is asked reads the newest configuration and redirects the operator to that id; the order goes to the log only under it. A first request that nobody awaits is redirected in vain, and a late second one names an id that is used. The ids are results of operations, which earlier builds keep, too, and which survive restarts.

--- a/core/config/store.go
+++ b/core/config/store.go
@@ -346,8 +346,8 @@
 		// A resend, or another operator's newer document was committed first.
 		return entry.Result{Status: entry.StatusOK, Revision: s.revision}
 	}
-	if c.Zone != nil && slices.Contains(s.zonesOut, c.Zone.Zone) == c.Zone.Out {
-		// A resend, or an order that is in force already.
+	if c.Zone != nil && s.ZoneOrderInForce(*c.Zone) {
+		// A resend, or an order of an earlier build that is in force already.
 		return entry.Result{Status: entry.StatusOK, Revision: s.revision}
 	}
 	s.applyChecked(c)
--- a/core/plane/doc.go
+++ b/core/plane/doc.go
@@ -13,6 +13,7 @@
 //	out = c.Start(at, start, out) // an effect.ToTraffic for each view
 //	out = c.HandleProposeRequest(at, request, out) // answered by an event.ProposeResponse
 //	out = c.HandleOperatorCommand(at, command, out) // answered by an effect.AnswerOperator
+//	out = c.HandleZoneOrder(at, order, out)         // answered by an effect.AnswerOperator
 //
 // Each method named Handle handles the event of that name, and Start, Drain and
 // Leave those of theirs. One goroutine runs the control state.
@@ -29,8 +30,9 @@
 // # Files
 //
 // log.go applies what the log commits, and proposals.go retries commands until
-// they are answered. tree.go, liveness.go and lease.go connect the distribution
-// tree, the failure detector and the leases. For a fleet with self-registration,
+// they are answered. zone_order.go tells late orders about zones from new ones.
+// tree.go, liveness.go and lease.go connect the distribution tree, the failure
+// detector and the leases. For a fleet with self-registration,
 // registration.go registers and removes disk VMs, upstream_list.go reads and
 // distributes the list of upstreams, upstream_warning.go passes on warnings about
 // single upstreams, entry_vms.go distributes the list of entry VMs, and
--- a/core/plane/fleet_test.go
+++ b/core/plane/fleet_test.go
@@ -34,6 +34,7 @@
 	leader      model.VMID
 	committed   []entry.Entry
 	uncommitted []entry.Entry // entries of the leader
+	now         func() time.Time
 }
 
 // sharedLog is one VM's view of a sharedLogState. A deposed leader that does not
@@ -47,13 +48,14 @@
 	lostEntries    uint64 // index offset of entries accepted since it was deposed; starts high, so that they collide with no others
 	applied        int    // committed entries returned by Committed
 	knownCommitted int    // committed entries that this VM knows about
+	reads          []uint64
 }
 
 func (l *sharedLog) LogStatus() plane.LogStatus {
 	if l.deposed {
 		return plane.LogStatus{Leader: l.id, Leading: true, Term: l.term}
 	}
-	return plane.LogStatus{Leader: l.shared.leader, Leading: l.shared.leader == l.id, Term: l.shared.term}
+	return plane.LogStatus{Leader: l.shared.leader, Leading: l.shared.leader == l.id, Term: l.shared.term, LastMajority: l.shared.now()}
 }
 
 func (l *sharedLog) Propose(at time.Time, c entry.Command, out []effect.Effect) (uint64, entry.Status, []effect.Effect) {
@@ -94,8 +96,14 @@
 	answers     map[model.RequestID]entry.Status
 	operations  map[uint64]model.OpID
 	results     map[model.OpID]entry.Result
+
+	zoneOperator  *zoneOperator // nil when nobody gives orders about zones
+	lastZoneOrder uint64
 }
 
+// firstZoneOrder keeps the numbers of orders about zones apart from those of changes.
+const firstZoneOrder = 1 << 32
+
 type sentMessage struct {
 	from, to model.VMID
 	message  effect.SendMessage
@@ -107,8 +115,9 @@
 		controls: make(map[model.VMID]*plane.Control), logs: make(map[model.VMID]*sharedLog),
 		timerDue: make(map[model.VMID]time.Time), claims: make(map[model.RequestID]entry.Claim),
 		answers: make(map[model.RequestID]entry.Status), operations: make(map[uint64]model.OpID),
-		results: make(map[model.OpID]entry.Result),
+		results: make(map[model.OpID]entry.Result), lastZoneOrder: firstZoneOrder,
 	}
+	s.log.now = func() time.Time { return s.now }
 	initial := fleetTopology(true)
 	initial.VMs["vm3"] = model.VM{ID: "vm3", Zone: "a", HasDisk: true}
 	for _, id := range s.ids {
@@ -132,7 +141,10 @@
 		case effect.SendMessage:
 			s.inTransit = append(s.inTransit, sentMessage{from: id, to: e.To, message: e})
 		case effect.AnswerOperator:
-			s.results[s.operations[e.Seq]] = e.Result
+			if op, ok := s.operations[e.Seq]; ok {
+				s.results[op] = e.Result
+			}
+			s.zoneOperator.answered(e)
 		case effect.ToTraffic:
 			if p, ok := e.Body.(event.ProposeResponse); ok {
 				if _, isClaim := p.Command.(entry.Claim); isClaim {
--- a/core/plane/operator.go
+++ b/core/plane/operator.go
@@ -15,11 +15,18 @@
 	statusTimeout  = 3 * time.Second
 )
 
-// pendingRead is a linearizable status request that waits until the leader has
-// confirmed that it still leads.
+// readReceiver uses the configuration after a linearizable read. current says that the
+// leader confirmed that the configuration is the newest.
+type readReceiver interface {
+	receiveRead(at time.Time, c *Control, current bool, out []effect.Effect) []effect.Effect
+}
+
+// pendingRead is a linearizable read that waits until the leader has confirmed that it
+// still leads.
 type pendingRead struct {
 	seq      uint64
 	deadline time.Time
+	receiver readReceiver
 }
 
 // HandleOperatorCommand handles an operator's change. The answer is an
@@ -30,25 +37,32 @@
 }
 
 // HandleStatusRequest handles an operator's request for the status. The answer
-// to a linearizable one is marked as current once the leader has confirmed that
-// it still leads: the leader confirms it by a round of heartbeats, another VM
-// by having an empty entry committed.
+// to a linearizable one is marked as current if the read was.
 func (c *Control) HandleStatusRequest(at time.Time, e event.StatusRequest, out []effect.Effect) []effect.Effect {
 	first := len(out)
-	if !e.Linearizable || !c.replicated {
+	if !e.Linearizable {
 		return c.complete(first, c.answerStatusRequest(at, e.Seq, !c.replicated, out))
 	}
+	return c.complete(first, c.startRead(at, e.Seq, statusReceiver{seq: e.Seq}, out))
+}
+
+// startRead starts a linearizable read. The leader confirms by a round of heartbeats
+// that it still leads, another VM by having an empty entry committed.
+func (c *Control) startRead(at time.Time, seq uint64, receiver readReceiver, out []effect.Effect) []effect.Effect {
+	if !c.replicated {
+		return receiver.receiveRead(at, c, true, out)
+	}
 	if !c.leading() {
-		p := &proposal{command: entry.Noop{}, deadline: at.Add(statusTimeout), receiver: statusReceiver{seq: e.Seq}}
-		return c.complete(first, c.update(at, c.submit(at, p, out)))
+		p := &proposal{command: entry.Noop{}, deadline: at.Add(statusTimeout), receiver: forwardedRead{receiver}}
+		return c.update(at, c.submit(at, p, out))
 	}
-	status, out := c.log.Confirm(at, e.Seq, out)
+	status, out := c.log.Confirm(at, seq, out)
 	if status != entry.StatusOK && status != entry.StatusUnknown {
-		return c.complete(first, c.answerStatusRequest(at, e.Seq, false, out))
+		return receiver.receiveRead(at, c, false, out)
 	}
-	r := pendingRead{seq: e.Seq, deadline: at.Add(statusTimeout)}
+	r := pendingRead{seq: seq, deadline: at.Add(statusTimeout), receiver: receiver}
 	c.pendingReads = append(c.pendingReads, r)
-	return c.complete(first, c.update(at, c.setProposalTimer(at, r.deadline, out)))
+	return c.update(at, c.setProposalTimer(at, r.deadline, out))
 }
 
 // answerConfirmedRead answers a read that the log confirmed.
@@ -57,17 +71,18 @@
 	if i < 0 {
 		return out
 	}
+	receiver := c.pendingReads[i].receiver
 	c.pendingReads = slices.Delete(c.pendingReads, i, i+1)
-	return c.answerStatusRequest(at, seq, true, out)
+	return receiver.receiveRead(at, c, true, out)
 }
 
 // expireReads answers, as not current, the reads whose deadline has passed. All
 // reads have the same timeout, so they expire in order.
 func (c *Control) expireReads(at time.Time, out []effect.Effect) []effect.Effect {
 	for len(c.pendingReads) > 0 && !at.Before(c.pendingReads[0].deadline) {
-		seq := c.pendingReads[0].seq
+		receiver := c.pendingReads[0].receiver
 		c.pendingReads = slices.Delete(c.pendingReads, 0, 1)
-		out = c.answerStatusRequest(at, seq, false, out)
+		out = receiver.receiveRead(at, c, false, out)
 	}
 	if len(c.pendingReads) > 0 {
 		out = c.setProposalTimer(at, c.pendingReads[0].deadline, out)
@@ -123,11 +138,17 @@
 	return append(out, effect.AnswerOperator{Seq: o.seq, Result: r})
 }
 
-// statusReceiver answers a linearizable status request on a VM that does not
-// lead. The result has the leader's revision; the answer is current only if this
-// VM has reached it.
+// statusReceiver answers a linearizable status request.
 type statusReceiver struct{ seq uint64 }
 
-func (o statusReceiver) receiveResult(at time.Time, c *Control, _ entry.Command, r entry.Result, out []effect.Effect) []effect.Effect {
-	return c.answerStatusRequest(at, o.seq, r.Status == entry.StatusOK && c.store.Revision() >= max(1, r.Revision), out)
+func (o statusReceiver) receiveRead(at time.Time, c *Control, current bool, out []effect.Effect) []effect.Effect {
+	return c.answerStatusRequest(at, o.seq, current, out)
+}
+
+// forwardedRead completes a linearizable read on a VM that does not lead. The result
+// has the leader's revision; the read is current only if this VM has reached it.
+type forwardedRead struct{ receiver readReceiver }
+
+func (f forwardedRead) receiveResult(at time.Time, c *Control, _ entry.Command, r entry.Result, out []effect.Effect) []effect.Effect {
+	return f.receiver.receiveRead(at, c, r.Status == entry.StatusOK && c.store.Revision() >= max(1, r.Revision), out)
 }
--- a/io/admin/server.go
+++ b/io/admin/server.go
@@ -10,6 +10,7 @@
 	"io"
 	"maps"
 	"net/http"
+	"net/url"
 	"slices"
 	"strconv"
 	"strings"
@@ -33,6 +34,12 @@
 	headerOperation      = "Operation"
 )
 
+// queryOperation is the query parameter of an order about a zone that names its operation.
+const queryOperation = "operation"
+
+// tooManyRequests is the result of a request that was not passed on.
+var tooManyRequests = entry.Result{Status: entry.StatusUnavailable, Detail: "too many operators' requests are waiting"}
+
 // Server answers operators' requests. Post and Vars must be set before use.
 type Server struct {
 	Post        func(event.Body) // passes events to the control loop
@@ -142,11 +149,22 @@
 func (s *Server) Change(ctx context.Context, c entry.Change) entry.Result {
 	answer, ok := s.request(ctx, s.Post, func(seq uint64) event.Body { return event.OperatorCommand{Seq: seq, Command: c} })
 	if !ok {
-		return entry.Result{Status: entry.StatusUnavailable, Detail: "too many operators' requests are waiting"}
+		return tooManyRequests
 	}
 	return answer.Result
 }
 
+// OrderZone sends an order about a zone and returns its result. When it was not carried
+// out, confirm is the operation under which the operator must send it again; otherwise
+// confirm is empty.
+func (s *Server) OrderZone(ctx context.Context, o entry.ZoneOrder, op model.OpID) (result entry.Result, confirm model.OpID) {
+	answer, ok := s.request(ctx, s.Post, func(seq uint64) event.Body { return event.ZoneOrder{Seq: seq, Order: o, Operation: op} })
+	if !ok {
+		return tooManyRequests, ""
+	}
+	return answer.Result, answer.Confirm
+}
+
 // FleetStatus requests the status of the fleet from the control loop. It reports false
 // without an answer, or when a linearizable read was requested and the leader did
 // not confirm that the status is current.
@@ -251,11 +269,29 @@
 }
 
 func (s *Server) takeZoneOut(w http.ResponseWriter, r *http.Request) {
-	s.change(w, r, entry.Change{Zone: &entry.ZoneOrder{Zone: model.Zone(r.PathValue("id")), Out: true}}, false)
+	s.handleZoneOrder(w, r, entry.ZoneOrder{Zone: model.Zone(r.PathValue("id")), Out: true})
 }
 
 func (s *Server) putZoneBack(w http.ResponseWriter, r *http.Request) {
-	s.change(w, r, entry.Change{Zone: &entry.ZoneOrder{Zone: model.Zone(r.PathValue("id"))}}, false)
+	s.handleZoneOrder(w, r, entry.ZoneOrder{Zone: model.Zone(r.PathValue("id"))})
+}
+
+// handleZoneOrder responds to an order about a zone. An operation id in the header
+// distinguishes the order from later ones; an order without one is redirected to the id
+// under which it takes effect.
+func (s *Server) handleZoneOrder(w http.ResponseWriter, r *http.Request, o entry.ZoneOrder) {
+	if r.Header.Get(headerOperation) != "" {
+		s.change(w, r, entry.Change{Zone: &o}, false)
+		return
+	}
+	op := model.OpID(r.URL.Query().Get(queryOperation))
+	result, confirm := s.OrderZone(r.Context(), o, op)
+	if confirm != "" {
+		w.Header().Set("Location", r.URL.EscapedPath()+"?"+url.Values{queryOperation: {string(confirm)}}.Encode())
+		writeJSON(w, http.StatusTemporaryRedirect, resultFrom(op, result))
+		return
+	}
+	writeJSON(w, httpStatus(result.Status), resultFrom(op, result))
 }
 
 // listZonesOut responds with the zones whose upstreams are out of use.
