Stop reading from an upstream that sends without end once it is given up

Reported by operators of similar systems: a faulty upstream sends bytes that are no answer, without end, and the VM that called it keeps them all. On the routed path this was tested; on the own protocol it was not.

TestEndlessAnswers plays 13 kinds of such answers with 50 attempts and 50 probes at a time. Memory was bounded already (heap below 64 MiB). But a connection that was given up was read on for a second, since the upstream counts it until it has closed its end: in each case the upstreams sent 12 to 18 GB until the connections were closed, which takes the processor from other callers.

The wait for the upstream's close now ends after 64 KiB.

--- /dev/null
+++ b/io/dialer/endless_test.go
@@ -0,0 +1,118 @@
+package dialer_test
+
+import (
+	"net/http"
+	"net/http/httptest"
+	"runtime"
+	"strings"
+	"testing"
+	"time"
+
+	"comfreypulley/core/effect"
+	"comfreypulley/core/event"
+	"comfreypulley/core/model"
+	"comfreypulley/io/dialer"
+)
+
+// endlessHandler answers a request with a prefix and then with one text over and over,
+// until the client closes the connection. ATTEMPT in the prefix stands for the number of
+// the attempt.
+type endlessHandler struct {
+	prefix, repeated string
+	closed           chan int // receives the bytes sent on a connection when a client closed it
+}
+
+func (h *endlessHandler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
+	conn, _, err := http.NewResponseController(w).Hijack()
+	if err != nil {
+		return
+	}
+	defer conn.Close()
+	sent := 0
+	_, err = conn.Write([]byte(strings.ReplaceAll(h.prefix, "ATTEMPT", r.Header.Get("Attempt"))))
+	const blockBytes = 16 << 10
+	for block := []byte(strings.Repeat(h.repeated, max(1, blockBytes/len(h.repeated)))); err == nil; {
+		n, writeErr := conn.Write(block)
+		sent, err = sent+n, writeErr
+	}
+	h.closed <- sent
+}
+
+// Guards against an upstream of the own protocol that sends bytes without end: reading them
+// must fail at once and within bounded memory, and the connection must be closed and not
+// be read any longer, for attempts and for probes.
+func TestEndlessAnswers(t *testing.T) {
+	const (
+		attempts = 50
+		timeout  = 10 * time.Second
+		most     = 2 * time.Second // until all attempts have failed
+		maxHeap  = 64 << 20
+		maxSent  = 16 << 20 // bytes on a connection: what the buffers of both sockets hold, and what is read before the failure
+	)
+	answer := "HTTP/1.1 200 OK\r\nAttempt: ATTEMPT\r\n"
+	for _, c := range []struct{ name, prefix, repeated string }{
+		{"no response", "", "x"},
+		{"status line", "HTTP/1.1 200 ", "O"},
+		{"header line", answer + "A: ", "b"},
+		{"header lines", answer, "a: b\r\n"},
+		{"interim responses", "", "HTTP/1.1 102 Processing\r\n\r\n"},
+		{"body until close", answer + "\r\n", "b"},
+		{"answer until close", answer + "\r\n{\"version\":1,\"shards\":1,\"items\":[", "{},"},
+		{"chunks", answer + "Transfer-Encoding: chunked\r\n\r\n", "4\r\nbbbb\r\n"},
+		{"chunk extension", answer + "Transfer-Encoding: chunked\r\n\r\n4;", "b"},
+		{"trailer", answer + "Transfer-Encoding: chunked\r\n\r\n0\r\n", "a: b\r\n"},
+		{"length above the limit", answer + "Content-Length: 99999999999\r\n\r\n", "b"},
+		{"refusal", "HTTP/1.1 503 Service Unavailable\r\nAttempt: ATTEMPT\r\n\r\n", "b"},
+		{"another attempt", "HTTP/1.1 200 OK\r\nAttempt: 0\r\n\r\n", "b"},
+	} {
+		t.Run(c.name, func(t *testing.T) {
+			h := &endlessHandler{prefix: c.prefix, repeated: c.repeated, closed: make(chan int, 2*attempts)}
+			server := httptest.NewServer(h)
+			defer server.Close()
+			addr := addrOf(server.Listener)
+			events := make(chan event.Body, 2*attempts)
+			d := &dialer.Dialer{Post: func(b event.Body) { events <- b }, RequestIDPrefix: "vm"}
+			d.LimitConns(effect.LimitConns{Upstream: "u", Addr: addr, Conns: 2 * attempts})
+			runtime.GC()
+			start := time.Now()
+			for n := range attempts {
+				d.Send(send(model.AttemptID(n+1), addr))
+				d.Probe(effect.Probe{Upstream: "u", Addr: addr, Timeout: timeout})
+			}
+			var peak uint64
+			for range 2 * attempts {
+				switch result := (<-events).(type) {
+				case event.AttemptFailed:
+				case event.ProbeResult:
+					if result.Reachable {
+						t.Error("got a report, want none")
+					}
+				default:
+					t.Errorf("got %T, want a failed attempt", result)
+				}
+				var stats runtime.MemStats
+				runtime.ReadMemStats(&stats)
+				peak = max(peak, stats.HeapInuse)
+			}
+			if took := time.Since(start); took > most {
+				t.Errorf("got the last failure after %v, want it within %v", took, most)
+			}
+			if peak > maxHeap {
+				t.Errorf("got %d MiB of heap, want at most %d MiB", peak>>20, maxHeap>>20)
+			}
+			total := 0
+			for range 2 * attempts {
+				select {
+				case sent := <-h.closed:
+					total += sent
+				case <-time.After(timeout):
+					t.Fatal("got a connection that is still open, want each closed after its failure")
+				}
+			}
+			d.Close()
+			if total > 2*attempts*maxSent {
+				t.Errorf("got %d MiB sent until the connections were closed, want at most %d MiB", total>>20, 2*attempts*maxSent>>20)
+			}
+		})
+	}
+}
--- a/io/dialer/limiter.go
+++ b/io/dialer/limiter.go
@@ -2,13 +2,18 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"sync"
 	"time"
 )
 
-// lingerTimeout limits the wait for an upstream to close its end of a connection.
-const lingerTimeout = time.Second
+// Limits of the wait for an upstream to close its end of a connection. What it still sends
+// meanwhile is the rest of an answer, unless it sends without end.
+const (
+	lingerTimeout = time.Second
+	lingerBytes   = 64 << 10
+)
 
 // connLimiter limits the connections to one upstream. A connection counts until
 // the upstream has closed its end, because the upstream also counts it until
@@ -67,7 +72,7 @@
 
 // lingeringClose closes a connection and releases it from the limiter. It first
 // closes the sending side and waits up to lingerTimeout for the upstream to close
-// its end.
+// its end. An upstream that sends more than lingerBytes meanwhile is not waited for.
 type lingeringClose struct {
 	conn    net.Conn
 	limiter *connLimiter
@@ -80,10 +85,6 @@
 	if !ok || halfCloser.CloseWrite() != nil || l.conn.SetReadDeadline(time.Now().Add(lingerTimeout)) != nil {
 		return
 	}
-	buffer := make([]byte, 4096)
-	for {
-		if _, err := l.conn.Read(buffer); err != nil {
-			return
-		}
-	}
+	// An error ends the wait like the upstream's close does.
+	_, _ = io.CopyN(io.Discard, l.conn, lingerBytes)
 }
