Let a majority of the seeds found the log at the first start

Cause: while the log is empty a candidate needed the votes of all initial voters, as a VM that lost its disk and one that missed the first entries would else be a majority and start a second log.

On the platform a VM that lost its disk starts without bootstrap. It now grants no vote to a candidate with an empty log, so that a majority of the initial voters may found the log, 2 s after the start. Voters that were away are recorded without a disk and count towards majorities; they are recorded with their disk when they answer, and vote before that. Fleets of the own settings file still need all votes, since nothing tells them a lost disk from a new one.

TestFirstStartWithoutOneVM has no leader with the rule of before, and TestNoSecondLogAfterTheFirstStart two leaders of one term without the rule on votes.

--- a/core/frame/frame.go
+++ b/core/frame/frame.go
@@ -73,6 +73,7 @@
 	Replica entry.Replica // the voter
 	PreVote bool          `msgpack:"Pre"`
 	Granted bool
+	Founder bool `msgpack:",omitempty"` // as in AppendResponse
 }
 
 // AppendRequest replicates log entries. It is also the leader's heartbeat.
@@ -101,6 +102,7 @@
 	Round      uint64        // as in AppendRequest
 	Sent       time.Time     // stamp of the follower's clock
 	Echo       time.Time     // Sent of the last AppendRequest; zero from a VM of an earlier version
+	Founder    bool          `msgpack:",omitempty"` // an initial voter with its first disk, which the members do not name yet
 }
 
 // InstallImage sends an image to a replica whose next entries the leader no longer
--- a/core/plane/control_test.go
+++ b/core/plane/control_test.go
@@ -48,7 +48,7 @@
 }
 
 func (l *fakeLog) HandleDiskLoaded(
-	_ time.Time, _ model.VMID, _ uint64, _ []model.VMID, loaded event.DiskLoaded, out []effect.Effect,
+	_ time.Time, _ model.VMID, _ uint64, _ []model.VMID, _ bool, loaded event.DiskLoaded, out []effect.Effect,
 ) []effect.Effect {
 	l.image = &loaded.Image
 	return out
--- a/core/plane/log.go
+++ b/core/plane/log.go
@@ -31,7 +31,11 @@
 // Replicator is one replica of the log. Its effects that send a message to
 // another VM need no address.
 type Replicator interface {
-	HandleDiskLoaded(at time.Time, self model.VMID, seed uint64, initialVoters []model.VMID, loaded event.DiskLoaded, out []effect.Effect) []effect.Effect
+	// HandleDiskLoaded starts the replica. firstStart says that VMs have initial voters
+	// only at the first start of the fleet.
+	HandleDiskLoaded(
+		at time.Time, self model.VMID, seed uint64, initialVoters []model.VMID, firstStart bool, loaded event.DiskLoaded, out []effect.Effect,
+	) []effect.Effect
 	HandlePeerMessage(at time.Time, from model.VMID, m frame.Message, out []effect.Effect) []effect.Effect
 	HandleTimer(at time.Time, kind event.TimerKind, out []effect.Effect) []effect.Effect
 	HandleDiskSynced(at time.Time, s event.DiskSynced, out []effect.Effect) []effect.Effect
@@ -97,7 +101,7 @@
 	if n := len(loaded.Entries); n > 0 {
 		c.applied.lastLoaded = entryID{index: loaded.Entries[n-1].Index, term: loaded.Entries[n-1].Term}
 	}
-	out = c.log.HandleDiskLoaded(at, c.settings.VM.ID, c.settings.Seed, c.initialVoters(), loaded, out)
+	out = c.log.HandleDiskLoaded(at, c.settings.VM.ID, c.settings.Seed, c.initialVoters(), c.settings.SelfRegistration, loaded, out)
 	if loaded.Image.Index > 0 || len(loaded.Entries) > 0 {
 		out = c.startBarrier(at, out)
 	}
--- a/core/quorum/cluster_test.go
+++ b/core/quorum/cluster_test.go
@@ -41,6 +41,7 @@
 	sequence      uint64 // number of the last scheduled action
 	nodes         []*node
 	initialVoters []model.VMID // voters of the empty log
+	firstStart    bool         // only VMs with their first disk have initial voters
 	queue         []scheduledAction
 	lossRate      float64             // probability that a message is lost, and that it is duplicated
 	isolated      map[model.VMID]bool // VMs cut off from those that are not in the set
@@ -61,6 +62,7 @@
 	incarnation int // number of starts and stops; timers and syncs of earlier ones are ignored
 	log         *Log
 	disk        event.DiskLoaded
+	firstDisk   model.DiskID
 	unsynced    []effect.Effect // writes
 	syncing     bool
 	full        bool // the disk takes no writes for now
@@ -76,6 +78,15 @@
 }
 
 func newCluster(t rapid.TB, seed uint64, size, voters int) *cluster {
+	c := newStoppedCluster(t, seed, size, voters)
+	for _, n := range c.nodes {
+		c.start(n)
+	}
+	return c
+}
+
+// newStoppedCluster returns a cluster whose VMs have empty disks and are not started.
+func newStoppedCluster(t rapid.TB, seed uint64, size, voters int) *cluster {
 	c := &cluster{
 		t: t, random: rand.New(rand.NewPCG(seed, 0)), now: startTime,
 		isolated: make(map[model.VMID]bool), muted: make(map[model.VMID]bool), lostEarly: make(map[model.VMID]bool), leaderByTerm: make(map[uint64]entry.Replica),
@@ -88,7 +99,7 @@
 	}
 	for _, n := range c.nodes {
 		c.replaceDisk(n)
-		c.start(n)
+		n.firstDisk, n.log = n.disk.Disk, &Log{}
 	}
 	return c
 }
@@ -105,7 +116,11 @@
 	n.log, n.timers, n.reads = &Log{}, make(map[event.TimerKind]time.Time), make(map[uint64]uint64)
 	loaded := n.disk
 	loaded.Entries = slices.Clone(loaded.Entries)
-	c.execute(n, n.log.HandleDiskLoaded(c.now, n.vm, c.random.Uint64(), c.initialVoters, loaded, nil))
+	voters := c.initialVoters
+	if c.firstStart && n.disk.Disk != n.firstDisk {
+		voters = nil
+	}
+	c.execute(n, n.log.HandleDiskLoaded(c.now, n.vm, c.random.Uint64(), voters, c.firstStart, loaded, nil))
 }
 
 // stop crashes a VM. A random prefix of its unsynced writes still reaches the
@@ -328,6 +343,9 @@
 	isLost := func(r entry.Replica) bool {
 		for _, n := range c.nodes {
 			if n.vm == r.VM {
+				if r.Disk == 0 && c.firstStart {
+					return n == lost || n.disk.Disk != n.firstDisk // recorded when it answers
+				}
 				return n == lost || r.Disk != 0 && n.disk.Disk != r.Disk
 			}
 		}
--- a/core/quorum/doc.go
+++ b/core/quorum/doc.go
@@ -40,6 +40,13 @@
 // entries could start a second, empty log. At least one initial voter must
 // still be a member of the log.
 //
+// Where VMs are told at which start the fleet is new, one that lost its disk is
+// no initial voter any more and helps no candidate to start a log. A majority of
+// the initial voters may then start the log after a while, so that the loss of
+// one at the first start does not keep the fleet from starting. The others are
+// recorded with disk 0: they count towards majorities, and are recorded with
+// their disk when they answer or replaced like any lost voter.
+//
 // # Membership
 //
 // Each entry changes one replica, and the next change waits until the previous
--- a/core/quorum/election.go
+++ b/core/quorum/election.go
@@ -72,7 +72,7 @@
 		_, ok := findReplica(l.members.Voters, l.self.VM)
 		return ok
 	}
-	return slices.Contains(l.members.Voters, l.self)
+	return slices.Contains(l.members.Voters, l.self) || l.isUnrecordedFounder()
 }
 
 // becomeCandidate becomes a candidate in a new term and requests votes.
@@ -88,7 +88,8 @@
 // requestVotes votes for itself and requests the votes of the other voters.
 func (l *Log) requestVotes(at time.Time, v frame.VoteRequest, out []effect.Effect) []effect.Effect {
 	v.Replica, v.LastIndex, v.LastTerm = l.self, l.lastIndex(), l.termOf(l.lastIndex())
-	l.votes = map[entry.Replica]bool{l.self: true}
+	l.votes = make(map[entry.Replica]bool)
+	l.addVote(l.self, l.isUnrecordedFounder())
 	for _, r := range l.members.Voters {
 		if r.VM != l.self.VM {
 			seq := l.termSeq
@@ -101,13 +102,21 @@
 	return l.countVotes(at, out)
 }
 
+// mayElect reports whether this replica may vote for a candidate. One whose log is empty
+// would start a log, which only initial voters decide. A VM that is none at its start may
+// have lost its disk, and with it the entries of the log that there is.
+func (l *Log) mayElect(v frame.VoteRequest) bool {
+	_, initial := findReplica(l.initialVoters, l.self.VM)
+	return v.LastIndex > 0 || initial || !l.firstStart
+}
+
 // handleVoteRequest answers a vote request.
 func (l *Log) handleVoteRequest(at time.Time, from model.VMID, v frame.VoteRequest, out []effect.Effect) []effect.Effect {
 	if v.PreVote {
 		// A replica in contact with its leader does not help to depose it.
 		leaderAlive := l.role == leader || l.leaderID != "" && at.Before(l.lastContact.Add(minElectionTimeout))
-		granted := !leaderAlive && v.Term > l.term && l.upToDate(v.LastIndex, v.LastTerm)
-		response := frame.VoteResponse{Term: l.term, Replica: l.self, PreVote: true, Granted: granted}
+		granted := !leaderAlive && v.Term > l.term && l.upToDate(v.LastIndex, v.LastTerm) && l.mayElect(v)
+		response := frame.VoteResponse{Term: l.term, Replica: l.self, PreVote: true, Granted: granted, Founder: l.isUnrecordedFounder()}
 		if granted {
 			response.Term = v.Term
 		}
@@ -116,14 +125,14 @@
 	if v.Term > l.term {
 		out = l.enterTerm(at, v.Term, out)
 	}
-	granted := v.Term == l.term && l.upToDate(v.LastIndex, v.LastTerm) &&
+	granted := v.Term == l.term && l.upToDate(v.LastIndex, v.LastTerm) && l.mayElect(v) &&
 		(l.votedFor == entry.Replica{} || l.votedFor == v.Replica)
 	if granted && l.votedFor != v.Replica {
 		l.role, l.votedFor = follower, v.Replica
 		out = l.writeTerm(out)
 		out = l.resetElectionTimer(at, out)
 	}
-	response := frame.VoteResponse{Term: l.term, Replica: l.self, Granted: granted}
+	response := frame.VoteResponse{Term: l.term, Replica: l.self, Granted: granted, Founder: l.isUnrecordedFounder()}
 	return l.sendAfterSync(l.termSeq, effect.SendMessage{To: from, Message: response}, out)
 }
 
@@ -140,15 +149,24 @@
 	if !expected {
 		return out
 	}
-	l.votes[v.Replica] = true
+	l.addVote(v.Replica, v.Founder)
 	return l.countVotes(at, out)
 }
 
+// addVote records a vote. That of an initial voter whose disk is not recorded yet counts
+// for the voter without a disk.
+func (l *Log) addVote(r entry.Replica, founder bool) {
+	l.votes[r] = true
+	if founder && !l.disksUnknown() {
+		l.votes[entry.Replica{VM: r.VM}] = true
+	}
+}
+
 // countVotes becomes a candidate if the pre-vote is won, and the leader if the
 // election is won.
 func (l *Log) countVotes(at time.Time, out []effect.Effect) []effect.Effect {
 	switch {
-	case !l.electionWon():
+	case !l.electionWon(at):
 		return out
 	case l.role == preCandidate:
 		return l.becomeCandidate(at, out)
@@ -161,23 +179,45 @@
 
 // electionWon reports whether the votes win the election: those of a majority
 // of the voters or, while the disks are unknown, those of all initial voters,
-// each with exactly one disk.
-func (l *Log) electionWon() bool {
+// each with exactly one disk. At the first start of a fleet a majority of the
+// initial voters is enough after a while.
+func (l *Log) electionWon(at time.Time) bool {
 	if !l.disksUnknown() {
 		return l.hasMajority(func(r entry.Replica) bool { return l.votes[r] })
 	}
+	founders := l.founders()
+	all := !slices.ContainsFunc(founders, func(r entry.Replica) bool { return r.Disk == 0 })
+	return all || l.firstStart && !at.Before(l.loadedAt.Add(foundingDelay)) && 2*l.voterCount(founders) > len(founders)
+}
+
+// founders returns the initial voters with the disks that voted for this replica. The disk
+// is 0 where none or more than one of a VM did.
+func (l *Log) founders() []entry.Replica {
+	var founders []entry.Replica
 	for _, r := range l.members.Voters {
 		n := 0
 		for v := range l.votes {
 			if v.VM == r.VM {
+				r.Disk = v.Disk
 				n++
 			}
 		}
 		if n != 1 {
-			return false
+			r.Disk = 0
+		}
+		founders = append(founders, r)
+	}
+	return founders
+}
+
+// voterCount returns the number of voters whose disk is known.
+func (l *Log) voterCount(voters []entry.Replica) (n int) {
+	for _, r := range voters {
+		if r.Disk != 0 {
+			n++
 		}
 	}
-	return true
+	return n
 }
 
 // hasMajority reports whether a predicate holds for a majority of the voters.
@@ -198,7 +238,7 @@
 	l.transferDeadline = time.Time{}
 	clear(l.reportedDisks)
 	for v := range l.votes {
-		if v != l.self {
+		if v.VM != l.self.VM && v.Disk != 0 {
 			l.reportedDisks[v.VM] = v.Disk
 		}
 	}
@@ -207,16 +247,11 @@
 	out = append(out, effect.StopTimer{ID: event.TimerID{Kind: event.TimerElection}})
 	out = setTimer(event.TimerHeartbeat, at.Add(heartbeatPeriod), out)
 	var first entry.Command = entry.Noop{}
-	if l.disksUnknown() {
-		members := entry.Members{}
-		for _, r := range l.members.Voters {
-			for v := range l.votes {
-				if v.VM == r.VM {
-					members.Voters = append(members.Voters, v)
-				}
-			}
-		}
-		first = members
+	switch {
+	case !l.disksUnknown() && l.isUnrecordedFounder():
+		first = l.membersWithFounder(l.self)
+	case l.disksUnknown():
+		first = entry.Members{Voters: l.founders()}
 		out = note(at, "bound the first voters to their disks", "the log had no entry", out)
 	}
 	out = l.appendCommand(at, first, out)
--- a/core/quorum/follower.go
+++ b/core/quorum/follower.go
@@ -76,7 +76,7 @@
 	}
 	return append(out, effect.SendMessage{To: l.leaderID, Message: frame.AppendResponse{
 		Term: l.term, Replica: l.self, OK: true, MatchIndex: min(l.matchedIndex, l.syncedIndex), Round: l.round,
-		Sent: l.clock.Stamp(at), Echo: l.leaderStamp,
+		Sent: l.clock.Stamp(at), Echo: l.leaderStamp, Founder: l.isUnrecordedFounder(),
 	}})
 }
 
--- a/core/quorum/leader.go
+++ b/core/quorum/leader.go
@@ -190,6 +190,9 @@
 		return out
 	}
 	l.reportedDisks[m.Replica.VM] = m.Replica.Disk
+	if m.Founder {
+		out = l.recordFounder(at, m.Replica, out)
+	}
 	p := l.progress[m.Replica]
 	if p == nil {
 		return out
--- a/core/quorum/log.go
+++ b/core/quorum/log.go
@@ -24,6 +24,7 @@
 	maxStartupTimeout  = 300 * time.Millisecond
 	startupPeriod      = 4 * time.Second // how long the shorter timeouts apply; the VMs of a fleet all start within it
 	imageRetryDelay    = time.Second     // sending and syncing an image takes longer than a heartbeat period
+	foundingDelay      = 2 * time.Second // after a start, until a majority of the initial voters may start the log
 	maxUncommitted     = 8192            // entries; bounds the leader's memory while there is no majority
 	maxBatchEntries    = 256             // entries in one frame.AppendRequest
 	maxBatchBytes      = 1 << 20         // estimated bytes in one frame.AppendRequest, below the 4 MiB limit of a frame
@@ -78,6 +79,7 @@
 	round         uint64 // heartbeat round: the last one received or, on the leader, started
 
 	initialVoters []entry.Replica // voters until entry 1 is written; their disks are unknown
+	firstStart    bool            // initial voters have their first disks; a VM that lost its disk is none
 	members       entry.Members
 	membersIndex  uint64       // index of the entry that set members, 0 when none did
 	wantedVMs     []model.VMID // VMs that should replicate the log
@@ -132,8 +134,12 @@
 }
 
 // HandleDiskLoaded initializes the replica from the content of the data folder.
-// The VMs in initialVoters are the voters of a log that has no entry yet.
-func (l *Log) HandleDiskLoaded(at time.Time, self model.VMID, seed uint64, initialVoters []model.VMID, loaded event.DiskLoaded, out []effect.Effect) []effect.Effect {
+// The VMs in initialVoters are the voters of a log that has no entry yet. firstStart
+// says that a VM has initial voters only at the first start of the fleet: one that
+// lost its disk has none when it starts again.
+func (l *Log) HandleDiskLoaded(
+	at time.Time, self model.VMID, seed uint64, initialVoters []model.VMID, firstStart bool, loaded event.DiskLoaded, out []effect.Effect,
+) []effect.Effect {
 	l.self = entry.Replica{VM: self, Disk: loaded.Disk}
 	l.random = rand.New(rand.NewPCG(seed, uint64(loaded.Disk)))
 	l.initialized = true
@@ -149,6 +155,7 @@
 	for _, vm := range initialVoters {
 		l.initialVoters = append(l.initialVoters, entry.Replica{VM: vm})
 	}
+	l.firstStart = firstStart
 	l.resetMembers(l.lastIndex())
 	l.loadedAt, l.clock = at, model.NewClock(at)
 	return l.resetElectionTimer(at, out)
--- a/core/quorum/log_test.go
+++ b/core/quorum/log_test.go
@@ -17,18 +17,41 @@
 		size := rapid.IntRange(3, 5).Draw(t, "size")
 		voters := rapid.IntRange(3, size).Draw(t, "voters")
 		c := newCluster(t, rapid.Uint64().Draw(t, "seed"), size, voters)
-		c.lossRate = rapid.Float64Range(0, 0.3).Draw(t, "loss")
-		steps := rapid.IntRange(5, 60).Draw(t, "steps")
-		for range steps {
-			n := c.nodes[rapid.IntRange(0, size-1).Draw(t, "node")]
-			c.injectFault(n, rapid.IntRange(0, 15).Draw(t, "fault"))
-			c.run(time.Duration(rapid.IntRange(0, 900).Draw(t, "ms")) * time.Millisecond)
-			c.checkLogMatching()
+		c.injectFaults(t)
+	})
+}
+
+// Guards against the faults of TestFaults, and against a second log, where VMs are told at
+// which start the fleet is new: some start late or lose their disk before the log begins.
+func TestFaultsAtTheFirstStart(t *testing.T) {
+	rapid.Check(t, func(t *rapid.T) {
+		size := rapid.IntRange(3, 5).Draw(t, "size")
+		voters := rapid.IntRange(3, size).Draw(t, "voters")
+		c := newStoppedCluster(t, rapid.Uint64().Draw(t, "seed"), size, voters)
+		c.firstStart = true
+		for _, n := range c.nodes {
+			if rapid.IntRange(0, 3).Draw(t, "late") > 0 {
+				c.start(n)
+			}
 		}
-		c.recover()
+		c.injectFaults(t)
 	})
 }
 
+// injectFaults applies a random sequence of faults and operations.
+func (c *cluster) injectFaults(t *rapid.T) {
+	size := len(c.nodes)
+	c.lossRate = rapid.Float64Range(0, 0.3).Draw(t, "loss")
+	steps := rapid.IntRange(5, 60).Draw(t, "steps")
+	for range steps {
+		n := c.nodes[rapid.IntRange(0, size-1).Draw(t, "node")]
+		c.injectFault(n, rapid.IntRange(0, 15).Draw(t, "fault"))
+		c.run(time.Duration(rapid.IntRange(0, 900).Draw(t, "ms")) * time.Millisecond)
+		c.checkLogMatching()
+	}
+	c.recover()
+}
+
 // injectFault applies one kind of fault or operation to a VM.
 func (c *cluster) injectFault(n *node, kind int) {
 	switch kind {
--- a/core/quorum/members.go
+++ b/core/quorum/members.go
@@ -34,6 +34,33 @@
 	return l.appendCommand(at, m, out)
 }
 
+// isUnrecordedFounder reports whether this replica is an initial voter with its first disk,
+// and the members name it without a disk.
+func (l *Log) isUnrecordedFounder() bool {
+	_, initial := findReplica(l.initialVoters, l.self.VM)
+	return l.firstStart && initial && slices.Contains(l.members.Voters, entry.Replica{VM: l.self.VM})
+}
+
+// recordFounder records the disk of an initial voter that had no part in the first
+// election. It needs no learner: the voter counted towards majorities before. It may
+// overtake an earlier change: majorities of the initial voters overlap whichever of
+// their disks are recorded, as each can only have its first one.
+func (l *Log) recordFounder(at time.Time, founder entry.Replica, out []effect.Effect) []effect.Effect {
+	if !slices.Contains(l.members.Voters, entry.Replica{VM: founder.VM}) || !l.transferDeadline.IsZero() {
+		return out
+	}
+	out = note(at, "added voter "+describeReplica(founder), "it was away when the log began", out)
+	return l.appendCommand(at, l.membersWithFounder(founder), out)
+}
+
+// membersWithFounder returns the members with the disk of an initial voter recorded.
+func (l *Log) membersWithFounder(founder entry.Replica) entry.Members {
+	m := entry.Members{Voters: slices.Clone(l.members.Voters), Learners: slices.Clone(l.members.Learners)}
+	m.Voters[slices.Index(m.Voters, entry.Replica{VM: founder.VM})] = founder
+	m.Learners = slices.DeleteFunc(m.Learners, func(r entry.Replica) bool { return r == founder })
+	return m
+}
+
 // applyOneChange changes at most one replica and returns the change and its
 // cause. Silent voters are removed before new replicas join; live ones are
 // removed last, because a majority may need them until then.
--- a/core/quorum/rule_test.go
+++ b/core/quorum/rule_test.go
@@ -16,7 +16,7 @@
 
 func newThreeVoterLog() *Log {
 	l := &Log{}
-	l.HandleDiskLoaded(startTime, "vm0", 1, nil, event.DiskLoaded{Disk: 1, Term: 2, Entries: []entry.Entry{
+	l.HandleDiskLoaded(startTime, "vm0", 1, nil, false, event.DiskLoaded{Disk: 1, Term: 2, Entries: []entry.Entry{
 		{Index: 1, Term: 1, Command: threeVoters}, {Index: 2, Term: 2, Command: entry.Noop{}},
 	}}, nil)
 	return l
--- a/core/quorum/start_test.go
+++ b/core/quorum/start_test.go
@@ -1,13 +1,14 @@
-package quorum_test
+package quorum
 
 import (
+	"slices"
 	"testing"
 	"time"
 
 	"comfreypulley/core/effect"
+	"comfreypulley/core/entry"
 	"comfreypulley/core/event"
 	"comfreypulley/core/model"
-	"comfreypulley/core/quorum"
 )
 
 // Guards against a fleet that restarts as a whole and waits a full election
@@ -16,8 +17,8 @@
 	const maxWait = 300 * time.Millisecond
 	at := time.Date(2026, 1, 2, 3, 4, 5, 0, time.UTC)
 	for seed := range uint64(50) {
-		var l quorum.Log
-		out := l.HandleDiskLoaded(at, "vm0", seed, []model.VMID{"vm0", "vm1", "vm2"}, event.DiskLoaded{Disk: 1}, nil)
+		var l Log
+		out := l.HandleDiskLoaded(at, "vm0", seed, []model.VMID{"vm0", "vm1", "vm2"}, false, event.DiskLoaded{Disk: 1}, nil)
 		// The other VMs start a little later, so the first campaigns reach nobody.
 		for now := at; now.Sub(at) < time.Second; {
 			due := now
@@ -34,3 +35,76 @@
 		}
 	}
 }
+
+// Guards against a fleet that never starts since one of its initial voters is lost at the
+// first start, and against a log that a majority starts although a VM that lost its disk
+// cannot be told from a new one.
+func TestFirstStartWithoutOneVM(t *testing.T) {
+	for seed := range uint64(20) {
+		c := newStoppedCluster(t, seed, 3, 3)
+		c.firstStart = seed%2 == 0
+		for _, n := range c.nodes[:2] {
+			c.start(n)
+		}
+		c.run(foundingDelay + 2*time.Second)
+		if got, want := c.leader() != nil, c.firstStart; got != want {
+			t.Fatalf("seed %d: got a leader: %v, want %v with first start %v", seed, got, want, c.firstStart)
+		}
+		if !c.firstStart {
+			continue
+		}
+		c.start(c.nodes[2])
+		c.run(2 * time.Second)
+		want := entry.Replica{VM: "vm2", Disk: c.nodes[2].firstDisk}
+		if got := c.waitForLeader().log.members.Voters; !slices.Contains(got, want) || len(got) != 3 {
+			t.Errorf("seed %d: got voters %v, want three with %v, which came late", seed, got, want)
+		}
+	}
+}
+
+// Guards against a log that waits for a VM which is only slow, or which begins without a VM
+// that is there: the others must be given a moment at the first start.
+func TestFirstStartWithALateVM(t *testing.T) {
+	for seed := range uint64(20) {
+		c := newStoppedCluster(t, seed, 3, 3)
+		c.firstStart = true
+		for _, n := range c.nodes[:2] {
+			c.start(n)
+		}
+		c.run(foundingDelay / 2)
+		if got := c.leader(); got != nil {
+			t.Fatalf("seed %d: %s leads before the last VM was given a moment", seed, got.vm)
+		}
+		c.start(c.nodes[2])
+		for _, r := range c.waitForLeader().log.members.Voters {
+			if r.Disk == 0 {
+				t.Errorf("seed %d: got voter %s without its disk, want all recorded", seed, r.VM)
+			}
+		}
+	}
+}
+
+// Guards against a second, empty log at a later start: a VM that lost its disk must not
+// help one that missed the first entries, although both are a majority of the initial
+// voters.
+func TestNoSecondLogAfterTheFirstStart(t *testing.T) {
+	c := newStoppedCluster(t, 1, 3, 3)
+	c.firstStart = true
+	for _, n := range c.nodes[:2] {
+		c.start(n)
+	}
+	lead := c.waitForLeader()
+	lostDisk := c.nodes[0]
+	if lostDisk == lead {
+		lostDisk = c.nodes[1]
+	}
+	c.stop(lead)
+	c.stop(lostDisk)
+	c.replaceDisk(lostDisk)
+	c.start(lostDisk)
+	c.start(c.nodes[2])
+	c.run(foundingDelay + 5*time.Second)
+	if got := c.leader(); got != nil {
+		t.Errorf("%s leads although the only replica with the entries is down", got.vm)
+	}
+}
--- a/io/peer/codec_test.go
+++ b/io/peer/codec_test.go
@@ -58,9 +58,9 @@
 	return append(
 		messages,
 		frame.VoteRequest{Term: 1, Replica: replica, LastIndex: 2, LastTerm: 3, PreVote: true},
-		frame.VoteResponse{Term: 1, Replica: replica, PreVote: true, Granted: true},
+		frame.VoteResponse{Term: 1, Replica: replica, PreVote: true, Granted: true, Founder: true},
 		frame.AppendRequest{Term: 1, Replica: replica, PrevIndex: 2, PrevTerm: 3, Entries: entries, CommitIndex: 4, Round: 5, Handover: true, Sent: at, Echo: at, MajorityAge: time.Second},
-		frame.AppendResponse{Term: 1, Replica: replica, OK: true, MatchIndex: 2, NextIndex: 3, Round: 4, Sent: at, Echo: at},
+		frame.AppendResponse{Term: 1, Replica: replica, OK: true, MatchIndex: 2, NextIndex: 3, Round: 4, Sent: at, Echo: at, Founder: true},
 		frame.InstallImage{Term: 1, Replica: replica, Image: image},
 		frame.InstallImageResponse{Term: 1, Replica: replica, Index: 2},
 		frame.ProposeResponse{Seq: 1, Result: result},
