Have the first change wait until enough VMs replicate the log

Cause: the log is founded by three seeds, and a change was acknowledged with two disks of three until the other control VMs had joined, 0.4 to 0.9 s later. Nothing compared the voters with the stated losses.

The first change of an operator now waits until twice the stated losses and one more voters have recorded disks, 4 s after the start of the process at most, on the VM that is asked and on the leader. What decides is in the log, so it holds after a restart. Later changes don't wait.

--- a/core/config/store.go
+++ b/core/config/store.go
@@ -64,6 +64,12 @@
 	return s.revision
 }
 
+// HasOperatorChange reports whether an operator has changed the configuration. VMs that
+// registered themselves do not count.
+func (s *Store) HasOperatorChange() bool {
+	return s.document != nil || len(s.contracts.rows) > 0 || len(s.upstreams.rows) > 0 || len(s.ops.byID) > 0
+}
+
 // Checksum returns a checksum over the revision and every object. It leaves out the
 // results of operations, which VMs without a log do not have.
 func (s *Store) Checksum() uint64 {
--- a/core/plane/doc.go
+++ b/core/plane/doc.go
@@ -33,8 +33,9 @@
 // they are answered. zone_order.go tells late orders about zones from new ones.
 // tree.go, liveness.go and lease.go connect the distribution tree, the failure
 // detector and the leases. For a fleet with self-registration,
-// registration.go registers and removes disk VMs, upstream_list.go reads and
-// distributes the list of upstreams, upstream_warning.go passes on warnings about
-// single upstreams, entry_vms.go distributes the list of entry VMs, and
-// isolation.go detects that the zone is cut off.
+// registration.go registers and removes disk VMs, founding.go has the first change
+// wait for enough of them, upstream_list.go reads and distributes the list of
+// upstreams, upstream_warning.go passes on warnings about single upstreams,
+// entry_vms.go distributes the list of entry VMs, and isolation.go detects that the
+// zone is cut off.
 package plane
--- /dev/null
+++ b/core/plane/founding_test.go
@@ -0,0 +1,120 @@
+package plane_test
+
+import (
+	"fmt"
+	"testing"
+	"time"
+
+	"comfreypulley/core/effect"
+	"comfreypulley/core/entry"
+	"comfreypulley/core/event"
+	"comfreypulley/core/frame"
+	"comfreypulley/core/model"
+)
+
+// commitVoters applies an entry with voters; their disks are known but for the last ones.
+func (f *registrationFixture) commitVoters(known, unknown int) {
+	m := entry.Members{}
+	for n := range known + unknown {
+		r := entry.Replica{VM: model.VMID(fmt.Sprintf("10.0.0.%d", n+1)), Disk: model.DiskID(n + 1)}
+		if n >= known {
+			r.Disk = 0
+		}
+		m.Voters = append(m.Voters, r)
+	}
+	f.lastIndex++
+	f.log.lastIndex = max(f.log.lastIndex, f.lastIndex)
+	f.log.committed = append(f.log.committed, entry.Entry{Index: f.lastIndex, Term: 1, At: f.now, Command: m})
+	f.control.HandleDiskSynced(f.now, event.DiskSynced{}, nil)
+}
+
+// firstDocument is the first change of an operator.
+var firstDocument = entry.Change{Document: &model.Document{Version: 1}}
+
+// appendedDocument reports whether the first change went to the log.
+func (f *registrationFixture) appendedDocument() bool {
+	for _, e := range f.log.appended {
+		if c, ok := e.Command.(entry.Change); ok && c.Document != nil {
+			return true
+		}
+	}
+	return false
+}
+
+// Guards against a first change that is acknowledged by so few VMs that it is lost with as
+// many disks as may be lost, and against one that waits for VMs which do not come.
+func TestFirstChangeAwaitsVoters(t *testing.T) {
+	for _, c := range []struct {
+		name           string
+		losses         int
+		known, unknown int
+		forwarded      bool
+		after          time.Duration // since the start of the process
+		want           bool          // appended
+	}{
+		{name: "three voters, one loss", losses: 1, known: 3, want: true},
+		{name: "three voters, two losses", losses: 2, known: 3},
+		{name: "five voters, two losses", losses: 2, known: 5, want: true},
+		{name: "a voter without a disk", losses: 1, known: 2, unknown: 1},
+		{name: "forwarded", losses: 2, known: 3, forwarded: true},
+		{name: "before the first configuration", losses: 1, known: 0},
+		{name: "the others do not come", losses: 2, known: 3, after: 4 * time.Second, want: true},
+		{name: "forwarded, the others do not come", losses: 2, known: 3, after: 4 * time.Second, forwarded: true, want: true},
+	} {
+		f := newRegistrationFixture(c.losses)
+		if c.known > 0 {
+			commitInitialConfig(f)
+			f.commitVoters(c.known, c.unknown)
+		}
+		f.now = f.now.Add(c.after)
+		if c.forwarded {
+			out := f.control.HandlePeerMessage(f.now, event.PeerMessage{From: "10.0.0.2", Message: frame.ProposeRequest{Seq: 1, Command: firstDocument}}, nil)
+			for _, msg := range effectsOf[effect.SendMessage](out) {
+				if r, ok := msg.Message.(frame.ProposeResponse); ok && (c.want || r.Result.Status != entry.StatusUnavailable) {
+					t.Errorf("%s: got the answer %+v", c.name, r.Result)
+				}
+			}
+		} else {
+			f.control.HandleOperatorCommand(f.now, event.OperatorCommand{Seq: 1, Command: firstDocument}, nil)
+		}
+		if got := f.appendedDocument(); got != c.want {
+			t.Errorf("%s: got the change in the log: %v, want %v", c.name, got, c.want)
+		}
+	}
+}
+
+// Guards against a change that goes on waiting after enough VMs have joined, against one
+// that a restart lets through too early, and against later changes that wait.
+func TestFirstChangeIsAppendedOnceVotersJoin(t *testing.T) {
+	f := newRegistrationFixture(2)
+	commitInitialConfig(f)
+	f.commitVoters(3, 0)
+	f.control.HandleOperatorCommand(f.now, event.OperatorCommand{Seq: 1, Command: firstDocument}, nil)
+	f.fireTimer(200*time.Millisecond, event.TimerPropose)
+	if f.appendedDocument() {
+		t.Fatal("got the change in the log with three voters, want it to wait")
+	}
+	f.commitVoters(5, 0)
+	f.fireTimer(200*time.Millisecond, event.TimerPropose)
+	if !f.appendedDocument() {
+		t.Error("got no change in the log with five voters")
+	}
+	f.commit(firstDocument)
+	f.commitVoters(3, 0)
+	f.log.appended = nil
+	second := entry.Change{Document: &model.Document{Version: 2}}
+	f.control.HandleOperatorCommand(f.now, event.OperatorCommand{Seq: 2, Command: second}, nil)
+	if !f.appendedDocument() {
+		t.Error("got no change in the log after an earlier one, want it not to wait")
+	}
+	restarted := newRegistrationFixture(2)
+	restarted.control.HandleDiskLoaded(restarted.now, event.DiskLoaded{Image: entry.Image{
+		Index: 2, Term: 1, Config: entry.Config{Revision: 1, VMs: []model.VM{diskVM("10.0.0.1", "a")}},
+		Members: entry.Members{Voters: []entry.Replica{{VM: "10.0.0.1", Disk: 1}, {VM: "10.0.0.2", Disk: 2}, {VM: "10.0.0.3", Disk: 3}}},
+	}}, nil)
+	restarted.log.appended = nil
+	restarted.control.HandleOperatorCommand(restarted.now, event.OperatorCommand{Seq: 1, Command: firstDocument}, nil)
+	if restarted.appendedDocument() {
+		t.Error("got the change in the log after a restart, want it to wait")
+	}
+}
--- a/core/plane/peer.go
+++ b/core/plane/peer.go
@@ -99,6 +99,9 @@
 	if c.proposals.pending >= maxPendingProposals {
 		return receiver.receiveResult(at, c, m.Command, entry.Result{Status: entry.StatusUnavailable, Detail: "too many commands are waiting"}, out)
 	}
+	if c.awaitsVoters(at, m.Command) {
+		return receiver.receiveResult(at, c, m.Command, entry.Result{Status: entry.StatusUnavailable, Detail: "too few VMs replicate the log yet"}, out)
+	}
 	term := c.log.LogStatus().Term
 	index, status, out := c.log.Propose(at, m.Command, out)
 	if index == 0 {
--- a/core/plane/proposals.go
+++ b/core/plane/proposals.go
@@ -195,6 +195,10 @@
 	p.attempts++
 	p.retryDelay = min(max(2*p.retryDelay, minRetryDelay), maxRetryDelay)
 	p.nextAttempt = at.Add(p.retryDelay)
+	if c.awaitsVoters(at, p.command) {
+		p.nextAttempt = at.Add(unknownLeaderDelay)
+		return out
+	}
 	if c.leading() {
 		return c.append(at, p, out)
 	}
