Remember crashes of a request until it has been answered

Cause: crashes were forgotten 10 s after the last one, and after each quarantine the count began from nothing. Both front ends had this.

crash.History keeps crashes for an hour, at most 4,096 fingerprints, for both front ends. After a quarantine one attempt runs as a trial; a crash starts a quarantine four times as long, an answer ends it. Answers are told to the other VMs like crashes, so that a harmless request adds up none elsewhere, and an entry VM that starts is told what is in quarantine. Reports are sets: a copy changes nothing, and a late one starts no quarantine that has ended. A refusal as `quarantine` states when the request may come again.

--- a/core/crash/doc.go
+++ b/core/crash/doc.go
@@ -5,6 +5,8 @@
 //   - A request with an attempt that ended in a connection reset is a suspect,
 //     and runs one attempt at a time.
 //   - A request that crashed two upstreams is quarantined: it is refused.
+//   - After a quarantine it runs one attempt at a time until it is answered, and
+//     another crash starts a longer quarantine.
 //
 // A reset counts as a strike against the fingerprint if the attempt was the only
 // one of its request in flight. A probe that then finds the upstream down
@@ -20,6 +22,16 @@
 //	probe := g.RecordReset(at, fp, "u1", true) // the attempt ended in a reset
 //	reports := g.RecordProbe(at, "u1", true)   // the probe found u1 down: share these
 //
+// Guard finds the crashes of the own protocol. The routed path finds its own and
+// keeps them in a History, as Guard does.
+//
+//	var h crash.History
+//	if h.Add(at, fp, "u1") {
+//		share(h.Report(at, fp))
+//	}
+//	h.Merge(at, report) // from another VM
+//	left := h.QuarantineLeft(at, fp)
+//
 // Strikes from attempts that run beside others would be misleading: when a zone
 // is cut off, the attempts of many harmless requests are reset at once.
 package crash
--- a/core/crash/guard.go
+++ b/core/crash/guard.go
@@ -10,8 +10,7 @@
 
 // Periods and limits of the guard.
 const (
-	strikeLifetime    = 10 * time.Second // how long a strike or a suspicion counts
-	quarantineLength  = 60 * time.Second
+	suspicionLifetime = 10 * time.Second       // how long a reset without a confirmed crash counts
 	quarantineStrikes = 2                      // crashed upstreams that start a quarantine
 	confirmTimeout    = 300 * time.Millisecond // an unconfirmed strike expires this long after the reset
 	generationLength  = 10 * time.Minute       // see Guard
@@ -42,34 +41,33 @@
 	generationStart time.Time                      // of the current generation
 	exclusive       map[model.Fingerprint]int      // attempts in flight that have exclusive use
 	suspects        map[model.Fingerprint]*suspect
+	history         History                                  // of confirmed strikes
 	unconfirmed     map[model.UpstreamID][]model.Fingerprint // fingerprints with an unconfirmed strike, by upstream
 	unblocked       []model.Fingerprint                      // result of Sweep, reused to save allocations
 }
 
 // suspect is the state of a fingerprint with an attempt that ended in a reset.
 type suspect struct {
-	lastSeen         time.Time // last reset, or last strike shared by others
-	strikes          []strike
-	quarantinedUntil time.Time // zero when there was no quarantine
+	lastSeen    time.Time // last reset
+	unconfirmed []strike
 }
 
 // strike is an attempt that was the only one of its request, or one of its
-// canaries, and ended in a reset.
+// canaries, and ended in a reset. A probe that finds the upstream down afterwards
+// confirms it.
 type strike struct {
-	upstream  model.UpstreamID
-	at        time.Time
-	confirmed bool // a probe found the upstream down afterwards
+	upstream model.UpstreamID
+	at       time.Time
 }
 
 // Verdict returns how a request may run.
 func (g *Guard) Verdict(at time.Time, fp model.Fingerprint) Verdict {
-	if s, ok := g.suspects[fp]; ok {
-		if at.Before(s.quarantinedUntil) {
-			return Quarantined
-		}
-		if s.active(at) {
-			return OneAtATime
-		}
+	switch s, suspected := g.suspects[fp]; {
+	case g.history.QuarantineLeft(at, fp) > 0:
+		return Quarantined
+	case g.history.Count(fp) > 0 || suspected && s.active(at):
+		return OneAtATime
+	case suspected:
 		delete(g.suspects, fp)
 	}
 	if _, ok := g.answered[fp]; ok {
@@ -90,7 +88,13 @@
 		return false
 	}
 	s.expire(at)
-	return len(s.strikes) >= quarantineStrikes
+	return g.blocked(fp, s)
+}
+
+// blocked reports whether the unconfirmed strikes of a fingerprint would start a
+// quarantine.
+func (g *Guard) blocked(fp model.Fingerprint, s *suspect) bool {
+	return len(s.unconfirmed) > 0 && len(s.unconfirmed)+g.history.Count(fp) >= quarantineStrikes
 }
 
 // Unconfirmed returns the upstreams of a fingerprint's unconfirmed strikes.
@@ -101,10 +105,8 @@
 	}
 	s.expire(at)
 	var ids []model.UpstreamID
-	for _, st := range s.strikes {
-		if !st.confirmed {
-			ids = append(ids, st.upstream)
-		}
+	for _, st := range s.unconfirmed {
+		ids = append(ids, st.upstream)
 	}
 	return ids
 }
@@ -137,12 +139,11 @@
 // RecordAnswer records that an upstream ran the request and answered. That
 // clears the strikes, but does not end a quarantine.
 func (g *Guard) RecordAnswer(at time.Time, fp model.Fingerprint) {
-	if s, ok := g.suspects[fp]; ok {
-		if at.Before(s.quarantinedUntil) {
-			return
-		}
-		delete(g.suspects, fp)
+	if g.history.QuarantineLeft(at, fp) > 0 {
+		return
 	}
+	delete(g.suspects, fp)
+	g.history.Clear(fp)
 	if _, ok := g.answered[fp]; ok {
 		return
 	}
@@ -163,10 +164,10 @@
 		return false
 	}
 	s.expire(at)
-	if slices.ContainsFunc(s.strikes, func(st strike) bool { return st.upstream == upstream }) {
+	if g.history.Contains(fp, upstream) || slices.ContainsFunc(s.unconfirmed, func(st strike) bool { return st.upstream == upstream }) {
 		return false
 	}
-	s.strikes = append(s.strikes, strike{upstream: upstream, at: at})
+	s.unconfirmed = append(s.unconfirmed, strike{upstream: upstream, at: at})
 	if g.unconfirmed == nil {
 		g.unconfirmed = make(map[model.UpstreamID][]model.Fingerprint)
 	}
@@ -192,56 +193,53 @@
 			continue
 		}
 		s.expire(at)
-		for i := range s.strikes {
-			if s.strikes[i].upstream == upstream && !s.strikes[i].confirmed {
-				s.strikes[i].confirmed = true
-				s.updateQuarantine(at)
-				reports = append(reports, s.crashReport(at, fp))
-			}
+		if s.confirm(upstream) && g.confirmed().Add(at, fp, upstream) {
+			reports = append(reports, g.history.Report(at, fp))
 		}
 	}
 	return reports
 }
 
+// confirmed returns the history of confirmed strikes.
+func (g *Guard) confirmed() *History {
+	g.history.Threshold = quarantineStrikes
+	return &g.history
+}
+
+// TakeAnswered returns the fingerprints whose strikes were cleared since the last call, to
+// be shared.
+func (g *Guard) TakeAnswered() []model.Fingerprint { return g.history.TakeAnswered() }
+
 // RecordCrashReport records strikes that another traffic state or VM has
 // shared.
 func (g *Guard) RecordCrashReport(at time.Time, report event.CrashReport) {
-	s := g.renewSuspect(at, report.Fingerprint)
-	if s == nil {
-		return
-	}
-	for _, id := range report.Upstreams {
-		i := slices.IndexFunc(s.strikes, func(st strike) bool { return st.upstream == id })
-		if i < 0 {
-			s.strikes = append(s.strikes, strike{upstream: id, at: at, confirmed: true})
-			continue
+	if s, ok := g.suspects[report.Fingerprint]; ok {
+		for _, id := range report.Upstreams {
+			s.confirm(id)
 		}
-		s.strikes[i].confirmed = true
-	}
-	s.updateQuarantine(at)
-	if until := at.Add(min(report.Quarantine, quarantineLength)); report.Quarantine > 0 && until.After(s.quarantinedUntil) {
-		s.quarantinedUntil = until
 	}
+	g.confirmed().Merge(at, report)
 }
 
 // Expire removes expired strikes and suspects. It returns the fingerprints for
 // which MustWait has become false; the slice is valid until the next call.
 func (g *Guard) Expire(at time.Time) []model.Fingerprint {
 	g.unblocked = g.unblocked[:0]
+	g.history.Expire(at)
 	for fp, s := range g.suspects {
-		blocked := len(s.strikes) >= quarantineStrikes
+		blocked := g.blocked(fp, s)
 		s.expire(at)
-		if !at.Before(s.quarantinedUntil) && !s.active(at) {
+		if !s.active(at) {
 			delete(g.suspects, fp)
 		}
-		if blocked && len(s.strikes) < quarantineStrikes {
+		if blocked && !g.blocked(fp, s) {
 			g.unblocked = append(g.unblocked, fp)
 		}
 	}
 	for upstream, fingerprints := range g.unconfirmed {
 		kept := slices.DeleteFunc(fingerprints, func(fp model.Fingerprint) bool {
 			s, ok := g.suspects[fp]
-			return !ok || !slices.ContainsFunc(s.strikes, func(st strike) bool { return st.upstream == upstream && !st.confirmed })
+			return !ok || !slices.ContainsFunc(s.unconfirmed, func(st strike) bool { return st.upstream == upstream })
 		})
 		if len(kept) == 0 {
 			delete(g.unconfirmed, upstream)
@@ -273,43 +271,19 @@
 	return s
 }
 
-// active reports whether the suspicion still counts, apart from a quarantine.
+// active reports whether the suspicion still counts.
 func (s *suspect) active(at time.Time) bool {
-	return at.Sub(s.lastSeen) < strikeLifetime
+	return at.Sub(s.lastSeen) < suspicionLifetime
 }
 
-// expire removes strikes that are too old or were not confirmed in time.
+// expire removes strikes that were not confirmed in time.
 func (s *suspect) expire(at time.Time) {
-	s.strikes = slices.DeleteFunc(s.strikes, func(st strike) bool {
-		age := at.Sub(st.at)
-		return age >= strikeLifetime || !st.confirmed && age >= confirmTimeout
-	})
+	s.unconfirmed = slices.DeleteFunc(s.unconfirmed, func(st strike) bool { return at.Sub(st.at) >= confirmTimeout })
 }
 
-// updateQuarantine starts a quarantine if there are enough confirmed strikes.
-func (s *suspect) updateQuarantine(at time.Time) {
-	confirmed := 0
-	for _, st := range s.strikes {
-		if st.confirmed {
-			confirmed++
-		}
-	}
-	if confirmed >= quarantineStrikes && !at.Before(s.quarantinedUntil) {
-		s.quarantinedUntil = at.Add(quarantineLength)
-	}
-}
-
-// crashReport returns the confirmed strikes and the remaining quarantine, to be
-// shared.
-func (s *suspect) crashReport(at time.Time, fp model.Fingerprint) event.CrashReport {
-	report := event.CrashReport{Fingerprint: fp, Quarantine: max(0, s.quarantinedUntil.Sub(at))}
-	if s.quarantinedUntil.IsZero() {
-		report.Quarantine = 0
-	}
-	for _, st := range s.strikes {
-		if st.confirmed {
-			report.Upstreams = append(report.Upstreams, st.upstream)
-		}
-	}
-	return report
+// confirm removes the unconfirmed strike of an upstream, and reports whether there was one.
+func (s *suspect) confirm(upstream model.UpstreamID) bool {
+	n := len(s.unconfirmed)
+	s.unconfirmed = slices.DeleteFunc(s.unconfirmed, func(st strike) bool { return st.upstream == upstream })
+	return len(s.unconfirmed) < n
 }
--- /dev/null
+++ b/core/crash/history.go
@@ -0,0 +1,272 @@
+package crash
+
+import (
+	"maps"
+	"slices"
+	"time"
+
+	"comfreypulley/core/event"
+	"comfreypulley/core/model"
+)
+
+// Times and limits of a History.
+const (
+	defaultThreshold = 3 // crashed upstreams that start a quarantine
+	retention        = time.Hour
+	expiryPeriod     = time.Minute // between two searches for records that are too old
+	firstQuarantine  = time.Minute
+	quarantineFactor = 4 // of each further quarantine to the one before
+	maxQuarantine    = time.Hour
+	maxRecords       = 1 << 12 // fingerprints
+	maxUpstreams     = 1 << 6  // of one fingerprint
+	maxKnown         = 1 << 6  // fingerprints in quarantine that a VM is told at its start
+)
+
+// History remembers which upstreams crashed while they ran requests, by the fingerprint
+// of the request. A fingerprint with enough crashes is quarantined, after which it is on
+// probation: the next crash starts a longer quarantine. An answer ends both. The zero
+// value is ready for use.
+//
+// Crashes are remembered for long, because a request that comes again slowly crashes as
+// many upstreams as one that comes at once.
+type History struct {
+	Threshold int // crashed upstreams that start a quarantine; 0 means defaultThreshold
+
+	records  map[model.Fingerprint]*record
+	expireAt time.Time           // when Expire next looks for old records
+	answered []model.Fingerprint // whose crashes an answer has cleared since the last TakeAnswered
+}
+
+// record is what is known about one fingerprint.
+type record struct {
+	upstreams        []model.UpstreamID // that crashed, oldest first
+	forgiven         []model.UpstreamID // that crashed before an answer ended a quarantine
+	changedAt        time.Time          // when something new was recorded
+	quarantines      int                // begun so far
+	quarantinedUntil time.Time          // zero when there was no quarantine
+	trialUntil       time.Time          // when the current trial has ended in any case; zero without one
+}
+
+// Add records upstreams that crashed while they ran a request. It reports whether any of
+// them is new.
+func (h *History) Add(at time.Time, fp model.Fingerprint, ids ...model.UpstreamID) bool {
+	r := h.record(at, fp)
+	if !r.add(at, ids) {
+		return false
+	}
+	if len(r.upstreams) >= h.threshold() && !at.Before(r.quarantinedUntil) {
+		r.quarantine(at, at.Add(r.nextQuarantine()))
+	}
+	return true
+}
+
+// Merge records what another traffic state or VM knows, and reports whether any of it is
+// new. A report that comes late or twice is not, so that it starts no quarantine that has
+// ended.
+func (h *History) Merge(at time.Time, report event.CrashReport) bool {
+	for _, fp := range report.Answered {
+		h.clear(fp)
+	}
+	if len(report.Upstreams) == 0 {
+		return false
+	}
+	r := h.record(at, report.Fingerprint)
+	isNew := r.add(at, report.Upstreams)
+	if !isNew && (r.quarantines > 0 || report.Quarantine == 0) {
+		return false
+	}
+	until := at.Add(min(report.Quarantine, maxQuarantine))
+	if isNew && len(r.upstreams) >= h.threshold() && !at.Before(r.quarantinedUntil) {
+		until = model.Later(until, at.Add(r.nextQuarantine()))
+	}
+	if until.After(at) && until.After(r.quarantinedUntil) {
+		r.quarantine(at, until)
+	}
+	return true
+}
+
+// Report returns what is known about a fingerprint, to be shared.
+func (h *History) Report(at time.Time, fp model.Fingerprint) event.CrashReport {
+	report := event.CrashReport{Fingerprint: fp}
+	if r := h.records[fp]; r != nil {
+		report.Upstreams = slices.Clone(r.upstreams)
+		if at.Before(r.quarantinedUntil) {
+			report.Quarantine = r.quarantinedUntil.Sub(at)
+		}
+	}
+	return report
+}
+
+// Known returns what is to be shared with a VM that has just started: the fingerprints in
+// quarantine or on probation, at most maxKnown of them.
+func (h *History) Known(at time.Time) (reports []event.CrashReport) {
+	for _, fp := range slices.Sorted(maps.Keys(h.records)) {
+		if r := h.records[fp]; r.quarantines > 0 && len(r.upstreams) > 0 && len(reports) < maxKnown {
+			reports = append(reports, h.Report(at, fp))
+		}
+	}
+	return reports
+}
+
+// Count returns the number of upstreams that crashed.
+func (h *History) Count(fp model.Fingerprint) int {
+	if r := h.records[fp]; r != nil {
+		return len(r.upstreams)
+	}
+	return 0
+}
+
+// Contains reports whether a crash of an upstream is known.
+func (h *History) Contains(fp model.Fingerprint, id model.UpstreamID) bool {
+	r := h.records[fp]
+	return r != nil && (slices.Contains(r.upstreams, id) || slices.Contains(r.forgiven, id))
+}
+
+// QuarantineLeft returns for how long requests with a fingerprint must not run; 0 when
+// they may.
+func (h *History) QuarantineLeft(at time.Time, fp model.Fingerprint) time.Duration {
+	r := h.records[fp]
+	if r == nil {
+		return 0
+	}
+	return max(0, model.Later(r.quarantinedUntil, r.trialUntil).Sub(at))
+}
+
+// OnProbation reports whether a quarantine has ended and no answer has shown since that
+// the request is harmless.
+func (h *History) OnProbation(at time.Time, fp model.Fingerprint) bool {
+	r := h.records[fp]
+	return r != nil && r.quarantines > 0 && len(r.upstreams) > 0 && h.QuarantineLeft(at, fp) == 0
+}
+
+// BeginTrial lets one request on probation run. Until it has been answered, or until a
+// time, others are quarantined.
+func (h *History) BeginTrial(fp model.Fingerprint, until time.Time) {
+	if r := h.records[fp]; r != nil {
+		r.trialUntil = until
+	}
+}
+
+// Clear records that an upstream ran the request and answered.
+func (h *History) Clear(fp model.Fingerprint) {
+	if h.Count(fp) > 0 && len(h.answered) < maxRecords {
+		h.answered = append(h.answered, fp)
+	}
+	h.clear(fp)
+}
+
+// TakeAnswered returns the fingerprints whose crashes were cleared since the last call, for
+// the other traffic states and VMs: the request may come to them next.
+func (h *History) TakeAnswered() []model.Fingerprint {
+	fps := h.answered
+	h.answered = nil
+	return fps
+}
+
+// clear forgets the crashes of a fingerprint. After a quarantine they are kept as forgiven,
+// since other VMs may still report them.
+func (h *History) clear(fp model.Fingerprint) {
+	r := h.records[fp]
+	switch {
+	case r == nil:
+	case r.quarantines == 0:
+		delete(h.records, fp)
+	default:
+		r.forgiven = appendBounded(r.forgiven, r.upstreams)
+		r.upstreams, r.quarantinedUntil, r.trialUntil = nil, time.Time{}, time.Time{}
+	}
+}
+
+// Expire removes records that are too old. It may be called often.
+func (h *History) Expire(at time.Time) {
+	if at.Before(h.expireAt) {
+		return
+	}
+	h.expireAt = at.Add(expiryPeriod)
+	for fp, r := range h.records {
+		if at.Sub(model.Later(r.changedAt, r.quarantinedUntil)) >= retention {
+			delete(h.records, fp)
+		}
+	}
+}
+
+func (h *History) threshold() int {
+	if h.Threshold > 0 {
+		return h.Threshold
+	}
+	return defaultThreshold
+}
+
+// record returns the record of a fingerprint. A new one may take the place of another.
+func (h *History) record(at time.Time, fp model.Fingerprint) *record {
+	if r, ok := h.records[fp]; ok {
+		return r
+	}
+	if h.records == nil {
+		h.records = make(map[model.Fingerprint]*record)
+	}
+	if len(h.records) >= maxRecords {
+		h.Expire(at)
+	}
+	if len(h.records) >= maxRecords {
+		h.evict()
+	}
+	r := &record{changedAt: at}
+	h.records[fp] = r
+	return r
+}
+
+// evict removes the record with the fewest crashes, of several the oldest: most of these
+// requests were in flight when upstreams crashed for another reason.
+func (h *History) evict() {
+	var victim model.Fingerprint
+	var least *record
+	for fp, r := range h.records {
+		if least == nil || r.before(least) || !least.before(r) && fp < victim {
+			victim, least = fp, r
+		}
+	}
+	delete(h.records, victim)
+}
+
+// before reports whether a record is to be evicted before another one.
+func (r *record) before(other *record) bool {
+	if n, m := len(r.upstreams), len(other.upstreams); n != m {
+		return n < m
+	}
+	return r.changedAt.Before(other.changedAt)
+}
+
+// add records upstreams that are not known yet, and reports whether there are any.
+func (r *record) add(at time.Time, ids []model.UpstreamID) (isNew bool) {
+	for _, id := range ids {
+		if !slices.Contains(r.upstreams, id) && !slices.Contains(r.forgiven, id) {
+			r.upstreams = appendBounded(r.upstreams, []model.UpstreamID{id})
+			r.changedAt, isNew = at, true
+		}
+	}
+	return isNew
+}
+
+// quarantine begins a quarantine, or extends the current one.
+func (r *record) quarantine(at, until time.Time) {
+	if !at.Before(r.quarantinedUntil) {
+		r.quarantines++
+	}
+	r.quarantinedUntil = until
+}
+
+// nextQuarantine returns how long the next quarantine lasts.
+func (r *record) nextQuarantine() time.Duration {
+	d := firstQuarantine
+	for range r.quarantines {
+		d = min(quarantineFactor*d, maxQuarantine)
+	}
+	return d
+}
+
+// appendBounded appends ids and drops the oldest ones beyond maxUpstreams.
+func appendBounded(ids, more []model.UpstreamID) []model.UpstreamID {
+	ids = slices.Concat(ids, more)
+	return ids[max(0, len(ids)-maxUpstreams):]
+}
--- a/core/frame/frame.go
+++ b/core/frame/frame.go
@@ -231,9 +231,10 @@
 // crashes.
 type CrashReport struct {
 	Fingerprint model.Fingerprint
-	Upstreams   []model.UpstreamID // that crashed
-	Quarantine  time.Duration      // time left during which such requests are refused; 0 when they are not
-	Relay       bool               `msgpack:"Pass"` // the receiver forwards the report to the other VMs of its zone
+	Upstreams   []model.UpstreamID  // that crashed
+	Quarantine  time.Duration       // time left during which such requests are refused; 0 when they are not
+	Relay       bool                `msgpack:"Pass"`       // the receiver forwards the report to the other VMs of its zone
+	Answered    []model.Fingerprint `msgpack:",omitempty"` // of requests that were answered since they were reported; the other fields but Relay are then empty
 }
 
 // UpstreamList sends the platform's list of upstreams, or only its checksum while
--- a/core/plane/control.go
+++ b/core/plane/control.go
@@ -8,6 +8,7 @@
 	"time"
 
 	"comfreypulley/core/config"
+	"comfreypulley/core/crash"
 	"comfreypulley/core/effect"
 	"comfreypulley/core/entry"
 	"comfreypulley/core/event"
@@ -44,6 +45,7 @@
 	platformVMs       event.PlatformVMs      // last list of VMs from the platform
 	replicasRevision  model.Revision         // revision whose disk VMs were last passed to the log as replicas
 	crashReports      crashReports
+	crashes           crash.History // what the reports say, for VMs that start
 	registration      registration
 	upstreamList      upstreamList
 	entryVMs          entryVMs
--- a/core/plane/crash_report.go
+++ b/core/plane/crash_report.go
@@ -27,12 +27,14 @@
 	upstreams     []model.UpstreamID // that crashed within duplicateWindow
 	lastNew       time.Time          // when something new was last reported
 	quarantineEnd time.Time          // zero when it was never quarantined
+	answered      bool               // since the last crash
 }
 
 // HandleCrashReport handles a crash report from a traffic state of this
 // process, and passes it to the other traffic states and VMs if it is new.
 func (c *Control) HandleCrashReport(at time.Time, report event.CrashReport, out []effect.Effect) []effect.Effect {
 	first := len(out)
+	_ = c.crashes.Merge(at, report)
 	if !c.crashReports.add(at, report) {
 		return out
 	}
@@ -42,7 +44,8 @@
 // peerCrashReport handles a crash report from another VM. With Relay set, this
 // VM is the first of its zone that receives it, and passes it to the others.
 func (c *Control) peerCrashReport(at time.Time, from model.VMID, m frame.CrashReport, out []effect.Effect) []effect.Effect {
-	report := event.CrashReport{Fingerprint: m.Fingerprint, Upstreams: m.Upstreams, Quarantine: m.Quarantine}
+	report := event.CrashReport{Fingerprint: m.Fingerprint, Upstreams: m.Upstreams, Quarantine: m.Quarantine, Answered: m.Answered}
+	_ = c.crashes.Merge(at, report)
 	if !c.crashReports.add(at, report) {
 		return out
 	}
@@ -67,7 +70,7 @@
 // each other zone, which relays it in its own. The cost for this VM then grows
 // with its zone, not with the fleet.
 func (c *Control) sendCrashReport(report event.CrashReport, out []effect.Effect) []effect.Effect {
-	m := frame.CrashReport{Fingerprint: report.Fingerprint, Upstreams: report.Upstreams, Quarantine: report.Quarantine}
+	m := crashReportMessage(report)
 	out = c.sendToZone("", m, out)
 	m.Relay = true
 	// Reports about one request go to different VMs, so that a failed VM that
@@ -82,6 +85,19 @@
 	return out
 }
 
+func crashReportMessage(report event.CrashReport) frame.CrashReport {
+	return frame.CrashReport{Fingerprint: report.Fingerprint, Upstreams: report.Upstreams, Quarantine: report.Quarantine, Answered: report.Answered}
+}
+
+// sendQuarantines tells an entry VM that has just started which requests are in
+// quarantine or on probation.
+func (c *Control) sendQuarantines(at time.Time, to model.VMID, out []effect.Effect) []effect.Effect {
+	for _, report := range c.crashes.Known(at) {
+		out = append(out, effect.SendMessage{To: to, Message: crashReportMessage(report)})
+	}
+	return out
+}
+
 // sendToZone sends a report to the VMs of this VM's zone, except to this VM and
 // to the one that it came from.
 func (c *Control) sendToZone(except model.VMID, m frame.CrashReport, out []effect.Effect) []effect.Effect {
@@ -110,6 +126,9 @@
 	if *r == nil {
 		*r = make(crashReports)
 	}
+	if len(report.Answered) > 0 {
+		return r.addAnswered(at, report.Answered)
+	}
 	record := (*r)[report.Fingerprint]
 	if at.Sub(record.lastNew) >= duplicateWindow {
 		record.upstreams = nil
@@ -128,7 +147,7 @@
 	if !isNew {
 		return false
 	}
-	record.lastNew = at
+	record.lastNew, record.answered = at, false
 	if _, ok := (*r)[report.Fingerprint]; !ok && len(*r) >= maxCrashRecords {
 		r.expire(at)
 	}
@@ -136,6 +155,23 @@
 	return true
 }
 
+// addAnswered records that requests were answered after crashes, and reports whether any
+// of that is new.
+func (r *crashReports) addAnswered(at time.Time, fps []model.Fingerprint) (isNew bool) {
+	for _, fp := range fps {
+		record := (*r)[fp]
+		if record.answered && at.Sub(record.lastNew) < duplicateWindow {
+			continue
+		}
+		if _, ok := (*r)[fp]; !ok && len(*r) >= maxCrashRecords {
+			r.expire(at)
+		}
+		(*r)[fp] = crashRecord{answered: true, lastNew: at}
+		isNew = true
+	}
+	return isNew
+}
+
 // expire drops records that no copy can match any more. If too many remain, it
 // drops all: copies are then passed on again, which only costs messages.
 func (r *crashReports) expire(at time.Time) {
--- a/core/plane/crash_report_test.go
+++ b/core/plane/crash_report_test.go
@@ -112,3 +112,50 @@
 		t.Errorf("remembers %d fingerprints, want at most %d", got, 1<<12)
 	}
 }
+
+// Guards against an entry VM that starts again and lets a request through that crashes
+// upstreams, although the others know it, and against messages about requests that are
+// in no quarantine.
+func TestStartingVMLearnsTheQuarantines(t *testing.T) {
+	f := newIsolationFixture()
+	told := func(checksum uint64) (reports []frame.CrashReport) {
+		out := f.control.HandlePeerMessage(f.now, event.PeerMessage{
+			From: followerID, Message: frame.Digest{Zone: "a", UpstreamListChecksum: checksum},
+		}, nil)
+		for _, msg := range effectsOf[effect.SendMessage](out) {
+			if report, ok := msg.Message.(frame.CrashReport); ok && msg.To == followerID {
+				reports = append(reports, report)
+			}
+		}
+		return reports
+	}
+	report := func(m frame.CrashReport) {
+		f.control.HandlePeerMessage(f.now, event.PeerMessage{From: otherZoneEntryVM, Message: m}, nil)
+	}
+	report(frame.CrashReport{Fingerprint: 7, Upstreams: []model.UpstreamID{"u1", "u2", "u3"}, Quarantine: time.Minute})
+	report(frame.CrashReport{Fingerprint: 8, Upstreams: []model.UpstreamID{"u1"}})
+	f.now = f.now.Add(10 * time.Second)
+	if got := told(0); len(got) != 1 || got[0].Fingerprint != 7 || len(got[0].Upstreams) != 3 || got[0].Quarantine != 50*time.Second || got[0].Relay {
+		t.Errorf("got %+v for a VM without a list, want the request in quarantine for 50 s more", got)
+	}
+	if got := told(1); len(got) != 0 {
+		t.Errorf("got %+v for a VM that has a list, want none", got)
+	}
+	report(frame.CrashReport{Answered: []model.Fingerprint{7}})
+	if got := told(0); len(got) != 0 {
+		t.Errorf("got %+v after the request was answered, want none", got)
+	}
+}
+
+// Guards against an answer that is not passed on, or that circulates in the fleet.
+func TestAnsweredRequestsArePassedOnOnce(t *testing.T) {
+	c := newThreeZoneVM("vm1")
+	m := event.PeerMessage{From: "vm5", Message: frame.CrashReport{Answered: []model.Fingerprint{7}, Relay: true}}
+	out := c.HandlePeerMessage(startTime, m, nil)
+	if got := recipients(out, false); len(got) != 3 || trafficBroadcasts(out) != 1 {
+		t.Errorf("got it passed on to %v and %d times to the traffic, want three VMs and once", got, trafficBroadcasts(out))
+	}
+	if out := c.HandlePeerMessage(startTime, m, nil); len(recipients(out, false))+trafficBroadcasts(out) != 0 {
+		t.Error("got a copy passed on")
+	}
+}
--- a/core/plane/upstream_list.go
+++ b/core/plane/upstream_list.go
@@ -214,6 +214,9 @@
 		c.upstreamList.followers[from] = at
 		c.entryVMs.recordFollower(model.EntryVM{ID: from, Zone: d.Zone, PortionAddr: d.PortionAddr})
 	}
+	if d.UpstreamListChecksum == 0 {
+		out = c.sendQuarantines(at, from, out)
+	}
 	if c.entryVMs.checksum != 0 && d.PortionAddr.IsValid() && d.EntryVMsChecksum != c.entryVMs.checksum {
 		out = append(out, effect.SendMessage{To: from, Message: frame.EntryVMs{VMs: c.entryVMs.current}})
 	}
--- a/core/proxy/arrival.go
+++ b/core/proxy/arrival.go
@@ -41,7 +41,7 @@
 	}
 	route := routes.find(e.Host, e.Path)
 	if reason := r.refusalOnArrival(at, e, route, version); reason != "" {
-		return r.refuseUnsent(e, route, reason, out)
+		return r.refuseOnArrival(at, e, route, reason, out)
 	}
 	team, reason := r.authorize(e, route, routes)
 	if reason != "" {
@@ -52,6 +52,7 @@
 		return r.requestToken(tokenWait{event: e, arrived: arrived}, route, team, out)
 	}
 	req := r.newRequest(arrived, e, route, version)
+	r.restrictTrial(at, req)
 	req.keyed, req.metered = routes.keyed, admission == admitted || e.Handover != nil && e.Handover.Metered
 	switch {
 	case team != nil:
@@ -73,7 +74,7 @@
 	}
 	if handsOver || admission == unmetered {
 		r.requests[e.ID] = req
-		return r.handOver(at, req, max(1, route.MaxAttempts), out)
+		return r.handOver(at, req, max(1, req.route.MaxAttempts), out)
 	}
 	return r.begin(at, req, out)
 }
@@ -97,6 +98,14 @@
 	return r.step(at, req, out)
 }
 
+// refuseOnArrival refuses a request for the reason that refusalOnArrival returned.
+func (r *Router) refuseOnArrival(at time.Time, e event.ProxyRequest, route *model.Route, reason model.RefusalReason, out []effect.Effect) []effect.Effect {
+	if reason == model.RefusedQuarantine {
+		return r.refuse(e, route, reason, r.crashes.QuarantineLeft(at, e.Fingerprint), out)
+	}
+	return r.refuseUnsent(e, route, reason, out)
+}
+
 // refusalOnArrival returns why a request is refused without any attempt, or "". route
 // is nil when none of the document with the given version matches.
 func (r *Router) refusalOnArrival(at time.Time, e event.ProxyRequest, route *model.Route, version uint64) model.RefusalReason {
@@ -111,7 +120,7 @@
 		return model.RefusedRoute
 	case e.Portion == nil && r.needsOtherZones(route):
 		return model.RefusedIsolated
-	case r.suspects.quarantined(at, e.Fingerprint):
+	case r.crashes.QuarantineLeft(at, e.Fingerprint) > 0:
 		return model.RefusedQuarantine
 	default:
 		return ""
--- a/core/proxy/crash_suspect.go
+++ b/core/proxy/crash_suspect.go
@@ -11,24 +11,11 @@
 
 // Limits of the detection of requests that crash upstreams.
 const (
-	quarantineThreshold = 3 // upstreams that reset the connection without an answer
-	suspectPeriod       = 10 * time.Second
-	quarantinePeriod    = time.Minute
-	maxSuspects         = 4096
-	maxPendingCrashes   = 256
-	crashDelay          = 2 * minDoubt // after which a suspicion counts although no upstream has answered
+	maxPendingCrashes = 256
+	crashDelay        = 2 * minDoubt // after which a suspicion counts although no upstream has answered
+	trialMargin       = time.Second  // after the deadline of a request on trial, until a crash has been counted
 )
 
-// crashSuspects are the requests that may have crashed upstreams: the upstreams
-// reset the connection. The zero value is empty.
-type crashSuspects map[model.Fingerprint]*crashSuspect
-
-type crashSuspect struct {
-	upstreams        []model.UpstreamID
-	lastCrash        time.Time
-	quarantinedUntil time.Time // zero when it never was in quarantine
-}
-
 // pendingCrash is a request that may have crashed upstreams, until it is clear that the
 // links of this VM work.
 type pendingCrash struct {
@@ -53,63 +40,28 @@
 	for len(r.pendingCrashes) > 0 && r.pendingCrashes[0].at.Before(before) {
 		p := r.pendingCrashes[0]
 		r.pendingCrashes = r.pendingCrashes[1:]
-		if report, changed := r.suspects.add(at, p.fingerprint, p.upstreams...); changed {
-			out = append(out, effect.ToControl{Body: report})
+		if r.crashes.Add(at, p.fingerprint, p.upstreams...) {
+			out = append(out, effect.ToControl{Body: r.crashes.Report(at, p.fingerprint)})
 		}
 	}
 	return out
 }
 
-// quarantined reports whether a request must not run.
-func (s crashSuspects) quarantined(at time.Time, fp model.Fingerprint) bool {
-	suspect, ok := s[fp]
-	return ok && at.Before(suspect.quarantinedUntil)
-}
-
-// add records upstreams that reset the connection. It returns what other VMs
-// should know of the request, and false when none of it is new.
-func (s *crashSuspects) add(at time.Time, fp model.Fingerprint, ids ...model.UpstreamID) (event.CrashReport, bool) {
-	if *s == nil {
-		*s = make(crashSuspects)
-	}
-	suspect, ok := (*s)[fp]
-	if !ok || at.Sub(suspect.lastCrash) >= suspectPeriod && !at.Before(suspect.quarantinedUntil) {
-		if len(*s) >= maxSuspects {
-			s.expire(at)
-		}
-		if len(*s) >= maxSuspects {
-			return event.CrashReport{}, false
-		}
-		suspect = &crashSuspect{}
-		(*s)[fp] = suspect
-	}
-	changed := false
-	for _, id := range ids {
-		if !slices.Contains(suspect.upstreams, id) {
-			suspect.upstreams = append(slices.Clip(suspect.upstreams), id)
-			changed = true
-		}
-	}
-	suspect.lastCrash = at
-	if len(suspect.upstreams) >= quarantineThreshold && !at.Before(suspect.quarantinedUntil) {
-		suspect.quarantinedUntil = at.Add(quarantinePeriod)
-		changed = true
-	}
-	report := event.CrashReport{Fingerprint: fp, Upstreams: suspect.upstreams, Quarantine: max(0, suspect.quarantinedUntil.Sub(at))}
-	if suspect.quarantinedUntil.IsZero() {
-		report.Quarantine = 0
+// restrictTrial lets a request whose quarantine has ended make a single attempt, while
+// others with its fingerprint are refused.
+func (r *Router) restrictTrial(at time.Time, req *request) {
+	fp := req.event.Fingerprint
+	if req.event.Portion != nil || !r.crashes.OnProbation(at, fp) {
+		return
 	}
-	return report, changed
+	r.crashes.BeginTrial(fp, req.deadline.Add(trialMargin))
+	req.route = limitAttempts(req.route, 1)
 }
 
-// clear removes a request that an upstream answered.
-func (s crashSuspects) clear(fp model.Fingerprint) { delete(s, fp) }
-
-// expire removes expired entries.
-func (s crashSuspects) expire(at time.Time) {
-	for fp, suspect := range s {
-		if at.Sub(suspect.lastCrash) >= suspectPeriod && !at.Before(suspect.quarantinedUntil) {
-			delete(s, fp)
-		}
+// shareAnswered reports the requests that were answered after crashes to the other VMs.
+func (r *Router) shareAnswered(out []effect.Effect) []effect.Effect {
+	if fps := r.crashes.TakeAnswered(); len(fps) > 0 {
+		out = append(out, effect.ToControl{Body: event.CrashReport{Answered: fps}})
 	}
+	return out
 }
--- a/core/proxy/delegate.go
+++ b/core/proxy/delegate.go
@@ -124,7 +124,7 @@
 		}
 	}
 	if newAnswer {
-		r.suspects.clear(req.event.Fingerprint)
+		r.crashes.Clear(req.event.Fingerprint)
 		req.lastAnswer = at
 	}
 	if !e.More {
--- a/core/proxy/router.go
+++ b/core/proxy/router.go
@@ -7,6 +7,7 @@
 	"time"
 
 	"comfreypulley/core/conns"
+	"comfreypulley/core/crash"
 	"comfreypulley/core/effect"
 	"comfreypulley/core/event"
 	"comfreypulley/core/model"
@@ -41,7 +42,7 @@
 	attemptsByID         map[model.AttemptID]*attempt         // in flight, also of requests that have ended
 	handovers            map[model.AttemptID]*handoverAttempt // in flight, also of requests that have ended
 	lastAttemptID        model.AttemptID
-	suspects             crashSuspects
+	crashes              crash.History  // upstreams that crashed while they ran a request
 	pendingCrashes       []pendingCrash // oldest first
 	peers                peers
 	isolation            isolation
@@ -162,7 +163,7 @@
 // HandleCrashReport records the upstreams that, according to another VM,
 // crashed while they ran a request.
 func (r *Router) HandleCrashReport(at time.Time, report event.CrashReport, out []effect.Effect) []effect.Effect {
-	_, _ = r.suspects.add(at, report.Fingerprint, report.Upstreams...)
+	_ = r.crashes.Merge(at, report)
 	return out
 }
 
@@ -214,7 +215,8 @@
 			return r.refuseHeld(held, out)
 		}
 	case event.TimerSweep:
-		r.suspects.expire(at)
+		r.crashes.Expire(at)
+		out = r.shareAnswered(out)
 		out = r.checkReach(at, r.checkLimits(at, r.cancelStaleAttempts(at, out)))
 		if !r.reach.inDoubt() {
 			out = r.confirmCrashes(at, at.Add(-crashDelay), out)
--- a/core/query/policy.go
+++ b/core/query/policy.go
@@ -41,6 +41,9 @@
 	RecordReset(at time.Time, fp model.Fingerprint, upstream model.UpstreamID, alone bool) bool
 	RecordProbe(at time.Time, upstream model.UpstreamID, down bool) []event.CrashReport
 	RecordCrashReport(at time.Time, report event.CrashReport)
+	// TakeAnswered returns the fingerprints whose strikes an answer has cleared since
+	// the last call.
+	TakeAnswered() []model.Fingerprint
 	Expire(at time.Time) []model.Fingerprint
 }
 
@@ -110,6 +113,9 @@
 // RecordCrashReport implements guard.
 func (noGuard) RecordCrashReport(time.Time, event.CrashReport) {}
 
+// TakeAnswered implements guard.
+func (noGuard) TakeAnswered() []model.Fingerprint { return nil }
+
 // Expire implements guard.
 func (noGuard) Expire(time.Time) []model.Fingerprint { return nil }
 
