Redirect additions of upstreams and VMs like orders about zones

A late copy of a request that adds an upstream or VM on the admin address, from a VM that was paused, brought back one that had been removed meanwhile: revision 0 says only that the object must not exist.

The redirect is now a matter of any change that does not say what it follows (entry.Change.IsUnordered), in HandleOperatorCommand instead of an event and a method of its own. The operations are numbered, so that a change which the log refuses leaves the next number free, and changes are checked before they get one.

--- a/core/config/check.go
+++ b/core/config/check.go
@@ -46,7 +46,7 @@
 	case c.Document != nil:
 		return c, validateDocument(c.Document)
 	case c.Zone != nil:
-		return c, CheckZone(c.Zone.Zone)
+		return c, checkName("zone", string(c.Zone.Zone), " /[],")
 	default:
 		return s.checkInitialConfig(c)
 	}
--- a/core/config/zone_order_test.go
+++ b/core/config/confirm_test.go
@@ -20,17 +20,17 @@
 		c.Op = op
 		return s.Apply(at, c)
 	}
-	first := s.NextZoneOrderID("a")
+	first := s.NextOperation(orderZone("a", true))
 	order(&s, first, true)
-	second := s.NextZoneOrderID("a")
+	second := s.NextOperation(orderZone("a", true))
 	if first == second {
 		t.Fatalf("got id %q twice, want another one after an order", first)
 	}
-	if got := s.NextZoneOrderID("b"); got == first || got == second {
+	if got := s.NextOperation(orderZone("b", true)); got == first || got == second {
 		t.Errorf("got id %q for another zone", got)
 	}
 	order(&s, second, false)
-	third := s.NextZoneOrderID("a")
+	third := s.NextOperation(orderZone("a", true))
 	order(&s, third, true)
 	var restored Store
 	restored.Restore(s.Image())
@@ -41,7 +41,7 @@
 		if r := order(replica, third, false); r.Status != entry.StatusInvalid {
 			t.Errorf("%s: got %+v for another order under a used id, want it invalid", name, r)
 		}
-		if got, want := replica.NextZoneOrderID("a"), s.NextZoneOrderID("a"); got != want {
+		if got, want := replica.NextOperation(orderZone("a", true)), s.NextOperation(orderZone("a", true)); got != want {
 			t.Errorf("%s: got next id %q, want %q", name, got, want)
 		}
 	}
--- a/core/effect/control.go
+++ b/core/effect/control.go
@@ -44,12 +44,12 @@
 	Image entry.Image
 }
 
-// AnswerOperator answers the event.OperatorCommand, event.ZoneOrder,
-// event.StatusRequest or event.PlanRequest with the same Seq.
+// AnswerOperator answers the event.OperatorCommand, event.StatusRequest or
+// event.PlanRequest with the same Seq.
 type AnswerOperator struct {
 	Seq     uint64
 	Result  entry.Result
-	Confirm model.OpID   // for a ZoneOrder that was not carried out: the operation under which to send it again; otherwise empty
+	Confirm model.OpID   // the operation under which to send a change again that was not carried out; otherwise empty
 	Status  *FleetStatus // for a StatusRequest
 	Plan    *model.Plan  // for a PlanRequest
 }
--- a/core/entry/entry.go
+++ b/core/entry/entry.go
@@ -50,6 +50,13 @@
 	Zone             *ZoneOrder      // changes nothing when it is in force already
 }
 
+// IsUnordered reports whether a change does not say what it follows, so that a late copy
+// looks like a new change: an order about a zone, or an upstream or VM that must not exist
+// yet. A document has its version, and contracts are never removed.
+func (c *Change) IsUnordered() bool {
+	return c.Zone != nil || c.ExpectedRevision == 0 && (c.Upstream != nil || c.VM != nil)
+}
+
 // ZoneOrder takes the upstreams of an availability zone out of use, or puts them back.
 type ZoneOrder struct {
 	Zone model.Zone
--- a/core/event/control.go
+++ b/core/event/control.go
@@ -22,15 +22,6 @@
 	Command entry.Command
 }
 
-// ZoneOrder is an operator's order about the upstreams of a zone. It is answered by an
-// effect.AnswerOperator with the same Seq. Operation is empty when the order comes for the
-// first time; the answer then names the operation under which it must be sent again.
-type ZoneOrder struct {
-	Seq       uint64
-	Order     entry.ZoneOrder
-	Operation model.OpID
-}
-
 // StatusRequest is an operator's request for the status of the fleet. It is
 // answered by an effect.AnswerOperator with the same Seq.
 type StatusRequest struct {
@@ -85,7 +76,6 @@
 func (PeerMessage) body()      {}
 func (PeerDown) body()         {}
 func (OperatorCommand) body()  {}
-func (ZoneOrder) body()        {}
 func (StatusRequest) body()    {}
 func (PlanRequest) body()      {}
 func (PlatformVMs) body()      {}
--- a/core/node/operator.go
+++ b/core/node/operator.go
@@ -12,8 +12,6 @@
 	switch body := body.(type) {
 	case event.OperatorCommand:
 		return s.control.HandleOperatorCommand(at, body, out)
-	case event.ZoneOrder:
-		return s.control.HandleZoneOrder(at, body, out)
 	case event.StatusRequest:
 		return s.control.HandleStatusRequest(at, body, out)
 	case event.PlanRequest:
--- a/core/node/quota_sim_test.go
+++ b/core/node/quota_sim_test.go
@@ -1,6 +1,7 @@
 package node_test
 
 import (
+	"fmt"
 	"maps"
 	"slices"
 	"testing"
@@ -145,7 +146,7 @@
 	f.run(3*time.Second, 50)
 	order := func(out bool) {
 		const disk = model.VMID("10.0.0.3")
-		f.post(disk, f.vms[disk].boot, event.RoleControl, event.OperatorCommand{Seq: 2, Command: entry.Change{Zone: &entry.ZoneOrder{Zone: "a", Out: out}}})
+		f.post(disk, f.vms[disk].boot, event.RoleControl, event.OperatorCommand{Seq: 2, Command: entry.Change{Op: model.OpID(fmt.Sprint("out ", out)), Zone: &entry.ZoneOrder{Zone: "a", Out: out}}})
 	}
 	arrivalsSince := func(since time.Time) (n int) {
 		for _, a := range f.arrivals["ua"] {
--- a/core/node/state.go
+++ b/core/node/state.go
@@ -46,7 +46,7 @@
 		return s.handlePeer(ev.At, body, out)
 	case event.DiskLoaded, event.DiskSynced, event.DiskFailed:
 		return s.handleDisk(ev.At, body, out)
-	case event.OperatorCommand, event.ZoneOrder, event.StatusRequest, event.PlanRequest:
+	case event.OperatorCommand, event.StatusRequest, event.PlanRequest:
 		return s.handleOperator(ev.At, body, out)
 	case event.PlatformVMs, event.UpstreamListRead:
 		return s.handlePlatform(ev.At, body, out)
--- a/core/plane/zone_order_test.go
+++ b/core/plane/confirm_test.go
@@ -28,17 +28,17 @@
 
 type delayedZoneOrder struct {
 	to    model.VMID
-	event event.ZoneOrder
+	event event.OperatorCommand
 }
 
 // send sends the current order. The request may be delayed, or arrive twice.
 func (o *zoneOperator) send(to model.VMID, op model.OpID, delayed bool) {
 	o.fleet.lastZoneOrder++
 	o.seq, o.vm = o.fleet.lastZoneOrder, to
-	e := event.ZoneOrder{Seq: o.seq, Order: entry.ZoneOrder{Zone: "a", Out: o.out}, Operation: op}
+	e := event.OperatorCommand{Seq: o.seq, Command: entry.Change{Op: op, Zone: &entry.ZoneOrder{Zone: "a", Out: o.out}}}
 	o.delayed = append(o.delayed, delayedZoneOrder{to, e})
 	if !delayed {
-		o.fleet.carryOut(to, o.fleet.controls[to].HandleZoneOrder(o.fleet.now, e, nil))
+		o.fleet.carryOut(to, o.fleet.controls[to].HandleOperatorCommand(o.fleet.now, e, nil))
 	}
 }
 
@@ -73,7 +73,7 @@
 func (o *zoneOperator) deliver(d delayedZoneOrder) {
 	o.fleet.lastZoneOrder++
 	d.event.Seq = o.fleet.lastZoneOrder // nobody awaits the answer
-	o.fleet.carryOut(d.to, o.fleet.controls[d.to].HandleZoneOrder(o.fleet.now, d.event, nil))
+	o.fleet.carryOut(d.to, o.fleet.controls[d.to].HandleOperatorCommand(o.fleet.now, d.event, nil))
 }
 
 func (s *fleetSim) diskIDs() []model.VMID {
@@ -138,8 +138,8 @@
 	s.heal()
 	ask := func(zone model.Zone, out bool) effect.AnswerOperator {
 		s.lastZoneOrder++
-		e := event.ZoneOrder{Seq: s.lastZoneOrder, Order: entry.ZoneOrder{Zone: zone, Out: out}}
-		for _, a := range effectsOf[effect.AnswerOperator](s.controls["vm0"].HandleZoneOrder(s.now, e, nil)) {
+		e := event.OperatorCommand{Seq: s.lastZoneOrder, Command: entry.Change{Zone: &entry.ZoneOrder{Zone: zone, Out: out}}}
+		for _, a := range effectsOf[effect.AnswerOperator](s.controls["vm0"].HandleOperatorCommand(s.now, e, nil)) {
 			return a
 		}
 		return effect.AnswerOperator{}
--- a/core/plane/doc.go
+++ b/core/plane/doc.go
@@ -13,7 +13,6 @@
 //	out = c.Start(at, start, out) // an effect.ToTraffic for each view
 //	out = c.HandleProposeRequest(at, request, out) // answered by an event.ProposeResponse
 //	out = c.HandleOperatorCommand(at, command, out) // answered by an effect.AnswerOperator
-//	out = c.HandleZoneOrder(at, order, out)         // answered by an effect.AnswerOperator
 //
 // Each method named Handle handles the event of that name, and Start, Drain and
 // Leave those of theirs. One goroutine runs the control state.
@@ -30,7 +29,7 @@
 // # Files
 //
 // log.go applies what the log commits, and proposals.go retries commands until
-// they are answered. zone_order.go tells late orders about zones from new ones.
+// they are answered. confirm.go tells late changes from new ones.
 // tree.go, liveness.go and lease.go connect the distribution tree, the failure
 // detector and the leases. For a fleet with self-registration,
 // registration.go registers and removes disk VMs, founding.go has the first change
--- a/core/plane/operator.go
+++ b/core/plane/operator.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"comfreypulley/core/config"
 	"comfreypulley/core/effect"
 	"comfreypulley/core/entry"
 	"comfreypulley/core/event"
@@ -30,8 +31,12 @@
 }
 
 // HandleOperatorCommand handles an operator's change. The answer is an
-// effect.AnswerOperator.
+// effect.AnswerOperator. A change that does not say what it follows is carried out when
+// it comes again under the operation that the answer names.
 func (c *Control) HandleOperatorCommand(at time.Time, e event.OperatorCommand, out []effect.Effect) []effect.Effect {
+	if change, ok := e.Command.(entry.Change); ok && config.NeedsConfirmation(change) {
+		return c.complete(len(out), c.startRead(at, e.Seq, changeReader{seq: e.Seq, change: change}, out))
+	}
 	p := &proposal{command: e.Command, deadline: at.Add(commandTimeout), receiver: commandReceiver{seq: e.Seq}}
 	return c.complete(len(out), c.update(at, c.submit(at, p, out)))
 }
--- a/io/admin/doc.go
+++ b/io/admin/doc.go
@@ -15,8 +15,9 @@
 // cannot be named Expect, which HTTP itself defines: net/http answers 417 to any
 // value other than 100-continue.
 //
-// An order about a zone without an operation id is redirected (307) to an id under
-// which it takes effect, so that a late copy of it changes nothing.
+// A change without an operation id that does not say what it follows, an order about a
+// zone or the addition of an upstream or VM, is redirected (307) to an id under which it
+// takes effect, so that a late copy of it changes nothing.
 //
 // Response codes: 200 applied, 400 invalid, 409 the object has another revision, 428
 // the revision is required but missing, 503 certainly not applied, for example
--- a/io/admin/server.go
+++ b/io/admin/server.go
@@ -34,12 +34,9 @@
 	headerOperation      = "Operation"
 )
 
-// queryOperation is the query parameter of an order about a zone that names its operation.
+// queryOperation is the query parameter with the operation to which a change is redirected.
 const queryOperation = "operation"
 
-// tooManyRequests is the result of a request that was not passed on.
-var tooManyRequests = entry.Result{Status: entry.StatusUnavailable, Detail: "too many operators' requests are waiting"}
-
 // Server answers operators' requests. Post and Vars must be set before use.
 type Server struct {
 	Post        func(event.Body) // passes events to the control loop
@@ -125,9 +122,11 @@
 }
 
 // change sends a change to the log and responds with its result. With requireRevision
-// set, it rejects a request without the header Expect-Revision.
+// set, it rejects a request without the header Expect-Revision. An operation id in the
+// header distinguishes the change from later ones; one that has none and does not say what
+// it follows is redirected to the id under which it takes effect.
 func (s *Server) change(w http.ResponseWriter, r *http.Request, c entry.Change, requireRevision bool) {
-	c.Op = model.OpID(cmp.Or(r.Header.Get(headerOperation), rand.Text()))
+	c.Op = model.OpID(cmp.Or(r.Header.Get(headerOperation), r.URL.Query().Get(queryOperation)))
 	text := r.Header.Get(headerExpectRevision)
 	if text == "" && requireRevision {
 		writeInvalid(w, http.StatusPreconditionRequired, c.Op, headerExpectRevision+" must state the revision of the object")
@@ -141,26 +140,25 @@
 		}
 		c.ExpectedRevision = model.Revision(revision)
 	}
-	result := s.Change(r.Context(), c)
+	if c.Op == "" && !c.IsUnordered() {
+		c.Op = model.OpID(rand.Text())
+	}
+	result, confirm := s.Change(r.Context(), c)
+	if confirm != "" {
+		w.Header().Set("Location", r.URL.EscapedPath()+"?"+url.Values{queryOperation: {string(confirm)}}.Encode())
+		writeJSON(w, http.StatusTemporaryRedirect, resultFrom(c.Op, result))
+		return
+	}
 	writeJSON(w, httpStatus(result.Status), resultFrom(c.Op, result))
 }
 
-// Change sends a change to the log and returns its result.
-func (s *Server) Change(ctx context.Context, c entry.Change) entry.Result {
+// Change sends a change to the log and returns its result. When it was not carried out,
+// confirm is the operation under which the operator must send it again; otherwise confirm
+// is empty.
+func (s *Server) Change(ctx context.Context, c entry.Change) (result entry.Result, confirm model.OpID) {
 	answer, ok := s.request(ctx, s.Post, func(seq uint64) event.Body { return event.OperatorCommand{Seq: seq, Command: c} })
 	if !ok {
-		return tooManyRequests
-	}
-	return answer.Result
-}
-
-// OrderZone sends an order about a zone and returns its result. When it was not carried
-// out, confirm is the operation under which the operator must send it again; otherwise
-// confirm is empty.
-func (s *Server) OrderZone(ctx context.Context, o entry.ZoneOrder, op model.OpID) (result entry.Result, confirm model.OpID) {
-	answer, ok := s.request(ctx, s.Post, func(seq uint64) event.Body { return event.ZoneOrder{Seq: seq, Order: o, Operation: op} })
-	if !ok {
-		return tooManyRequests, ""
+		return entry.Result{Status: entry.StatusUnavailable, Detail: "too many operators' requests are waiting"}, ""
 	}
 	return answer.Result, answer.Confirm
 }
@@ -269,29 +267,11 @@
 }
 
 func (s *Server) takeZoneOut(w http.ResponseWriter, r *http.Request) {
-	s.handleZoneOrder(w, r, entry.ZoneOrder{Zone: model.Zone(r.PathValue("id")), Out: true})
+	s.change(w, r, entry.Change{Zone: &entry.ZoneOrder{Zone: model.Zone(r.PathValue("id")), Out: true}}, false)
 }
 
 func (s *Server) putZoneBack(w http.ResponseWriter, r *http.Request) {
-	s.handleZoneOrder(w, r, entry.ZoneOrder{Zone: model.Zone(r.PathValue("id"))})
-}
-
-// handleZoneOrder responds to an order about a zone. An operation id in the header
-// distinguishes the order from later ones; an order without one is redirected to the id
-// under which it takes effect.
-func (s *Server) handleZoneOrder(w http.ResponseWriter, r *http.Request, o entry.ZoneOrder) {
-	if r.Header.Get(headerOperation) != "" {
-		s.change(w, r, entry.Change{Zone: &o}, false)
-		return
-	}
-	op := model.OpID(r.URL.Query().Get(queryOperation))
-	result, confirm := s.OrderZone(r.Context(), o, op)
-	if confirm != "" {
-		w.Header().Set("Location", r.URL.EscapedPath()+"?"+url.Values{queryOperation: {string(confirm)}}.Encode())
-		writeJSON(w, http.StatusTemporaryRedirect, resultFrom(op, result))
-		return
-	}
-	writeJSON(w, httpStatus(result.Status), resultFrom(op, result))
+	s.change(w, r, entry.Change{Zone: &entry.ZoneOrder{Zone: model.Zone(r.PathValue("id"))}}, false)
 }
 
 // listZonesOut responds with the zones whose upstreams are out of use.
--- a/io/admin/server_test.go
+++ b/io/admin/server_test.go
@@ -104,10 +104,6 @@
 		out = f.control.HandleOperatorCommand(now, body, nil)
 		out = f.control.HandleDiskSynced(now, event.DiskSynced{}, out)
 		out = f.control.HandleTimer(now.Add(time.Hour), event.TimerID{Kind: event.TimerPropose}, out)
-	case event.ZoneOrder:
-		out = f.control.HandleZoneOrder(now, body, nil)
-		out = f.control.HandleDiskSynced(now, event.DiskSynced{}, out)
-		out = f.control.HandleTimer(now.Add(time.Hour), event.TimerID{Kind: event.TimerPropose}, out)
 	case event.StatusRequest:
 		out = f.control.HandleStatusRequest(now, body, nil)
 	}
--- a/io/serve/operator_backend.go
+++ b/io/serve/operator_backend.go
@@ -11,12 +11,10 @@
 // OperatorBackend passes operators' changes and status requests to the control
 // loop.
 type OperatorBackend interface {
-	// Change has a change committed to the replicated log and returns its result.
-	Change(ctx context.Context, c entry.Change) entry.Result
-	// OrderZone has an order about a zone carried out and returns its result. When it
-	// was not carried out, confirm is the operation under which the operator must send
+	// Change has a change committed to the replicated log and returns its result. When
+	// it was not carried out, confirm is the operation under which the operator must send
 	// it again; otherwise confirm is empty.
-	OrderZone(ctx context.Context, o entry.ZoneOrder, op model.OpID) (result entry.Result, confirm model.OpID)
+	Change(ctx context.Context, c entry.Change) (result entry.Result, confirm model.OpID)
 	// FleetStatus returns what the VM knows about the fleet. With linearizable
 	// set, the leader must confirm that it is current. It reports false without
 	// an answer or without that confirmation.
