--- a/core/crash/history.go
+++ b/core/crash/history.go
@@ -100,6 +100,7 @@
 // Known returns what is to be shared with a VM that has just started: the fingerprints in
 // quarantine or on probation, at most maxKnown of them.
 func (h *History) Known(at time.Time) (reports []event.CrashReport) {
+	h.Expire(at)
 	for _, fp := range slices.Sorted(maps.Keys(h.records)) {
 		if r := h.records[fp]; r.quarantines > 0 && len(r.upstreams) > 0 && len(reports) < maxKnown {
 			reports = append(reports, h.Report(at, fp))
--- a/core/crash/history_test.go
+++ b/core/crash/history_test.go
@@ -125,7 +125,12 @@
 	if got := h.Count(7); got > maxUpstreams {
 		t.Errorf("got %d upstreams, want at most %d", got, maxUpstreams)
 	}
-	h.Expire(startTime.Add(retention + maxQuarantine + time.Second))
+	if got := h.Known(startTime); len(got) != 1 || got[0].Fingerprint != 7 {
+		t.Errorf("got %d fingerprints for a VM that starts, want the one in quarantine", len(got))
+	}
+	if got := h.Known(startTime.Add(retention + maxQuarantine + time.Second)); len(got) != 0 {
+		t.Errorf("got %d fingerprints for a VM that starts after %v, want none", len(got), retention+maxQuarantine)
+	}
 	if got := len(h.records); got != 0 {
 		t.Errorf("got %d records after %v, want none", got, retention+maxQuarantine)
 	}
