Count the wait of the first change from the first configuration

The first change waited for voters for 4 s from the start of the process, and the log had only just begun.

The time now counts from when the process applied the first configuration. The new cases of TestFirstChangeAwaitsVoters fail before (3 of 11).

--- a/core/plane/control.go
+++ b/core/plane/control.go
@@ -32,6 +32,7 @@
 	history           history
 	tree              tree
 	detector          failureDetector
+	configuredAt      time.Time      // when the first configuration was applied; zero before
 	publishedRevision model.Revision // of the last view sent to the traffic states; 0 before the first
 	suspects          []model.VMID   // VMs that the failure detector suspected at the last check
 	holder            leaseHolder
--- a/core/plane/founding.go
+++ b/core/plane/founding.go
@@ -6,9 +6,10 @@
 	"comfreypulley/core/entry"
 )
 
-// foundingPeriod is how long after the start of the process the first change waits for
-// voters. The VMs of a fleet all start within a second and register within two; those that
-// have not by then count as lost.
+// foundingPeriod is how long the first change waits for voters after the first
+// configuration is known. VMs register within two seconds of that, since they all start
+// within a second and the log begins after the first of them; those that have not by then
+// count as lost.
 const foundingPeriod = 4 * time.Second
 
 // awaitsVoters reports whether a change has to wait until more VMs replicate the log. The
@@ -23,8 +24,8 @@
 	if !c.settings.SelfRegistration || c.log == nil || c.store.HasOperatorChange() {
 		return false
 	}
-	if c.store.Revision() == 0 && !c.leading() {
-		return false // a newcomer does not know how old the log is; the leader does
+	if c.store.Revision() == 0 {
+		return c.leading() // a newcomer does not know how old the log is; the leader does
 	}
 	voters := 0
 	for _, r := range c.applied.members.Voters {
@@ -32,5 +33,5 @@
 			voters++
 		}
 	}
-	return voters < 2*c.settings.ToleratedDiskLosses+1 && at.Before(c.settings.ProcessStart.Add(foundingPeriod))
+	return voters < 2*c.settings.ToleratedDiskLosses+1 && at.Before(c.configuredAt.Add(foundingPeriod))
 }
--- a/core/plane/founding_test.go
+++ b/core/plane/founding_test.go
@@ -49,7 +49,8 @@
 		losses         int
 		known, unknown int
 		forwarded      bool
-		after          time.Duration // since the start of the process
+		began          time.Duration // from the start of the process to the first configuration
+		after          time.Duration // since then
 		want           bool          // appended
 	}{
 		{name: "three voters, one loss", losses: 1, known: 3, want: true},
@@ -58,10 +59,15 @@
 		{name: "a voter without a disk", losses: 1, known: 2, unknown: 1},
 		{name: "forwarded", losses: 2, known: 3, forwarded: true},
 		{name: "before the first configuration", losses: 1, known: 0},
+		{name: "long before the first configuration", losses: 1, known: 0, began: time.Minute},
+		{name: "the log begins late", losses: 2, known: 3, began: 5 * time.Second},
+		{name: "the log begins late, forwarded", losses: 2, known: 3, began: 5 * time.Second, forwarded: true},
 		{name: "the others do not come", losses: 2, known: 3, after: 4 * time.Second, want: true},
 		{name: "forwarded, the others do not come", losses: 2, known: 3, after: 4 * time.Second, forwarded: true, want: true},
 	} {
 		f := newRegistrationFixture(c.losses)
+		f.now = f.now.Add(c.began)
+		f.log.status.LastMajority = f.now
 		if c.known > 0 {
 			commitInitialConfig(f)
 			f.commitVoters(c.known, c.unknown)
--- a/core/plane/log.go
+++ b/core/plane/log.go
@@ -215,6 +215,9 @@
 			out = c.applyEntry(at, e, out)
 		}
 	}
+	if c.configuredAt.IsZero() && c.store.Revision() > 0 {
+		c.configuredAt = at
+	}
 	if c.applied.index-c.applied.lastImage >= maxEntriesPerImage || c.applied.documentBytes >= maxDocumentBytesPerImage {
 		c.applied.lastImage, c.applied.documentBytes = c.applied.index, 0
 		out = c.log.Compact(at, c.image(), out)
