Let elections of a start wait for slow disks

With syncs of 100 ms and more no leader was elected in the first 4 s after a start: the timeouts of 100 to 300 ms ended each election before the candidate's term and the votes were written, one after the other.

A candidate now waits until its own term is written, and the timeouts of a start grow by twice the time that the last such write took, up to the longest timeout. Nothing else changes: no write, message or vote.

TestFirstLeaderWithSlowDisks failed on 50 of 50 seeds (4.7 s and more) and passes.

--- a/core/quorum/cluster_test.go
+++ b/core/quorum/cluster_test.go
@@ -43,6 +43,7 @@
 	initialVoters []model.VMID // voters of the empty log
 	firstStart    bool         // only VMs with their first disk have initial voters
 	queue         []scheduledAction
+	syncTime      time.Duration       // shortest time that a sync takes
 	lossRate      float64             // probability that a message is lost, and that it is duplicated
 	isolated      map[model.VMID]bool // VMs cut off from those that are not in the set
 	muted         map[model.VMID]bool // VMs whose messages are lost, but which receive those of others
@@ -233,7 +234,7 @@
 	}
 	n.syncing = true
 	incarnation, batch := n.incarnation, len(n.unsynced)
-	c.schedule(c.randomDelay(8*time.Millisecond), func() {
+	c.schedule(c.syncTime+c.randomDelay(8*time.Millisecond), func() {
 		if n.incarnation != incarnation {
 			return
 		}
--- a/core/quorum/election.go
+++ b/core/quorum/election.go
@@ -19,7 +19,10 @@
 		// Short timeouts let a fleet that restarts as a whole elect a leader
 		// quickly. They cannot depose a live leader, because its followers refuse
 		// pre-votes.
-		shortest, longest = minStartupTimeout, maxStartupTimeout
+		// An election waits for two writes, one after the other: those of the candidate's
+		// term and of a voter's. A slow disk would otherwise end each one.
+		syncs := min(2*l.termSyncTime, maxElectionTimeout)
+		shortest, longest = minStartupTimeout+syncs, maxStartupTimeout+syncs
 	}
 	l.electionDeadline = at.Add(shortest + time.Duration(l.random.Int64N(int64(longest-shortest))))
 	return setTimer(event.TimerElection, l.electionDeadline, out)
@@ -43,7 +46,7 @@
 	out = l.becomeFollower(at, fmt.Sprintf("term %d was heard of", term), out)
 	l.term, l.votedFor, l.leaderID = term, entry.Replica{}, ""
 	l.matchedIndex, l.round, l.leaderStamp = l.commitIndex, 0, time.Time{}
-	return l.writeTerm(out)
+	return l.writeTerm(at, out)
 }
 
 // disksUnknown reports whether the disks of the voters are not recorded in the
@@ -129,7 +132,7 @@
 		(l.votedFor == entry.Replica{} || l.votedFor == v.Replica)
 	if granted && l.votedFor != v.Replica {
 		l.role, l.votedFor = follower, v.Replica
-		out = l.writeTerm(out)
+		out = l.writeTerm(at, out)
 		out = l.resetElectionTimer(at, out)
 	}
 	response := frame.VoteResponse{Term: l.term, Replica: l.self, Granted: granted, Founder: l.isUnrecordedFounder()}
--- a/core/quorum/log.go
+++ b/core/quorum/log.go
@@ -67,13 +67,15 @@
 	appliedIndex      uint64 // index up to which Committed returned entries
 	restoreImage      bool   // Committed has yet to return the image
 
-	lastWriteSeq  uint64    // number of the last write
-	syncedSeq     uint64    // highest number of a synced write
-	termSeq       uint64    // write that contains the current term and vote
-	syncedIndex   uint64    // last index on the disk
-	nextUnwritten uint64    // first index not handed to the disk yet
-	entriesWrite  diskWrite // append in flight
-	imageWrite    diskWrite // write of the image in flight
+	lastWriteSeq  uint64        // number of the last write
+	syncedSeq     uint64        // highest number of a synced write
+	termSeq       uint64        // write that contains the current term and vote
+	termWrittenAt time.Time     // when it was handed to the disk
+	termSyncTime  time.Duration // how long the last one of its kind took
+	syncedIndex   uint64        // last index on the disk
+	nextUnwritten uint64        // first index not handed to the disk yet
+	entriesWrite  diskWrite     // append in flight
+	imageWrite    diskWrite     // write of the image in flight
 	heldMessages  []heldMessage
 	matchedIndex  uint64 // last index up to which the log matches that of the term's leader
 	round         uint64 // heartbeat round: the last one received or, on the leader, started
@@ -192,6 +194,8 @@
 	switch {
 	case kind == event.TimerHeartbeat && l.role == leader:
 		return l.heartbeat(at, out)
+	case kind == event.TimerElection && l.role == candidate && l.syncedSeq < l.termSeq:
+		return l.resetElectionTimer(at, out) // the vote requests wait for the disk
 	case kind == event.TimerElection && l.role != leader:
 		if at.Before(l.electionDeadline) {
 			// Heartbeats only move the deadline, which avoids setting a timer for
@@ -209,6 +213,9 @@
 	if !l.initialized || l.diskFailed || s.Seq <= l.syncedSeq {
 		return out
 	}
+	if l.syncedSeq < l.termSeq && l.termSeq <= s.Seq {
+		l.termSyncTime = at.Sub(l.termWrittenAt)
+	}
 	l.syncedSeq = s.Seq
 	if l.entriesWrite.seq > 0 && l.entriesWrite.seq <= s.Seq {
 		l.syncedIndex = max(l.syncedIndex, min(l.entriesWrite.lastIndex, l.nextUnwritten-1))
--- a/core/quorum/start_test.go
+++ b/core/quorum/start_test.go
@@ -108,3 +108,19 @@
 		t.Errorf("%s leads although the only replica with the entries is down", got.vm)
 	}
 }
+
+// Guards against a start in which slow disks end each election before its votes are written,
+// until the timeouts grow after startupPeriod.
+func TestFirstLeaderWithSlowDisks(t *testing.T) {
+	for seed := range uint64(50) {
+		c := newStoppedCluster(t, seed, 3, 3)
+		c.syncTime = 150 * time.Millisecond
+		for _, n := range c.nodes {
+			c.start(n)
+		}
+		c.waitForLeader()
+		if got := c.now.Sub(startTime); got >= startupPeriod {
+			t.Errorf("seed %d: the first leader committed after %v, want less than %v", seed, got, startupPeriod)
+		}
+	}
+}
--- a/core/quorum/storage.go
+++ b/core/quorum/storage.go
@@ -1,6 +1,8 @@
 package quorum
 
 import (
+	"time"
+
 	"comfreypulley/core/effect"
 	"comfreypulley/core/entry"
 	"comfreypulley/core/model"
@@ -96,9 +98,9 @@
 }
 
 // writeTerm writes the current term and vote.
-func (l *Log) writeTerm(out []effect.Effect) []effect.Effect {
+func (l *Log) writeTerm(at time.Time, out []effect.Effect) []effect.Effect {
 	l.lastWriteSeq++
-	l.termSeq = l.lastWriteSeq
+	l.termSeq, l.termWrittenAt = l.lastWriteSeq, at
 	return append(out, effect.SaveVote{Seq: l.lastWriteSeq, Term: l.term, Vote: l.votedFor})
 }
 
