Offer requests to zones that are avoided once the others have refused

The logs have 942 requests refused as `unreachable` in the zone, 847 of them without an offer to another VM and the rest after offers to their own zone alone. VMs of the other zones were being restarted one after the other. Two failures within a second have a zone avoided for 3 s, as it may be cut off; each restart renewed that, and nothing was offered there that could have ended it.

An avoided zone counts as one refusal when a request is offered, instead of being left out. Other uses of the avoidance were looked at: portions leave such a zone out and query its shards directly, which a VM with upstreams can.

TestRequestsLeaveForZonesWithRestarts: 0 of 204 served before, all but 1 in 50 after.

--- a/core/proxy/handover.go
+++ b/core/proxy/handover.go
@@ -131,8 +131,9 @@
 }
 
 // pickHandoverPeer chooses a random VM of the zones that have refused the request least
-// often, if possible of the own zone. It returns nil when there is none, or no time for
-// it.
+// often, if possible of the own zone. A zone that is avoided since several of its VMs
+// failed counts as one refusal: its other VMs may well serve, and there may be no other
+// zone left. It returns nil when there is no VM, or no time for it.
 func (r *Router) pickHandoverPeer(at time.Time, req *request) *peer {
 	h := req.handover
 	if len(h.attempts) >= maxHandovers || req.deadline.Sub(at) < minHandoverTime {
@@ -142,6 +143,11 @@
 	for _, a := range h.attempts {
 		refusals[a.peer.Zone]++
 	}
+	for zone, f := range r.peers.zoneFailures {
+		if at.Before(f.avoidUntil) {
+			refusals[zone]++
+		}
+	}
 	var best []*peer
 	for _, zone := range r.zonesInOrder() { // the own one first
 		usable := r.handoverPeers(at, zone, h)
@@ -161,9 +167,6 @@
 
 // handoverPeers returns the VMs of a zone to which a request may be handed over now.
 func (r *Router) handoverPeers(at time.Time, zone model.Zone, h *handover) []*peer {
-	if f, ok := r.peers.zoneFailures[zone]; ok && at.Before(f.avoidUntil) {
-		return nil
-	}
 	var usable []*peer
 	for _, p := range r.peers.byZone[zone] {
 		if p.ID != r.settings.VM.ID && p.PortionAddr.IsValid() && !at.Before(p.avoidUntil) && !at.Before(p.unmeteredUntil) && !h.triedOn(p) {
--- a/core/proxy/reach_test.go
+++ b/core/proxy/reach_test.go
@@ -333,3 +333,30 @@
 		t.Error("no upstream counts as reachable, although connections to two were opened")
 	}
 }
+
+// Guards against callers of a zone without upstreams who are refused although other zones
+// could serve them: while VMs there are restarted one after the other, the whole of these
+// zones counts as failing and nothing was offered to it.
+func TestRequestsLeaveForZonesWithRestarts(t *testing.T) {
+	const (
+		vmsPerZone = 6
+		interval   = 400 * time.Millisecond // between two failures in a zone, less than they count
+	)
+	f := newFleet(3, vmsPerZone, 10, 24)
+	f.load("/all/", 200*time.Millisecond, 20*time.Second)
+	f.run(2 * time.Second)
+	for _, vm := range f.vms[:vmsPerZone] {
+		vm.setLinks(linksHang)
+	}
+	since := f.now.Add(stableWindow)
+	for n := range 30 {
+		for _, vm := range f.vms[:vmsPerZone] {
+			for _, zone := range []int{1, 2} {
+				failed := f.vms[zone*vmsPerZone+n%2].id
+				vm.router.HandleUpstreamWarning(f.now, event.UpstreamWarning{Upstream: model.UpstreamID("vm " + failed), Unreachable: true}, nil)
+			}
+		}
+		f.run(interval)
+	}
+	checkServedAlike(t, f, since, f.now.Add(-2*fleetTimeout))
+}
