Name the crashes that an answer clears

A report of an answered request that came late, from a VM that had been paused, cleared all crashes of the request elsewhere, also those after the answer, and ended a quarantine: a request that some upstreams answer and others crash on would have come through again.

The report now names the crashes that came before the answer, and only these are cleared; a quarantine ends when none is left. Control VMs tell quarantines to an entry VM that starts together with the list of upstreams, without which it serves nothing, instead of with each digest.

TestLateCrashReports fails without it (a late copy clears crashes that came after the answer). TestTrialAfterAQuarantine let an hour pass before its second trial, in which the record expired; it now waits for the second quarantine and wants four crashes in the report.

--- a/core/crash/guard.go
+++ b/core/crash/guard.go
@@ -206,9 +206,9 @@
 	return &g.history
 }
 
-// TakeAnswered returns the fingerprints whose strikes were cleared since the last call, to
-// be shared.
-func (g *Guard) TakeAnswered() []model.Fingerprint { return g.history.TakeAnswered() }
+// TakeAnswered returns the confirmed strikes that were cleared since the last call, to be
+// shared.
+func (g *Guard) TakeAnswered() []model.AnsweredCrashes { return g.history.TakeAnswered() }
 
 // RecordCrashReport records strikes that another traffic state or VM has
 // shared.
--- a/core/crash/guard_test.go
+++ b/core/crash/guard_test.go
@@ -84,8 +84,8 @@
 	if got := g.Verdict(at, 7); got != Unrestricted {
 		t.Errorf("got verdict %d after an answer, want %d", got, Unrestricted)
 	}
-	if got, want := g.TakeAnswered(), []model.Fingerprint{7}; !slices.Equal(got, want) {
-		t.Errorf("got %v to share as answered, want %v", got, want)
+	if got := g.TakeAnswered(); len(got) != 1 || got[0].Fingerprint != 7 || !slices.Equal(got[0].Upstreams, []model.UpstreamID{"u1", "u2"}) {
+		t.Errorf("got %v to share as answered, want both strikes", got)
 	}
 }
 
--- a/core/crash/history.go
+++ b/core/crash/history.go
@@ -33,8 +33,8 @@
 	Threshold int // crashed upstreams that start a quarantine; 0 means defaultThreshold
 
 	records  map[model.Fingerprint]*record
-	expireAt time.Time           // when Expire next looks for old records
-	answered []model.Fingerprint // whose crashes an answer has cleared since the last TakeAnswered
+	expireAt time.Time               // when Expire next looks for old records
+	answered []model.AnsweredCrashes // since the last TakeAnswered
 }
 
 // record is what is known about one fingerprint.
@@ -64,8 +64,8 @@
 // new. A report that comes late or twice is not, so that it starts no quarantine that has
 // ended.
 func (h *History) Merge(at time.Time, report event.CrashReport) bool {
-	for _, fp := range report.Answered {
-		h.clear(fp)
+	for _, a := range report.Answered {
+		h.clear(a)
 	}
 	if len(report.Upstreams) == 0 {
 		return false
@@ -150,31 +150,41 @@
 
 // Clear records that an upstream ran the request and answered.
 func (h *History) Clear(fp model.Fingerprint) {
-	if h.Count(fp) > 0 && len(h.answered) < maxRecords {
-		h.answered = append(h.answered, fp)
+	r := h.records[fp]
+	if r == nil || len(r.upstreams) == 0 {
+		return
 	}
-	h.clear(fp)
+	a := model.AnsweredCrashes{Fingerprint: fp, Upstreams: r.upstreams}
+	if len(h.answered) < maxRecords {
+		h.answered = append(h.answered, a)
+	}
+	h.clear(a)
 }
 
-// TakeAnswered returns the fingerprints whose crashes were cleared since the last call, for
-// the other traffic states and VMs: the request may come to them next.
-func (h *History) TakeAnswered() []model.Fingerprint {
-	fps := h.answered
+// TakeAnswered returns the crashes that were cleared since the last call, for the other
+// traffic states and VMs: the request may come to them next.
+func (h *History) TakeAnswered() []model.AnsweredCrashes {
+	answered := h.answered
 	h.answered = nil
-	return fps
+	return answered
 }
 
-// clear forgets the crashes of a fingerprint. After a quarantine they are kept as forgiven,
-// since other VMs may still report them.
-func (h *History) clear(fp model.Fingerprint) {
-	r := h.records[fp]
+// clear forgets crashes of a fingerprint. After a quarantine they are kept as forgiven,
+// since other VMs may still report them. The quarantine ends unless a crash is left.
+func (h *History) clear(a model.AnsweredCrashes) {
+	r := h.records[a.Fingerprint]
+	if r == nil {
+		return
+	}
+	isAnswered := func(id model.UpstreamID) bool { return slices.Contains(a.Upstreams, id) }
+	r.upstreams = slices.DeleteFunc(slices.Clone(r.upstreams), isAnswered)
 	switch {
-	case r == nil:
+	case len(r.upstreams) > 0:
 	case r.quarantines == 0:
-		delete(h.records, fp)
+		delete(h.records, a.Fingerprint)
 	default:
-		r.forgiven = appendBounded(r.forgiven, r.upstreams)
-		r.upstreams, r.quarantinedUntil, r.trialUntil = nil, time.Time{}, time.Time{}
+		r.forgiven = appendBounded(r.forgiven, a.Upstreams)
+		r.quarantinedUntil, r.trialUntil = time.Time{}, time.Time{}
 	}
 }
 
--- a/core/crash/history_test.go
+++ b/core/crash/history_test.go
@@ -86,12 +86,17 @@
 	if h.Add(late, 7, "u1") || !h.Add(late, 7, "u4") || h.QuarantineLeft(late, 7) != 0 {
 		t.Error("got crashes before the answer counted again")
 	}
+	answered := event.CrashReport{Answered: h.TakeAnswered()}
 	var other History
 	other.Merge(startTime, report)
-	other.Merge(late, event.CrashReport{Answered: []model.Fingerprint{7}})
+	other.Merge(late, answered)
 	if other.OnProbation(late, 7) {
 		t.Error("got a request on probation that another VM had answered")
 	}
+	other.Add(late, 7, "u4", "u5", "u6")
+	if other.Merge(late, answered); other.QuarantineLeft(late, 7) == 0 || other.Count(7) != 3 {
+		t.Error("got crashes cleared that came after the answer, by a late copy of it")
+	}
 }
 
 // Guards against a VM that starts a quarantine without the crashes that others saw.
--- a/core/frame/frame.go
+++ b/core/frame/frame.go
@@ -231,10 +231,10 @@
 // crashes.
 type CrashReport struct {
 	Fingerprint model.Fingerprint
-	Upstreams   []model.UpstreamID  // that crashed
-	Quarantine  time.Duration       // time left during which such requests are refused; 0 when they are not
-	Relay       bool                `msgpack:"Pass"`       // the receiver forwards the report to the other VMs of its zone
-	Answered    []model.Fingerprint `msgpack:",omitempty"` // of requests that were answered since they were reported; the other fields but Relay are then empty
+	Upstreams   []model.UpstreamID      // that crashed
+	Quarantine  time.Duration           // time left during which such requests are refused; 0 when they are not
+	Relay       bool                    `msgpack:"Pass"`       // the receiver forwards the report to the other VMs of its zone
+	Answered    []model.AnsweredCrashes `msgpack:",omitempty"` // in a report of its own: the other fields but Relay are empty, which an earlier build skips
 }
 
 // UpstreamList sends the platform's list of upstreams, or only its checksum while
--- a/core/plane/crash_report.go
+++ b/core/plane/crash_report.go
@@ -157,16 +157,16 @@
 
 // addAnswered records that requests were answered after crashes, and reports whether any
 // of that is new.
-func (r *crashReports) addAnswered(at time.Time, fps []model.Fingerprint) (isNew bool) {
-	for _, fp := range fps {
-		record := (*r)[fp]
+func (r *crashReports) addAnswered(at time.Time, answered []model.AnsweredCrashes) (isNew bool) {
+	for _, a := range answered {
+		record, known := (*r)[a.Fingerprint]
 		if record.answered && at.Sub(record.lastNew) < duplicateWindow {
 			continue
 		}
-		if _, ok := (*r)[fp]; !ok && len(*r) >= maxCrashRecords {
+		if !known && len(*r) >= maxCrashRecords {
 			r.expire(at)
 		}
-		(*r)[fp] = crashRecord{answered: true, lastNew: at}
+		(*r)[a.Fingerprint] = crashRecord{answered: true, lastNew: at}
 		isNew = true
 	}
 	return isNew
--- a/core/plane/crash_report_test.go
+++ b/core/plane/crash_report_test.go
@@ -141,7 +141,7 @@
 	if got := told(1); len(got) != 0 {
 		t.Errorf("got %+v for a VM that has a list, want none", got)
 	}
-	report(frame.CrashReport{Answered: []model.Fingerprint{7}})
+	report(frame.CrashReport{Answered: []model.AnsweredCrashes{{Fingerprint: 7, Upstreams: []model.UpstreamID{"u1", "u2", "u3"}}}})
 	if got := told(0); len(got) != 0 {
 		t.Errorf("got %+v after the request was answered, want none", got)
 	}
@@ -150,7 +150,7 @@
 // Guards against an answer that is not passed on, or that circulates in the fleet.
 func TestAnsweredRequestsArePassedOnOnce(t *testing.T) {
 	c := newThreeZoneVM("vm1")
-	m := event.PeerMessage{From: "vm5", Message: frame.CrashReport{Answered: []model.Fingerprint{7}, Relay: true}}
+	m := event.PeerMessage{From: "vm5", Message: frame.CrashReport{Answered: []model.AnsweredCrashes{{Fingerprint: 7}}, Relay: true}}
 	out := c.HandlePeerMessage(startTime, m, nil)
 	if got := recipients(out, false); len(got) != 3 || trafficBroadcasts(out) != 1 {
 		t.Errorf("got it passed on to %v and %d times to the traffic, want three VMs and once", got, trafficBroadcasts(out))
--- a/core/plane/upstream_list.go
+++ b/core/plane/upstream_list.go
@@ -214,15 +214,15 @@
 		c.upstreamList.followers[from] = at
 		c.entryVMs.recordFollower(model.EntryVM{ID: from, Zone: d.Zone, PortionAddr: d.PortionAddr})
 	}
-	if d.UpstreamListChecksum == 0 {
-		out = c.sendQuarantines(at, from, out)
-	}
 	if c.entryVMs.checksum != 0 && d.PortionAddr.IsValid() && d.EntryVMsChecksum != c.entryVMs.checksum {
 		out = append(out, effect.SendMessage{To: from, Message: frame.EntryVMs{VMs: c.entryVMs.current}})
 	}
 	if c.upstreamList.checksum == 0 {
 		return out
 	}
+	if d.UpstreamListChecksum == 0 {
+		out = c.sendQuarantines(at, from, out) // before the list, without which it serves nothing
+	}
 	c.limits.recordFollower(at, from, d.Limits)
 	m := c.upstreamListMessage(at, d.UpstreamListChecksum != c.upstreamList.checksum)
 	m.Shares, m.Issuers = c.limitShares(at, from), c.issuers(at)
--- a/core/proxy/crash_suspect.go
+++ b/core/proxy/crash_suspect.go
@@ -60,8 +60,8 @@
 
 // shareAnswered reports the requests that were answered after crashes to the other VMs.
 func (r *Router) shareAnswered(out []effect.Effect) []effect.Effect {
-	if fps := r.crashes.TakeAnswered(); len(fps) > 0 {
-		out = append(out, effect.ToControl{Body: event.CrashReport{Answered: fps}})
+	if answered := r.crashes.TakeAnswered(); len(answered) > 0 {
+		out = append(out, effect.ToControl{Body: event.CrashReport{Answered: answered}})
 	}
 	return out
 }
--- a/core/proxy/crash_suspect_test.go
+++ b/core/proxy/crash_suspect_test.go
@@ -158,9 +158,9 @@
 	if got := forwardsOf(out); len(got) != 0 {
 		t.Errorf("got %d attempts after the trial crashed its upstream, want none", len(got))
 	}
-	tr.now = tr.now.Add(time.Hour)
+	tr.now = tr.now.Add(300 * time.Millisecond)
 	tr.router.HandleTimer(tr.now, event.TimerID{Kind: event.TimerSweep}, nil)
-	tr.now = tr.now.Add(time.Hour)
+	tr.now = tr.now.Add(4 * time.Minute)
 	tr.replaceUpstreams("s")
 	trial = forwardsOf(request())
 	if len(trial) != 1 {
@@ -171,7 +171,7 @@
 	for _, e := range tr.router.HandleTimer(tr.now, event.TimerID{Kind: event.TimerSweep}, nil) {
 		if c, ok := e.(effect.ToControl); ok {
 			report, ok := c.Body.(event.CrashReport)
-			answered = answered || ok && slices.Equal(report.Answered, []model.Fingerprint{7})
+			answered = answered || ok && len(report.Answered) == 1 && report.Answered[0].Fingerprint == 7 && len(report.Answered[0].Upstreams) == 4
 		}
 	}
 	if !answered {
--- a/core/query/policy.go
+++ b/core/query/policy.go
@@ -41,9 +41,8 @@
 	RecordReset(at time.Time, fp model.Fingerprint, upstream model.UpstreamID, alone bool) bool
 	RecordProbe(at time.Time, upstream model.UpstreamID, down bool) []event.CrashReport
 	RecordCrashReport(at time.Time, report event.CrashReport)
-	// TakeAnswered returns the fingerprints whose strikes an answer has cleared since
-	// the last call.
-	TakeAnswered() []model.Fingerprint
+	// TakeAnswered returns the strikes that an answer has cleared since the last call.
+	TakeAnswered() []model.AnsweredCrashes
 	Expire(at time.Time) []model.Fingerprint
 }
 
@@ -114,7 +113,7 @@
 func (noGuard) RecordCrashReport(time.Time, event.CrashReport) {}
 
 // TakeAnswered implements guard.
-func (noGuard) TakeAnswered() []model.Fingerprint { return nil }
+func (noGuard) TakeAnswered() []model.AnsweredCrashes { return nil }
 
 // Expire implements guard.
 func (noGuard) Expire(time.Time) []model.Fingerprint { return nil }
--- a/core/query/table.go
+++ b/core/query/table.go
@@ -221,8 +221,8 @@
 	for _, fp := range t.guard.Expire(at) {
 		out = t.retryExclusiveWaiters(at, fp, out)
 	}
-	if fps := t.guard.TakeAnswered(); len(fps) > 0 {
-		out = append(out, effect.ToControl{Body: event.CrashReport{Answered: fps}})
+	if answered := t.guard.TakeAnswered(); len(answered) > 0 {
+		out = append(out, effect.ToControl{Body: event.CrashReport{Answered: answered}})
 	}
 	t.limiter.Adjust(at)
 	started, late := t.gate.Dispatch(at)
