Key the state of routes by host and path prefix

Cause: the router kept portions, latencies and the turns of targets under the name of a route. Names may repeat; the contract of the document tells routes apart by host and path prefix. The portions of the longer route were used for a request along the shorter one.

All state of a route now has model.RouteKey as its key, by which documents are validated, too, and is deleted with the route. Nothing stored or sent changes, so a document that an earlier build acknowledged is served as it is.

The simulations and the soak now repeat names.

--- a/core/model/document.go
+++ b/core/model/document.go
@@ -22,7 +22,7 @@
 // Route says where requests for one host and path prefix go. Exactly one of
 // Targets and Shards is set.
 type Route struct {
-	Name          string
+	Name          string // for people; several routes may have the same
 	Host          string
 	PathPrefix    string        `msgpack:"Prefix"`
 	AtMostOnce    bool          `msgpack:"Once"` // a request may run on at most one upstream, and only once
@@ -37,6 +37,18 @@
 	Public        bool          // a request needs no key
 }
 
+// RouteKey identifies a route within a document. Names of routes may repeat; hosts with
+// path prefixes may not.
+type RouteKey struct {
+	Host       string // in lower case
+	PathPrefix string
+}
+
+// Key returns what tells the route apart from the others of its document.
+func (r *Route) Key() RouteKey {
+	return RouteKey{Host: strings.ToLower(r.Host), PathPrefix: r.PathPrefix}
+}
+
 // Target is one service of a route and its weight.
 type Target struct {
 	Service string
@@ -84,13 +96,13 @@
 		}
 		services[s.Name] = true
 	}
-	seen := make(map[[2]string]bool, len(d.Routes))
+	seen := make(map[RouteKey]bool, len(d.Routes))
 	for i := range d.Routes {
 		r := &d.Routes[i]
 		if problem := r.problem(services); problem != "" {
 			return &DocumentError{Route: r.Name, Problem: problem}
 		}
-		key := [2]string{strings.ToLower(r.Host), r.PathPrefix}
+		key := r.Key()
 		if seen[key] {
 			return &DocumentError{Route: r.Name, Problem: "another route has the same host and prefix"}
 		}
--- a/core/proxy/arrival.go
+++ b/core/proxy/arrival.go
@@ -163,23 +163,11 @@
 	if len(route.Targets) == 1 {
 		return []string{route.Targets[0].Service}
 	}
-	rr, ok := r.roundRobins[route.Name]
-	if !ok {
-		rr = &roundRobin{}
-		r.roundRobins[route.Name] = rr
-	}
+	rr := stateOf(r.roundRobins, route)
 	return []string{rr.next(route, r.random.Float64)}
 }
 
+// latencyStats returns the statistics of the requests along a route.
 func (r *Router) latencyStats(route *model.Route) *latencyStats {
-	return r.latencyStatsByName(route.Name)
-}
-
-func (r *Router) latencyStatsByName(name string) *latencyStats {
-	s, ok := r.latencies[name]
-	if !ok {
-		s = &latencyStats{}
-		r.latencies[name] = s
-	}
-	return s
+	return stateOf(r.latencies, route)
 }
--- a/core/proxy/delegate.go
+++ b/core/proxy/delegate.go
@@ -248,7 +248,7 @@
 // firstFrameLatency returns the statistics of the time until the first frame of a
 // route's portions arrives.
 func (r *Router) firstFrameLatency(route *model.Route) *latencyStats {
-	return r.latencyStatsByName(route.Name + " portions")
+	return stateOf(r.firstFrameLatencies, route)
 }
 
 // directAttemptAt returns when direct attempts start for the shards of a
--- a/core/proxy/peers.go
+++ b/core/proxy/peers.go
@@ -46,8 +46,8 @@
 // one.
 type peers struct {
 	byID         map[model.VMID]*peer
-	byZone       map[model.Zone][]*peer // ascending by id
-	portions     map[string][]portion   // by route; nil when they have to be recomputed
+	byZone       map[model.Zone][]*peer       // ascending by id
+	portions     map[model.RouteKey][]portion // of the document in force; nil when they have to be recomputed
 	delegations  map[model.AttemptID]*delegation
 	zoneFailures map[model.Zone]*zoneFailure
 	recomputeAt  time.Time // when an avoided zone is used again and portions have to be recomputed; zero when none is avoided
@@ -179,14 +179,15 @@
 	if !s.recomputeAt.IsZero() && !at.Before(s.recomputeAt) {
 		s.portions, s.recomputeAt = nil, time.Time{}
 	}
-	if portions, ok := s.portions[route.Name]; ok {
+	key := route.Key()
+	if portions, ok := s.portions[key]; ok {
 		return portions
 	}
 	if s.portions == nil {
-		s.portions = make(map[string][]portion)
+		s.portions = make(map[model.RouteKey][]portion)
 	}
 	portions := r.partition(at, route)
-	s.portions[route.Name] = portions
+	s.portions[key] = portions
 	return portions
 }
 
--- a/core/proxy/plan_test.go
+++ b/core/proxy/plan_test.go
@@ -13,7 +13,12 @@
 // plan asks a router where a request of a team would go.
 func (tr *testRouter) plan(t *testing.T, team string) *model.Plan {
 	t.Helper()
-	out := tr.router.HandlePlanRequest(tr.now, event.PlanRequest{Seq: 7, Customer: team, Host: "h", Path: "/x"}, nil)
+	return planOf(t, tr.router.HandlePlanRequest(tr.now, event.PlanRequest{Seq: 7, Customer: team, Host: "h", Path: "/x"}, nil))
+}
+
+// planOf returns the plan that is the only effect.
+func planOf(t *testing.T, out []effect.Effect) *model.Plan {
+	t.Helper()
 	if len(out) != 1 {
 		t.Fatalf("got effects %+v, want only an answer", out)
 	}
--- a/core/proxy/router.go
+++ b/core/proxy/router.go
@@ -32,9 +32,10 @@
 	upstreamListChecksum uint64
 	entryVMCount         int // 0 while not known
 	upstreams            map[model.UpstreamID]*upstream
-	byService            map[string][]*upstream               // upstreams of a service
-	latencies            map[string]*latencyStats             // by route
-	roundRobins          map[string]*roundRobin               // by route
+	byService            map[string][]*upstream // upstreams of a service
+	latencies            map[model.RouteKey]*latencyStats
+	firstFrameLatencies  map[model.RouteKey]*latencyStats // of the portions that other VMs execute
+	roundRobins          map[model.RouteKey]*roundRobin
 	retryBudgets         map[string]*retry.TokenBucket        // by service
 	requests             map[model.RequestID]*request         // without those that have ended
 	held                 map[model.RequestID]heldRequest      // wait for the first document and upstream list
@@ -62,8 +63,9 @@
 	r.random = rand.New(rand.NewPCG(start.Seed, uint64(start.Loop)))
 	r.upstreams = make(map[model.UpstreamID]*upstream)
 	r.byService = make(map[string][]*upstream)
-	r.latencies = make(map[string]*latencyStats)
-	r.roundRobins = make(map[string]*roundRobin)
+	r.latencies = make(map[model.RouteKey]*latencyStats)
+	r.firstFrameLatencies = make(map[model.RouteKey]*latencyStats)
+	r.roundRobins = make(map[model.RouteKey]*roundRobin)
 	r.retryBudgets = make(map[string]*retry.TokenBucket)
 	r.requests = make(map[model.RequestID]*request)
 	r.attemptsByID = make(map[model.AttemptID]*attempt)
@@ -89,6 +91,7 @@
 	}
 	r.retainDocument(at)
 	r.document, r.routes, r.peers.portions = d, newRouteTable(d), nil
+	r.forgetRoutes(d)
 	r.services = make(map[string]model.Service, len(d.Services))
 	for _, s := range d.Services {
 		r.services[s.Name] = s
--- a/core/proxy/router_test.go
+++ b/core/proxy/router_test.go
@@ -376,3 +376,26 @@
 	}
 	t.Errorf("got %+v, want a refusal as not run", out)
 }
+
+// setRoutes puts a document with other routes in force, over the services that they name.
+func (tr *testRouter) setRoutes(version uint64, routes ...model.Route) {
+	d := &model.Document{Version: version, Routes: routes}
+	for _, r := range routes {
+		for _, target := range r.Targets {
+			d.Services = append(d.Services, model.Service{Name: target.Service, MaxConns: 60})
+		}
+	}
+	tr.router.HandleView(tr.now, event.View{Topology: &model.Topology{Document: d}}, nil)
+}
+
+// requestPath sends a request and returns its first attempt.
+func (tr *testRouter) requestPath(t *testing.T, path string) effect.Forward {
+	t.Helper()
+	tr.lastID++
+	out := tr.router.HandleProxyRequest(tr.now, event.ProxyRequest{ID: tr.lastID, Host: "h", Path: path, Fingerprint: model.Fingerprint(tr.lastID)}, nil)
+	attempts := forwardsOf(out)
+	if len(attempts) != 1 {
+		t.Fatalf("request %d for %s: got %d attempts, want 1", tr.lastID, path, len(attempts))
+	}
+	return attempts[0]
+}
--- a/core/proxy/simulation_test.go
+++ b/core/proxy/simulation_test.go
@@ -73,11 +73,12 @@
 
 func simService(version uint64, n int) string { return fmt.Sprintf("set%d-%d", version%2, n) }
 
-// simDocument returns a document. Even and odd versions have different shards.
+// simDocument returns a document whose routes have one name. Even and odd versions have
+// different shards.
 func simDocument(version uint64) *model.Document {
 	d := &model.Document{Version: version, Services: []model.Service{{Name: "single", MaxConns: 60}}}
 	all := model.Route{
-		Name: "all", Host: "a.example", PathPrefix: "/all/", MaxAttempts: 2, Timeout: time.Second, TargetLatency: 100 * time.Millisecond,
+		Name: "r", Host: "a.example", PathPrefix: "/all/", MaxAttempts: 2, Timeout: time.Second, TargetLatency: 100 * time.Millisecond,
 		TopK: 4, MinCoverage: 0.6,
 	}
 	for n := range simShards {
@@ -85,11 +86,11 @@
 		d.Services = append(d.Services, model.Service{Name: simService(version, n), MaxConns: 60})
 	}
 	one := model.Route{
-		Name: "one", Host: "a.example", PathPrefix: "/one/", MaxAttempts: 2, Timeout: time.Second, TargetLatency: 100 * time.Millisecond,
+		Name: "r", Host: "a.example", PathPrefix: "/one/", MaxAttempts: 2, Timeout: time.Second, TargetLatency: 100 * time.Millisecond,
 		Targets: []model.Target{{Service: "single", Weight: 1}},
 	}
 	once := one
-	once.Name, once.PathPrefix, once.AtMostOnce = "once", "/once/", true
+	once.PathPrefix, once.AtMostOnce = "/once/", true
 	d.Routes = []model.Route{all, one, once}
 	return d
 }
--- a/core/soak/document.go
+++ b/core/soak/document.go
@@ -86,9 +86,10 @@
 			d.Services = append(d.Services, model.Service{Name: u.Service, HealthPath: "/health", MaxConns: maxConns})
 		}
 	}
+	// Names of routes repeat, since only hosts and path prefixes tell routes apart.
 	add := func(c RequestClass, n int, edit func(r *model.Route)) {
 		r := model.Route{
-			Name: fmt.Sprintf("r%d-%d", c, n), Host: Domain, PathPrefix: pathPrefix(c, n), MaxAttempts: MaxAttempts,
+			Name: fmt.Sprintf("r%d", n%2), Host: Domain, PathPrefix: pathPrefix(c, n), MaxAttempts: MaxAttempts,
 			Timeout: routeTimeout, TargetLatency: targetLatency, Priority: int(c),
 		}
 		edit(&r)
