Give each of two teams of one name its own limit

Where a document has two teams of one name with different keys, both were kept to the limit of the second, in common: requests within the first one's limit were refused with 429, or more of them ran than it allows.

Cause: limits and requests for tokens used the name of the team as the key, while only keys tell teams apart (a document is invalid if two share one).

Document.LimitNames completes a name that repeats by a number; the first team keeps the name alone, so nothing changes for unique names, and what earlier builds ask for means the same. Upstreams, logs and metrics get the name as before.

--- a/core/model/team.go
+++ b/core/model/team.go
@@ -2,6 +2,7 @@
 
 import (
 	"crypto/sha256"
+	"strconv"
 	"time"
 )
 
@@ -15,12 +16,29 @@
 
 // Team is a customer whose callers send requests along the routes of the document.
 type Team struct {
-	Name     string
+	Name     string // for upstreams and people; several teams may have the same
 	Keys     []KeyHash
 	Priority *int // instead of that of the route; nil for that of the route. No decision uses priorities yet.
 	Limit    RateLimit
 }
 
+// LimitNames returns, for each team, the name under which its limit is kept. Only keys
+// tell teams apart, so a name that repeats is completed by its number among the teams of
+// that name, after a NUL, which no name has. The first keeps the name alone, which earlier
+// builds use for it.
+func (d *Document) LimitNames() []string {
+	names := make([]string, len(d.Teams))
+	seen := make(map[string]int, len(d.Teams))
+	for i, t := range d.Teams {
+		names[i] = t.Name
+		if n := seen[t.Name]; n > 0 {
+			names[i] += "\x00" + strconv.Itoa(n)
+		}
+		seen[t.Name]++
+	}
+	return names
+}
+
 // RateLimit restricts the requests of one customer to all VMs together: in any period
 // they are at most Rate times its length, plus Burst. With a Rate of 0 there is no limit.
 type RateLimit struct {
--- a/core/plane/quota.go
+++ b/core/plane/quota.go
@@ -47,9 +47,10 @@
 	if t.Document == nil {
 		return limits
 	}
-	for _, team := range t.Document.Teams {
+	names := t.Document.LimitNames()
+	for i, team := range t.Document.Teams {
 		if team.Limit.Limited() {
-			limits[team.Name] = quota.Extend(team.Limit, tolerance)
+			limits[names[i]] = quota.Extend(team.Limit, tolerance)
 		}
 	}
 	return limits
--- a/core/proxy/match.go
+++ b/core/proxy/match.go
@@ -12,17 +12,25 @@
 type routeTable struct {
 	byHost map[string][]*model.Route // longest prefix first
 	keyed  bool                      // a request needs the key of a team, unless its route is public
-	teams  map[model.KeyHash]*model.Team
+	teams  map[model.KeyHash]*keyHolder
+}
+
+// keyHolder is the team that holds a key.
+type keyHolder struct {
+	*model.Team
+	limitName string // under which its tokens are issued
 }
 
 func newRouteTable(d *model.Document) routeTable {
 	t := routeTable{byHost: make(map[string][]*model.Route), keyed: d.Keyed}
 	if len(d.Teams) > 0 {
-		t.teams = make(map[model.KeyHash]*model.Team)
+		t.teams = make(map[model.KeyHash]*keyHolder)
 	}
+	names := d.LimitNames()
 	for i := range d.Teams {
-		for _, key := range d.Teams[i].Keys {
-			t.teams[key] = &d.Teams[i]
+		holder := &keyHolder{Team: &d.Teams[i], limitName: names[i]}
+		for _, key := range holder.Keys {
+			t.teams[key] = holder
 		}
 	}
 	for i := range d.Routes {
--- a/core/proxy/quota.go
+++ b/core/proxy/quota.go
@@ -24,7 +24,7 @@
 
 // authorize returns the team of a request, nil without one, and why the request is
 // refused, or "". Portions have been authorized by the VM that received the request.
-func (r *Router) authorize(e event.ProxyRequest, route *model.Route, routes *routeTable) (team *model.Team, reason model.RefusalReason) {
+func (r *Router) authorize(e event.ProxyRequest, route *model.Route, routes *routeTable) (team *keyHolder, reason model.RefusalReason) {
 	if !routes.keyed || e.Portion != nil {
 		return nil, ""
 	}
@@ -40,7 +40,7 @@
 }
 
 // needsToken reports whether a request has to wait for a token.
-func needsToken(e event.ProxyRequest, team *model.Team) bool {
+func needsToken(e event.ProxyRequest, team *keyHolder) bool {
 	return team != nil && team.Limit.Limited() && e.Portion == nil && (e.Handover == nil || !e.Handover.Metered)
 }
 
@@ -54,12 +54,12 @@
 }
 
 // requestToken asks for a token. The request goes on in HandleTokenAnswer.
-func (r *Router) requestToken(w tokenWait, route *model.Route, team *model.Team, out []effect.Effect) []effect.Effect {
+func (r *Router) requestToken(w tokenWait, route *model.Route, team *keyHolder, out []effect.Effect) []effect.Effect {
 	if r.tokenWaits == nil {
 		r.tokenWaits = make(map[model.RequestID]tokenWait)
 	}
 	r.tokenWaits[w.event.ID] = w
-	return append(out, effect.ToControl{Body: event.TokenRequest{Loop: r.settings.Loop, Request: w.event.ID, Customer: team.Name, Late: r.isLate(route, w.event.Wait)}})
+	return append(out, effect.ToControl{Body: event.TokenRequest{Loop: r.settings.Loop, Request: w.event.ID, Customer: team.limitName, Late: r.isLate(route, w.event.Wait)}})
 }
 
 // HandleTokenAnswer goes on with a request that has waited for a token. Its key may have
@@ -110,7 +110,7 @@
 }
 
 // routeAndTeam returns the route and the team of a request by the current document.
-func (r *Router) routeAndTeam(e event.ProxyRequest) (*model.Route, *model.Team) {
+func (r *Router) routeAndTeam(e event.ProxyRequest) (*model.Route, *keyHolder) {
 	return r.routes.find(e.Host, e.Path), r.routes.teams[e.Key]
 }
 
@@ -125,7 +125,7 @@
 // toleratesUnmetered draws whether a request is admitted although no issuer of tokens can
 // be reached. While the requests of a team stay within its limit, those admitted so stay
 // within the tolerance.
-func (r *Router) toleratesUnmetered(team *model.Team) bool {
+func (r *Router) toleratesUnmetered(team *keyHolder) bool {
 	return r.random.Float64() < quota.DrawChance(team.Limit, r.settings.Tolerance)
 }
 
--- a/core/proxy/team_test.go
+++ b/core/proxy/team_test.go
@@ -230,3 +230,33 @@
 		t.Error("not drained after the last request was refused")
 	}
 }
+
+// Guards against two teams of one name sharing the tokens of one of them: only keys tell
+// teams apart.
+func TestTeamsOfOneNameHaveTheirOwnLimits(t *testing.T) {
+	tr := newTeamRouter()
+	teams := []model.Team{
+		{Name: "limited", Keys: []model.KeyHash{model.HashKey(teamKey)}, Limit: model.RateLimit{Rate: 1, Burst: 1}},
+		{Name: "limited", Keys: []model.KeyHash{model.HashKey(otherKey)}, Limit: model.RateLimit{Rate: 100, Burst: 100}},
+	}
+	tr.setTeams(3, teams)
+	names := (&model.Document{Teams: teams}).LimitNames()
+	for i, key := range []string{teamKey, otherKey} {
+		out := tr.requestWith(key, "/x")
+		requests := tokenRequests(out)
+		if len(requests) != 1 || requests[0].Customer != names[i] {
+			t.Fatalf("got token requests %+v of team %d, want one under %q", requests, i, names[i])
+		}
+		out = tr.router.HandleTokenAnswer(tr.now, event.TokenAnswer{Request: tr.lastID, Granted: true}, nil)
+		forwards := forwardsOf(out)
+		if len(forwards) != 1 || forwards[0].Team != "limited" {
+			t.Errorf("got attempts %+v, want one that bears the team's name", forwards)
+		}
+	}
+	if names[0] != "limited" {
+		t.Errorf("got the limit of the first team under %q, want its name, which earlier builds use", names[0])
+	}
+	if names[0] == names[1] {
+		t.Errorf("got one name %q for the limits of two teams", names[0])
+	}
+}
