--- a/core/proxy/route_name_test.go
+++ b/core/proxy/route_name_test.go
@@ -120,3 +120,28 @@
 		t.Errorf("got %d of %d requests at s, want half of them", got, rounds)
 	}
 }
+
+// Guards against credits that were earned by earlier weights: after a change from large
+// weights to small ones, one target got all requests for as long as it took to use them up.
+func TestTurnsFollowChangedWeights(t *testing.T) {
+	for _, weight := range []float64{1000, 0.001} {
+		route := unshardedRoute(false)
+		route.Targets = []model.Target{{Service: "s", Weight: weight}, {Service: "t", Weight: weight}}
+		tr := newTestRouter(route, "s", "t")
+		for range 3 {
+			tr.respond(tr.requestPath(t, "/x"), time.Millisecond)
+		}
+		route.Targets = []model.Target{{Service: "s", Weight: 1}, {Service: "t", Weight: 1}}
+		tr.setRoutes(2, route)
+		counts := make(map[model.UpstreamID]int)
+		const requests = 100
+		for range requests {
+			f := tr.requestPath(t, "/x")
+			counts[f.Upstream[:1]]++
+			tr.respond(f, time.Millisecond)
+		}
+		if got, want := counts["s"], requests/2; got < want-1 || got > want+1 {
+			t.Errorf("after weights of %g: got %d of %d requests at s, want half of them", weight, got, requests)
+		}
+	}
+}
