Keep the right to found the log on the disk

Cause: only the settings of the first start name the initial voters. A process that was killed before the log had an entry came back without them and, like a VM that lost its disk, refused its vote for an empty log. The first configuration was lost in the same way.

A founder now writes the VMs of the first configuration to its data folder before any vote, and takes them from there at later starts. The right lasts as long as the disk, so a VM that lost its disk still cannot help to found a second log. Earlier builds ignore the file; fleets whose settings name the voters at each start write none.

--- a/core/effect/control.go
+++ b/core/effect/control.go
@@ -44,6 +44,10 @@
 	Image entry.Image
 }
 
+// SaveFounders writes and syncs the VMs that may found the log. Writes that follow it are
+// not synced before it is. It has no result.
+type SaveFounders struct{ VMs []model.VM }
+
 // AnswerOperator answers the event.OperatorCommand, event.StatusRequest or
 // event.PlanRequest with the same Seq.
 type AnswerOperator struct {
@@ -83,5 +87,6 @@
 func (AppendEntries) effect()    {}
 func (SaveVote) effect()         {}
 func (SaveImage) effect()        {}
+func (SaveFounders) effect()     {}
 func (AnswerOperator) effect()   {}
 func (Note) effect()             {}
--- a/core/event/control.go
+++ b/core/event/control.go
@@ -54,6 +54,8 @@
 	Vote    entry.Replica // vote given in Term; zero without one
 	Image   entry.Image   // zero when none was saved
 	Entries []entry.Entry // after the image
+
+	Founders []model.VM // VMs that may found the log; empty unless the VM is one of them and has its first disk
 }
 
 // DiskSynced reports that every write up to Seq is synced to disk. A log index
--- a/core/plane/founding_test.go
+++ b/core/plane/founding_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"reflect"
 	"testing"
 	"time"
 
@@ -10,6 +11,7 @@
 	"comfreypulley/core/event"
 	"comfreypulley/core/frame"
 	"comfreypulley/core/model"
+	"comfreypulley/core/plane"
 )
 
 // commitVoters applies an entry with voters; their disks are known but for the last ones.
@@ -124,3 +126,43 @@
 		t.Error("got the change in the log after a restart, want it to wait")
 	}
 }
+
+// Guards against a right to found the log that is written where nobody has asked for it, or
+// not taken from the disk, and against a first configuration that is lost with the process.
+func TestFoundersAreKeptOnTheDisk(t *testing.T) {
+	founders := []model.VM{diskVM("10.0.0.1", "a"), diskVM("10.0.0.2", "b"), diskVM("10.0.0.3", "c")}
+	cfg := &model.Topology{VMs: make(map[model.VMID]model.VM)}
+	for _, vm := range founders {
+		cfg.VMs[vm.ID] = vm
+	}
+	used := event.DiskLoaded{Disk: 1, Entries: []entry.Entry{{Index: 1, Term: 1, Command: entry.Noop{}}}}
+	for _, c := range []struct {
+		name   string
+		self   model.VM
+		cfg    *model.Topology
+		fixed  bool // the settings name the first configuration at every start
+		loaded event.DiskLoaded
+		saved  bool
+		voters int
+	}{
+		{name: "first start", self: founders[0], cfg: cfg, loaded: event.DiskLoaded{Disk: 1}, saved: true, voters: 3},
+		{name: "restart", self: founders[0], loaded: event.DiskLoaded{Disk: 1, Founders: founders}, voters: 3},
+		{name: "lost disk", self: founders[0], loaded: event.DiskLoaded{Disk: 2}},
+		{name: "no founder", self: diskVM("10.0.0.4", "a"), cfg: cfg, loaded: event.DiskLoaded{Disk: 1}, voters: 3},
+		{name: "log of an earlier build", self: founders[0], cfg: cfg, loaded: used, voters: 3},
+		{name: "own settings", self: founders[0], cfg: cfg, fixed: true, loaded: event.DiskLoaded{Disk: 1}, voters: 3},
+	} {
+		var control plane.Control
+		log := &fakeLog{}
+		control.SetLog(log)
+		control.Start(startTime, event.Start{Role: event.RoleControl, VM: c.self, ProcessStart: startTime, Loops: 1, SelfRegistration: !c.fixed, InitialConfig: c.cfg}, nil)
+		out := control.HandleDiskLoaded(startTime, c.loaded, nil)
+		saved := effectsOf[effect.SaveFounders](out)
+		if got := len(saved) == 1 && reflect.DeepEqual(saved[0].VMs, founders); got != c.saved || len(saved) > 1 {
+			t.Errorf("%s: got the founders %+v written, want them to be: %v", c.name, saved, c.saved)
+		}
+		if got, want := len(log.initialVoters), c.voters; got != want {
+			t.Errorf("%s: got initial voters %v, want %d", c.name, log.initialVoters, want)
+		}
+	}
+}
--- a/core/plane/log.go
+++ b/core/plane/log.go
@@ -101,6 +101,7 @@
 	if n := len(loaded.Entries); n > 0 {
 		c.applied.lastLoaded = entryID{index: loaded.Entries[n-1].Index, term: loaded.Entries[n-1].Term}
 	}
+	out = c.keepFounders(loaded, out)
 	out = c.log.HandleDiskLoaded(at, c.settings.VM.ID, c.settings.Seed, c.initialVoters(), c.settings.SelfRegistration, loaded, out)
 	if loaded.Image.Index > 0 || len(loaded.Entries) > 0 {
 		out = c.startBarrier(at, out)
@@ -157,8 +158,8 @@
 	return c.publishedRevision == 0 && status.Leader != "" && (c.applied.index < status.LeaderCommitIndex || c.applied.term < status.Term)
 }
 
-// initialVoters lists the voters of an empty log: the disk VMs of the
-// settings.
+// initialVoters lists the voters of an empty log: the disk VMs of the first
+// configuration.
 func (c *Control) initialVoters() []model.VMID {
 	var ids []model.VMID
 	if c.settings.InitialConfig == nil {
--- a/core/quorum/start_test.go
+++ b/core/quorum/start_test.go
@@ -124,3 +124,28 @@
 		}
 	}
 }
+
+// Guards against a fleet that never starts since all its VMs are killed before the log has
+// an entry, once or twice, also without one of them: the right to found the log must last as
+// long as the disk.
+func TestKillsAtTheFirstStart(t *testing.T) {
+	for seed := range uint64(100) {
+		c := newStoppedCluster(t, seed, 3, 3)
+		c.firstStart = true
+		nodes := c.nodes[:3-seed%2]
+		for range 1 + seed%3 {
+			for _, n := range nodes {
+				c.start(n)
+			}
+			c.run(20*time.Millisecond + c.randomDelay(200*time.Millisecond))
+			for _, n := range nodes {
+				c.stop(n)
+			}
+		}
+		for _, n := range nodes {
+			c.start(n)
+		}
+		c.run(foundingDelay)
+		c.waitForLeader()
+	}
+}
--- a/io/disk/doc.go
+++ b/io/disk/doc.go
@@ -9,12 +9,13 @@
 //
 // # Files
 //
-// The folder holds four files. "lock" is locked while a process uses the folder.
+// The folder holds up to five files. "lock" is locked while a process uses the folder.
 // "disk" holds the disk's id; it is created last, so that a folder without it has
 // not been set up completely. "image" holds the last image. "log" begins with a base
 // record, which holds the state at the time when the file was created, and continues
-// with the writes since then. "disk" and "image" are only replaced as a whole, and
-// "log" is appended to or replaced as a whole: a file with the suffix ".new" is
+// with the writes since then. "founders" names the VMs that may found the log; it is
+// there if this VM is one of them, and builds without it ignore it. "disk", "founders"
+// and "image" are only replaced as a whole, and "log" is appended to or replaced as a whole: a file with the suffix ".new" is
 // written, synced and renamed, and then the folder is synced.
 //
 // A record is a big-endian header of three 32-bit numbers (length, CRC-32C of the
--- a/io/disk/folder.go
+++ b/io/disk/folder.go
@@ -18,11 +18,12 @@
 
 // Names of the files in a data folder.
 const (
-	diskFile  = "disk"
-	imageFile = "image"
-	lockFile  = "lock"
-	LogFile   = "log"
-	newSuffix = ".new" // of a file that will replace the one without the suffix
+	diskFile     = "disk"
+	foundersFile = "founders"
+	imageFile    = "image"
+	lockFile     = "lock"
+	LogFile      = "log"
+	newSuffix    = ".new" // of a file that will replace the one without the suffix
 )
 
 // lockFolder creates the folder if it does not exist, and locks it.
--- a/io/disk/state.go
+++ b/io/disk/state.go
@@ -26,6 +26,7 @@
 	image      entry.Image
 	entries    []entry.Entry // after startIndex
 	startIndex uint64        // index of the entry before the first one
+	founders   []model.VM    // that may found the log
 }
 
 // appendEntries appends entries. They replace all existing ones from the index of
@@ -66,7 +67,7 @@
 func (c *storedState) loaded(disk model.DiskID, created bool) event.DiskLoaded {
 	return event.DiskLoaded{
 		Disk: disk, Created: created, Term: c.term, Vote: c.vote, Image: c.image,
-		Entries: append([]entry.Entry(nil), c.entries...),
+		Entries: append([]entry.Entry(nil), c.entries...), Founders: c.founders,
 	}
 }
 
--- a/io/disk/store.go
+++ b/io/disk/store.go
@@ -52,8 +52,8 @@
 	return s, nil
 }
 
-// Execute queues an effect.AppendEntries, effect.SaveVote or effect.SaveImage
-// without blocking. The results are event.DiskSynced and event.DiskFailed.
+// Execute queues an effect.AppendEntries, effect.SaveVote, effect.SaveImage or
+// effect.SaveFounders without blocking. The results are event.DiskSynced and event.DiskFailed.
 func (s *Store) Execute(write effect.Effect) {
 	s.mu.Lock()
 	s.queue = append(s.queue, write)
@@ -160,6 +160,11 @@
 			}
 			lastSeq = w.Seq
 			continue
+		case effect.SaveFounders:
+			if err := s.retry(s.saveFounders(w), func() error { return s.saveFounders(w) }); err != nil {
+				return err
+			}
+			continue
 		}
 		if err := appendRecord(&records, func(e *msgpack.Encoder) error { return encodeRecord(e, write) }); err != nil {
 			return err
@@ -201,6 +206,16 @@
 	return s.replaceLog()
 }
 
+// saveFounders replaces the file of the VMs that may found the log.
+func (s *Store) saveFounders(w effect.SaveFounders) error {
+	f, err := replaceFile(s.folder, foundersFile, func(e *msgpack.Encoder) error { return e.Encode(w.VMs) })
+	if err != nil {
+		return err
+	}
+	s.founders = w.VMs
+	return f.Close()
+}
+
 // replaceLog replaces the log file by one with a base record of the current state.
 func (s *Store) replaceLog() error {
 	f, err := replaceFile(s.folder, LogFile, s.encodeBase)
@@ -216,7 +231,7 @@
 
 // load reads the folder and completes what a crash interrupted.
 func (s *Store) load() error {
-	for _, name := range []string{diskFile, imageFile, LogFile} {
+	for _, name := range []string{diskFile, foundersFile, imageFile, LogFile} {
 		if err := os.Remove(filepath.Join(s.folder, name+newSuffix)); err != nil && !errors.Is(err, fs.ErrNotExist) {
 			return err
 		}
@@ -226,6 +241,9 @@
 	if err != nil {
 		return err
 	}
+	if _, err = readRecord(s.folder, foundersFile, func(d *msgpack.Decoder) error { return d.Decode(&s.founders) }); err != nil {
+		return err
+	}
 	hasImage, err := readRecord(s.folder, imageFile, func(d *msgpack.Decoder) (err error) {
 		s.image, err = codec.DecodeImage(d)
 		return err
--- a/io/disk/store_test.go
+++ b/io/disk/store_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"flag"
+	"net/netip"
 	"os"
 	"path/filepath"
 	"reflect"
@@ -365,3 +366,32 @@
 		t.Fatal(err)
 	}
 }
+
+// Guards against a right to found the log that ends with the process or with an image, that
+// is read from a damaged file, or that a new disk has.
+func TestFoundersLastAsLongAsTheDisk(t *testing.T) {
+	folder := t.TempDir()
+	want := []model.VM{{ID: "10.0.0.1", Zone: "a", PeerAddr: netip.MustParseAddrPort("10.0.0.1:7740"), HasDisk: true}, {ID: "10.0.0.2"}}
+	if got := writeAndReopen(t, folder, effect.SaveFounders{VMs: want}, testVote); !reflect.DeepEqual(got.Founders, want) || got.Term != testVote.Term {
+		t.Fatalf("got founders %+v and term %d, want %+v and %d", got.Founders, got.Term, want, testVote.Term)
+	}
+	got := writeAndReopen(t, folder, effect.AppendEntries{Entries: testEntries(1, 2, 3)}, effect.SaveImage{Image: entry.Image{Index: 1, Term: 3}})
+	if !reflect.DeepEqual(got.Founders, want) || got.Image.Index != 1 {
+		t.Errorf("got founders %+v after an image, want %+v", got.Founders, want)
+	}
+	path := filepath.Join(folder, foundersFile)
+	undamaged, _ := os.ReadFile(path)
+	for i := range undamaged {
+		damaged := append([]byte(nil), undamaged...)
+		damaged[i] ^= 0x01
+		writeFile(t, path, damaged)
+		var corrupt *CorruptError
+		if s, err := Open(folder, nil); !errors.As(err, &corrupt) {
+			t.Errorf("byte %d changed: got %v, want a CorruptError", i, err)
+			s.close()
+		}
+	}
+	if got := writeAndReopen(t, t.TempDir()); len(got.Founders) != 0 {
+		t.Errorf("got founders %+v on a new disk, want none", got.Founders)
+	}
+}
--- a/io/serve/control_executor.go
+++ b/io/serve/control_executor.go
@@ -51,7 +51,7 @@
 		if c.peers != nil {
 			c.peers.Send(e)
 		}
-	case effect.AppendEntries, effect.SaveVote, effect.SaveImage:
+	case effect.AppendEntries, effect.SaveVote, effect.SaveImage, effect.SaveFounders:
 		c.store.Execute(e)
 	case effect.AnswerOperator:
 		c.operators.Respond(e)
