Number the crashes of an upstream instead of counting ids

With two upstreams no quarantine ever began.

Cause: crash.History told crashes apart by the id of the upstream, to recognise reports that come late or twice, and dropped a further crash of a known id.

The crashes of one upstream by equal requests are numbered now. An attempt has the number after those that were known when it was sent, so VMs that saw the same crash agree on it, and a later start counts again without any clock. The highest number and the highest one that was answered only grow, so reports merge in any order. A crash on probation always begins the next quarantine. The own protocol uses the same history.

TestStrikesNeedTwoUpstreamsInTime asked that a second strike of one upstream never counts, which was the fault. TestStrikesNeedTwoCrashesInTime asks that one crash seen by two attempts counts once, and that a second crash counts.

--- a/core/crash/guard.go
+++ b/core/crash/guard.go
@@ -11,7 +11,7 @@
 // Periods and limits of the guard.
 const (
 	suspicionLifetime = 10 * time.Second       // how long a reset without a confirmed crash counts
-	quarantineStrikes = 2                      // crashed upstreams that start a quarantine
+	quarantineStrikes = 2                      // crashes that start a quarantine
 	confirmTimeout    = 300 * time.Millisecond // an unconfirmed strike expires this long after the reset
 	generationLength  = 10 * time.Minute       // see Guard
 	maxGenerationSize = 1 << 16                // fingerprints per generation, about 1 MB
@@ -56,8 +56,8 @@
 // canaries, and ended in a reset. A probe that finds the upstream down afterwards
 // confirms it.
 type strike struct {
-	upstream model.UpstreamID
-	at       time.Time
+	crash model.Crash
+	at    time.Time
 }
 
 // Verdict returns how a request may run.
@@ -106,7 +106,7 @@
 	s.expire(at)
 	var ids []model.UpstreamID
 	for _, st := range s.unconfirmed {
-		ids = append(ids, st.upstream)
+		ids = append(ids, st.crash.Upstream)
 	}
 	return ids
 }
@@ -155,19 +155,26 @@
 	g.answered[fp] = struct{}{}
 }
 
-// RecordReset records an attempt that ended in a connection reset. alone says
-// that no attempts of its request other than canaries were in flight. It returns whether
-// there is a new strike, for which the upstream has to be probed.
-func (g *Guard) RecordReset(at time.Time, fp model.Fingerprint, upstream model.UpstreamID, alone bool) bool {
+// NextCrash returns the crash that an attempt sent now would be seen as, for RecordReset.
+func (g *Guard) NextCrash(fp model.Fingerprint, upstream model.UpstreamID) model.Crash {
+	return g.history.Next(fp, upstream)
+}
+
+// RecordReset records an attempt that ended in a connection reset, with what NextCrash
+// returned when it was sent. alone says that no attempts of its request other than canaries
+// were in flight. It returns whether there is a new strike, for which the upstream has to
+// be probed.
+func (g *Guard) RecordReset(at time.Time, fp model.Fingerprint, crash model.Crash, alone bool) bool {
 	s := g.renewSuspect(at, fp)
 	if s == nil || !alone {
 		return false
 	}
 	s.expire(at)
-	if g.history.Contains(fp, upstream) || slices.ContainsFunc(s.unconfirmed, func(st strike) bool { return st.upstream == upstream }) {
+	upstream := crash.Upstream
+	if g.history.Contains(fp, crash) || slices.ContainsFunc(s.unconfirmed, func(st strike) bool { return st.crash.Upstream == upstream }) {
 		return false
 	}
-	s.unconfirmed = append(s.unconfirmed, strike{upstream: upstream, at: at})
+	s.unconfirmed = append(s.unconfirmed, strike{crash: crash, at: at})
 	if g.unconfirmed == nil {
 		g.unconfirmed = make(map[model.UpstreamID][]model.Fingerprint)
 	}
@@ -193,7 +200,7 @@
 			continue
 		}
 		s.expire(at)
-		if s.confirm(upstream) && g.confirmed().Add(at, fp, upstream) {
+		if crash, ok := s.confirm(upstream); ok && g.confirmed().Add(at, fp, crash) {
 			reports = append(reports, g.history.Report(at, fp))
 		}
 	}
@@ -214,9 +221,10 @@
 // shared.
 func (g *Guard) RecordCrashReport(at time.Time, report event.CrashReport) {
 	if s, ok := g.suspects[report.Fingerprint]; ok {
-		for _, id := range report.Upstreams {
-			s.confirm(id)
-		}
+		s.unconfirmed = slices.DeleteFunc(s.unconfirmed, func(st strike) bool {
+			isSame := func(c model.Crash) bool { return c.Upstream == st.crash.Upstream && c.Number >= st.crash.Number }
+			return slices.ContainsFunc(report.Crashes, isSame)
+		})
 	}
 	g.confirmed().Merge(at, report)
 }
@@ -239,7 +247,7 @@
 	for upstream, fingerprints := range g.unconfirmed {
 		kept := slices.DeleteFunc(fingerprints, func(fp model.Fingerprint) bool {
 			s, ok := g.suspects[fp]
-			return !ok || !slices.ContainsFunc(s.unconfirmed, func(st strike) bool { return st.upstream == upstream })
+			return !ok || !slices.ContainsFunc(s.unconfirmed, func(st strike) bool { return st.crash.Upstream == upstream })
 		})
 		if len(kept) == 0 {
 			delete(g.unconfirmed, upstream)
@@ -281,9 +289,14 @@
 	s.unconfirmed = slices.DeleteFunc(s.unconfirmed, func(st strike) bool { return at.Sub(st.at) >= confirmTimeout })
 }
 
-// confirm removes the unconfirmed strike of an upstream, and reports whether there was one.
-func (s *suspect) confirm(upstream model.UpstreamID) bool {
-	n := len(s.unconfirmed)
-	s.unconfirmed = slices.DeleteFunc(s.unconfirmed, func(st strike) bool { return st.upstream == upstream })
-	return len(s.unconfirmed) < n
+// confirm removes and returns the unconfirmed strike of an upstream, and reports whether
+// there was one.
+func (s *suspect) confirm(upstream model.UpstreamID) (crash model.Crash, ok bool) {
+	i := slices.IndexFunc(s.unconfirmed, func(st strike) bool { return st.crash.Upstream == upstream })
+	if i < 0 {
+		return model.Crash{}, false
+	}
+	crash = s.unconfirmed[i].crash
+	s.unconfirmed = slices.Delete(s.unconfirmed, i, i+1)
+	return crash, true
 }
--- a/core/crash/guard_test.go
+++ b/core/crash/guard_test.go
@@ -9,6 +9,9 @@
 	"comfreypulley/core/model"
 )
 
+// crashOf returns the first crashes of upstreams.
+func crashOf(ids ...model.UpstreamID) []model.Crash { return model.JoinCrashes(ids, nil, nil) }
+
 var startTime = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
 // Guards against quarantining a request whose attempts were reset beside others,
@@ -24,7 +27,7 @@
 	} {
 		var g Guard
 		for _, id := range []model.UpstreamID{"u1", "u2"} {
-			g.RecordReset(startTime, 7, id, c.alone)
+			g.RecordReset(startTime, 7, g.NextCrash(7, id), c.alone)
 			g.RecordProbe(startTime.Add(time.Millisecond), id, c.down)
 		}
 		if got := g.Verdict(startTime.Add(time.Second), 7); got != c.want {
@@ -33,35 +36,45 @@
 	}
 }
 
-// Guards against a quarantine for two strikes of one upstream or for strikes
-// that are too far apart, against a request that is never recognised because it comes
+// Guards against a quarantine for one crash that two attempts saw or for strikes that are
+// too far apart, against a second crash of an upstream that does not count, against a request that is never recognised because it comes
 // again slowly, and against a third attempt while a second strike is unconfirmed.
-func TestStrikesNeedTwoUpstreamsInTime(t *testing.T) {
+func TestStrikesNeedTwoCrashesInTime(t *testing.T) {
 	var g Guard
-	strike := func(at time.Time, id model.UpstreamID) {
-		g.RecordReset(at, 7, id, true)
-		g.RecordProbe(at.Add(time.Millisecond), id, true)
+	strike := func(at time.Time, crash model.Crash) {
+		g.RecordReset(at, 7, crash, true)
+		g.RecordProbe(at.Add(time.Millisecond), crash.Upstream, true)
 	}
-	strike(startTime, "u1")
-	strike(startTime.Add(time.Second), "u1")
+	first := g.NextCrash(7, "u1")
+	strike(startTime, first)
+	strike(startTime.Add(time.Second), first)
 	if got := g.Verdict(startTime.Add(2*time.Second), 7); got != OneAtATime {
-		t.Fatalf("got verdict %d after two strikes of one upstream, want %d", got, OneAtATime)
+		t.Fatalf("got verdict %d after two strikes for one crash, want %d", got, OneAtATime)
+	}
+	var returned Guard
+	for n := range 2 {
+		at := startTime.Add(time.Duration(n) * time.Minute)
+		returned.RecordReset(at, 7, returned.NextCrash(7, "u1"), true)
+		returned.RecordProbe(at.Add(time.Millisecond), "u1", true)
+	}
+	if got := returned.Verdict(startTime.Add(time.Minute+time.Second), 7); got != Quarantined {
+		t.Errorf("got verdict %d after two crashes of an upstream that came back, want %d", got, Quarantined)
 	}
 	later := startTime.Add(2*time.Second + retention)
 	g.Expire(later)
-	strike(later, "u2")
+	strike(later, g.NextCrash(7, "u2"))
 	if got := g.Verdict(later.Add(time.Second), 7); got != OneAtATime {
 		t.Fatalf("got verdict %d after strikes %v apart, want %d", got, retention, OneAtATime)
 	}
 	at := later.Add(11 * time.Second)
-	g.RecordReset(at, 7, "u3", true)
+	g.RecordReset(at, 7, g.NextCrash(7, "u3"), true)
 	if !g.MustWait(at, 7) {
 		t.Error("a third attempt may start before the second strike is confirmed")
 	}
 	if g.MustWait(at.Add(confirmTimeout), 7) {
 		t.Error("a strike that was not confirmed still holds attempts back")
 	}
-	strike(at.Add(time.Second), "u4")
+	strike(at.Add(time.Second), g.NextCrash(7, "u4"))
 	if got := g.Verdict(at.Add(2*time.Second), 7); got != Quarantined {
 		t.Errorf("got verdict %d after strikes 12 s apart, want %d", got, Quarantined)
 	}
@@ -71,7 +84,7 @@
 // ends.
 func TestQuarantineIsSharedAndEnds(t *testing.T) {
 	var g Guard
-	g.RecordCrashReport(startTime, event.CrashReport{Fingerprint: 7, Upstreams: []model.UpstreamID{"u1", "u2"}, Quarantine: time.Minute})
+	g.RecordCrashReport(startTime, event.CrashReport{Fingerprint: 7, Crashes: crashOf("u1", "u2"), Quarantine: time.Minute})
 	g.RecordAnswer(startTime.Add(time.Second), 7)
 	if got := g.Verdict(startTime.Add(59*time.Second), 7); got != Quarantined {
 		t.Errorf("got verdict %d within the quarantine, want %d", got, Quarantined)
@@ -102,7 +115,7 @@
 		t.Errorf("got %d fingerprints, want at most %d", got, 2*maxGenerationSize)
 	}
 	for fp := range model.Fingerprint(2 * maxSuspects) {
-		g.RecordReset(startTime, fp, "u1", false)
+		g.RecordReset(startTime, fp, g.NextCrash(fp, "u1"), false)
 	}
 	if got := len(g.suspects); got > maxSuspects {
 		t.Errorf("got %d suspects, want at most %d", got, maxSuspects)
@@ -116,7 +129,7 @@
 	var g Guard
 	at := time.Unix(0, 0)
 	g.Verdict(at, 7)
-	if !g.RecordReset(at, 7, "u1", true) {
+	if !g.RecordReset(at, 7, g.NextCrash(7, "u1"), true) {
 		t.Fatal("got no strike for an attempt made alone")
 	}
 	g.RecordProbe(at.Add(time.Millisecond), "u1", false)
--- a/core/crash/history.go
+++ b/core/crash/history.go
@@ -11,7 +11,7 @@
 
 // Times and limits of a History.
 const (
-	defaultThreshold = 3 // crashed upstreams that start a quarantine
+	defaultThreshold = 3 // crashes that start a quarantine
 	retention        = time.Hour
 	expiryPeriod     = time.Minute // between two searches for records that are too old
 	firstQuarantine  = time.Minute
@@ -22,15 +22,18 @@
 	maxKnown         = 1 << 6  // fingerprints in quarantine that a VM is told at its start
 )
 
-// History remembers which upstreams crashed while they ran requests, by the fingerprint
+// History remembers the crashes of upstreams while they ran requests, by the fingerprint
 // of the request. A fingerprint with enough crashes is quarantined, after which it is on
 // probation: the next crash starts a longer quarantine. An answer ends both. The zero
 // value is ready for use.
 //
+// An upstream counts as often as it crashes, since it may come back under its id. What is
+// known of its crashes only grows, so that reports may come late, twice and in any order.
+//
 // Crashes are remembered for long, because a request that comes again slowly crashes as
 // many upstreams as one that comes at once.
 type History struct {
-	Threshold int // crashed upstreams that start a quarantine; 0 means defaultThreshold
+	Threshold int // crashes that start a quarantine; 0 means defaultThreshold
 
 	records  map[model.Fingerprint]*record
 	expireAt time.Time               // when Expire next looks for old records
@@ -39,27 +42,44 @@
 
 // record is what is known about one fingerprint.
 type record struct {
-	upstreams        []model.UpstreamID // that crashed, oldest first
-	forgiven         []model.UpstreamID // that crashed before an answer ended a quarantine
-	changedAt        time.Time          // when something new was recorded
-	quarantines      int                // begun so far
-	quarantinedUntil time.Time          // zero when there was no quarantine
-	trialUntil       time.Time          // when the current trial has ended in any case; zero without one
+	crashes          []model.Crash // the last one of each upstream, those of the upstreams that were seen first in front
+	changedAt        time.Time     // when something new was recorded
+	quarantines      int           // begun so far
+	quarantinedUntil time.Time     // zero when there was no quarantine
+	trialUntil       time.Time     // when the current trial has ended in any case; zero without one
 }
 
-// Add records upstreams that crashed while they ran a request. It reports whether any of
-// them is new.
-func (h *History) Add(at time.Time, fp model.Fingerprint, ids ...model.UpstreamID) bool {
+// Next returns the crash that an attempt sent now would be seen as, if the upstream crashed
+// while it runs it.
+func (h *History) Next(fp model.Fingerprint, id model.UpstreamID) model.Crash {
+	next := model.Crash{Upstream: id, Number: 1}
+	if r := h.records[fp]; r != nil {
+		if known := r.find(id); known != nil {
+			next.Number = known.Number + 1
+		}
+	}
+	return next
+}
+
+// Add records crashes of upstreams that ran a request. It reports whether any of them is
+// new.
+func (h *History) Add(at time.Time, fp model.Fingerprint, crashes ...model.Crash) bool {
 	r := h.record(at, fp)
-	if !r.add(at, ids) {
+	probation := r.onProbation(at)
+	if !r.add(at, crashes) {
 		return false
 	}
-	if len(r.upstreams) >= h.threshold() && !at.Before(r.quarantinedUntil) {
+	if h.isDue(at, r, probation) {
 		r.quarantine(at, at.Add(r.nextQuarantine()))
 	}
 	return true
 }
 
+// isDue reports whether a new crash begins a quarantine.
+func (h *History) isDue(at time.Time, r *record, probation bool) bool {
+	return !at.Before(r.quarantinedUntil) && (probation || r.count() >= h.threshold())
+}
+
 // Merge records what another traffic state or VM knows, and reports whether any of it is
 // new. A report that comes late or twice is not, so that it starts no quarantine that has
 // ended.
@@ -67,16 +87,17 @@
 	for _, a := range report.Answered {
 		h.clear(a)
 	}
-	if len(report.Upstreams) == 0 {
+	if len(report.Crashes) == 0 {
 		return false
 	}
 	r := h.record(at, report.Fingerprint)
-	isNew := r.add(at, report.Upstreams)
+	probation := r.onProbation(at)
+	isNew := r.add(at, report.Crashes)
 	if !isNew && (r.quarantines > 0 || report.Quarantine == 0) {
 		return false
 	}
 	until := at.Add(min(report.Quarantine, maxQuarantine))
-	if isNew && len(r.upstreams) >= h.threshold() && !at.Before(r.quarantinedUntil) {
+	if isNew && h.isDue(at, r, probation) {
 		until = model.Later(until, at.Add(r.nextQuarantine()))
 	}
 	if until.After(at) && until.After(r.quarantinedUntil) {
@@ -89,7 +110,7 @@
 func (h *History) Report(at time.Time, fp model.Fingerprint) event.CrashReport {
 	report := event.CrashReport{Fingerprint: fp}
 	if r := h.records[fp]; r != nil {
-		report.Upstreams = slices.Clone(r.upstreams)
+		report.Crashes = r.live()
 		if at.Before(r.quarantinedUntil) {
 			report.Quarantine = r.quarantinedUntil.Sub(at)
 		}
@@ -102,25 +123,24 @@
 func (h *History) Known(at time.Time) (reports []event.CrashReport) {
 	h.Expire(at)
 	for _, fp := range slices.Sorted(maps.Keys(h.records)) {
-		if r := h.records[fp]; r.quarantines > 0 && len(r.upstreams) > 0 && len(reports) < maxKnown {
+		if r := h.records[fp]; r.quarantines > 0 && r.count() > 0 && len(reports) < maxKnown {
 			reports = append(reports, h.Report(at, fp))
 		}
 	}
 	return reports
 }
 
-// Count returns the number of upstreams that crashed.
+// Count returns the number of crashes that no answer has cleared.
 func (h *History) Count(fp model.Fingerprint) int {
 	if r := h.records[fp]; r != nil {
-		return len(r.upstreams)
+		return r.count()
 	}
 	return 0
 }
 
-// Contains reports whether a crash of an upstream is known.
-func (h *History) Contains(fp model.Fingerprint, id model.UpstreamID) bool {
-	r := h.records[fp]
-	return r != nil && (slices.Contains(r.upstreams, id) || slices.Contains(r.forgiven, id))
+// Contains reports whether a crash is known.
+func (h *History) Contains(fp model.Fingerprint, crash model.Crash) bool {
+	return h.Next(fp, crash.Upstream).Number > crash.Number
 }
 
 // QuarantineLeft returns for how long requests with a fingerprint must not run; 0 when
@@ -137,7 +157,7 @@
 // the request is harmless.
 func (h *History) OnProbation(at time.Time, fp model.Fingerprint) bool {
 	r := h.records[fp]
-	return r != nil && r.quarantines > 0 && len(r.upstreams) > 0 && h.QuarantineLeft(at, fp) == 0
+	return r != nil && r.onProbation(at) && h.QuarantineLeft(at, fp) == 0
 }
 
 // BeginTrial lets one request on probation run. Until it has been answered, or until a
@@ -151,10 +171,11 @@
 // Clear records that an upstream ran the request and answered.
 func (h *History) Clear(fp model.Fingerprint) {
 	r := h.records[fp]
-	if r == nil || len(r.upstreams) == 0 {
+	if r == nil || r.count() == 0 {
 		return
 	}
-	a := model.AnsweredCrashes{Fingerprint: fp, Upstreams: r.upstreams}
+	a := model.AnsweredCrashes{Fingerprint: fp}
+	a.Upstreams, a.Numbers, _ = model.SplitCrashes(r.live())
 	if len(h.answered) < maxRecords {
 		h.answered = append(h.answered, a)
 	}
@@ -169,21 +190,23 @@
 	return answered
 }
 
-// clear forgets crashes of a fingerprint. After a quarantine they are kept as forgiven,
-// since other VMs may still report them. The quarantine ends unless a crash is left.
+// clear records that crashes of a fingerprint were answered. After a quarantine they are
+// kept, since other VMs may still report them. The quarantine ends unless a crash is left.
 func (h *History) clear(a model.AnsweredCrashes) {
 	r := h.records[a.Fingerprint]
 	if r == nil {
 		return
 	}
-	isAnswered := func(id model.UpstreamID) bool { return slices.Contains(a.Upstreams, id) }
-	r.upstreams = slices.DeleteFunc(slices.Clone(r.upstreams), isAnswered)
+	for i, id := range a.Upstreams {
+		if crash := r.find(id); crash != nil {
+			crash.Cleared = max(crash.Cleared, min(a.Number(i), crash.Number))
+		}
+	}
 	switch {
-	case len(r.upstreams) > 0:
+	case r.count() > 0:
 	case r.quarantines == 0:
 		delete(h.records, a.Fingerprint)
 	default:
-		r.forgiven = appendBounded(r.forgiven, a.Upstreams)
 		r.quarantinedUntil, r.trialUntil = time.Time{}, time.Time{}
 	}
 }
@@ -242,19 +265,54 @@
 
 // before reports whether a record is to be evicted before another one.
 func (r *record) before(other *record) bool {
-	if n, m := len(r.upstreams), len(other.upstreams); n != m {
+	if n, m := r.count(), other.count(); n != m {
 		return n < m
 	}
 	return r.changedAt.Before(other.changedAt)
 }
 
-// add records upstreams that are not known yet, and reports whether there are any.
-func (r *record) add(at time.Time, ids []model.UpstreamID) (isNew bool) {
-	for _, id := range ids {
-		if !slices.Contains(r.upstreams, id) && !slices.Contains(r.forgiven, id) {
-			r.upstreams = appendBounded(r.upstreams, []model.UpstreamID{id})
+// find returns the last known crash of an upstream, nil without one.
+func (r *record) find(id model.UpstreamID) *model.Crash {
+	for i := range r.crashes {
+		if r.crashes[i].Upstream == id {
+			return &r.crashes[i]
+		}
+	}
+	return nil
+}
+
+// count returns the number of crashes that no answer has cleared.
+func (r *record) count() (n int) {
+	for _, c := range r.crashes {
+		n += c.Number - c.Cleared
+	}
+	return n
+}
+
+// live returns the last crashes of the upstreams with any that no answer has cleared.
+func (r *record) live() []model.Crash {
+	return slices.DeleteFunc(slices.Clone(r.crashes), func(c model.Crash) bool { return c.Number <= c.Cleared })
+}
+
+// onProbation reports whether a quarantine has ended and no answer has cleared all crashes.
+func (r *record) onProbation(at time.Time) bool {
+	return r.quarantines > 0 && r.count() > 0 && !at.Before(r.quarantinedUntil)
+}
+
+// add records crashes, and reports whether any of them is new and not cleared. It drops
+// the upstreams that were seen first beyond maxUpstreams.
+func (r *record) add(at time.Time, crashes []model.Crash) (isNew bool) {
+	for _, c := range crashes {
+		known := r.find(c.Upstream)
+		if known == nil {
+			r.crashes = append(r.crashes, model.Crash{Upstream: c.Upstream})
+			r.crashes = r.crashes[max(0, len(r.crashes)-maxUpstreams):]
+			known = &r.crashes[len(r.crashes)-1]
+		}
+		if c.Number > max(known.Number, c.Cleared) {
 			r.changedAt, isNew = at, true
 		}
+		known.Number, known.Cleared = max(known.Number, c.Number), max(known.Cleared, min(c.Cleared, c.Number))
 	}
 	return isNew
 }
@@ -275,9 +333,3 @@
 	}
 	return d
 }
-
-// appendBounded appends ids and drops the oldest ones beyond maxUpstreams.
-func appendBounded(ids, more []model.UpstreamID) []model.UpstreamID {
-	ids = slices.Concat(ids, more)
-	return ids[max(0, len(ids)-maxUpstreams):]
-}
--- a/core/event/states.go
+++ b/core/event/states.go
@@ -41,9 +41,9 @@
 // crashes, between the traffic states of a process and with other VMs.
 type CrashReport struct {
 	Fingerprint model.Fingerprint
-	Upstreams   []model.UpstreamID      // that crashed
+	Crashes     []model.Crash           // the last one of each upstream
 	Quarantine  time.Duration           // time left during which such requests are refused; 0 when they are not
-	Answered    []model.AnsweredCrashes // in a report of its own, which has no upstreams
+	Answered    []model.AnsweredCrashes // in a report of its own, which has no crashes
 }
 
 // UpstreamList publishes the platform's list of upstreams to the traffic states.
--- a/core/node/promise_test.go
+++ b/core/node/promise_test.go
@@ -132,7 +132,7 @@
 			"unknown":     func(t *rapid.T) { w.decideProposal(entry.StatusUnknown, rapid.Bool().Draw(t, "applied")) },
 			"strike": func(t *rapid.T) {
 				w.reduce(event.CrashReport{
-					Fingerprint: model.Fingerprint(rapid.IntRange(1, 4).Draw(t, "fp")), Upstreams: []model.UpstreamID{"u0a"},
+					Fingerprint: model.Fingerprint(rapid.IntRange(1, 4).Draw(t, "fp")), Crashes: []model.Crash{{Upstream: "u0a", Number: rapid.IntRange(1, 3).Draw(t, "number")}},
 					Quarantine: time.Duration(rapid.IntRange(0, 1).Draw(t, "quarantine")) * 100 * time.Millisecond,
 				})
 			},
--- a/core/plane/crash_report.go
+++ b/core/plane/crash_report.go
@@ -24,10 +24,10 @@
 
 // crashRecord is what is known about one fingerprint.
 type crashRecord struct {
-	upstreams     []model.UpstreamID // that crashed within duplicateWindow
-	lastNew       time.Time          // when something new was last reported
-	quarantineEnd time.Time          // zero when it was never quarantined
-	answered      bool               // since the last crash
+	crashes       []model.Crash // reported within duplicateWindow
+	lastNew       time.Time     // when something new was last reported
+	quarantineEnd time.Time     // zero when it was never quarantined
+	answered      bool          // since the last crash
 }
 
 // HandleCrashReport handles a crash report from a traffic state of this
@@ -44,7 +44,9 @@
 // peerCrashReport handles a crash report from another VM. With Relay set, this
 // VM is the first of its zone that receives it, and passes it to the others.
 func (c *Control) peerCrashReport(at time.Time, from model.VMID, m frame.CrashReport, out []effect.Effect) []effect.Effect {
-	report := event.CrashReport{Fingerprint: m.Fingerprint, Upstreams: m.Upstreams, Quarantine: m.Quarantine, Answered: m.Answered}
+	report := event.CrashReport{
+		Fingerprint: m.Fingerprint, Crashes: model.JoinCrashes(m.Upstreams, m.Numbers, m.Cleared), Quarantine: m.Quarantine, Answered: m.Answered,
+	}
 	_ = c.crashes.Merge(at, report)
 	if !c.crashReports.add(at, report) {
 		return out
@@ -75,7 +77,7 @@
 	m.Relay = true
 	// Reports about one request go to different VMs, so that a failed VM that
 	// is not suspected yet does not keep all of them from its zone.
-	rotation := uint64(report.Fingerprint) + uint64(len(report.Upstreams))
+	rotation := uint64(report.Fingerprint) + uint64(len(report.Crashes))
 	zones := c.unsuspectedVMsByZone()
 	for _, zone := range slices.Sorted(maps.Keys(zones)) {
 		if ids := zones[zone]; zone != c.settings.VM.Zone {
@@ -86,7 +88,9 @@
 }
 
 func crashReportMessage(report event.CrashReport) frame.CrashReport {
-	return frame.CrashReport{Fingerprint: report.Fingerprint, Upstreams: report.Upstreams, Quarantine: report.Quarantine, Answered: report.Answered}
+	m := frame.CrashReport{Fingerprint: report.Fingerprint, Quarantine: report.Quarantine, Answered: report.Answered}
+	m.Upstreams, m.Numbers, m.Cleared = model.SplitCrashes(report.Crashes)
+	return m
 }
 
 // sendQuarantines tells an entry VM that has just started which requests are in
@@ -131,16 +135,17 @@
 	}
 	record := (*r)[report.Fingerprint]
 	if at.Sub(record.lastNew) >= duplicateWindow {
-		record.upstreams = nil
+		record.crashes = nil
 	}
 	isNew := report.Quarantine > 0 && !at.Before(record.quarantineEnd)
 	if isNew {
 		record.quarantineEnd = at.Add(report.Quarantine)
 	}
-	for _, id := range report.Upstreams {
-		if !slices.Contains(record.upstreams, id) {
+	for _, crash := range report.Crashes {
+		isCopy := func(c model.Crash) bool { return c.Upstream == crash.Upstream && c.Number >= crash.Number }
+		if !slices.ContainsFunc(record.crashes, isCopy) {
 			// Clipped, so that the append copies the list: others may use it.
-			record.upstreams = append(slices.Clip(record.upstreams), id)
+			record.crashes = append(slices.Clip(record.crashes), crash)
 			isNew = true
 		}
 	}
--- a/core/plane/crash_report_test.go
+++ b/core/plane/crash_report_test.go
@@ -48,10 +48,15 @@
 	return n
 }
 
+// crashOf returns a crash of an upstream with a number.
+func crashOf(id model.UpstreamID, number int) []model.Crash {
+	return []model.Crash{{Upstream: id, Number: number}}
+}
+
 // Guards against reports that some VM never receives, and against a cost that
 // grows with the fleet.
 func TestCrashReportReachesOwnZoneAndOneVMOfEachOther(t *testing.T) {
-	out := newThreeZoneVM("vm5").HandleCrashReport(startTime, event.CrashReport{Fingerprint: 7, Upstreams: []model.UpstreamID{"u1"}}, nil)
+	out := newThreeZoneVM("vm5").HandleCrashReport(startTime, event.CrashReport{Fingerprint: 7, Crashes: model.JoinCrashes([]model.UpstreamID{"u1"}, nil, nil)}, nil)
 	if got, want := recipients(out, false), []model.VMID{"vm4", "vm6", "vm7"}; !slices.Equal(got, want) {
 		t.Errorf("sent to %v of its own zone, want %v", got, want)
 	}
@@ -75,22 +80,27 @@
 // later crash or a quarantine that is mistaken for a copy.
 func TestOnlyNewCrashReportsArePassedOn(t *testing.T) {
 	c := newThreeZoneVM("vm5")
-	one, both := []model.UpstreamID{"u1"}, []model.UpstreamID{"u1", "u2"}
+	one, both, again := crashOf("u1", 1), append(crashOf("u1", 1), crashOf("u2", 1)...), crashOf("u1", 2)
 	for i, step := range []struct {
 		after time.Duration
 		s     event.CrashReport
 		want  int
 	}{
-		{0, event.CrashReport{Fingerprint: 7, Upstreams: one}, 1},
-		{time.Millisecond, event.CrashReport{Fingerprint: 7, Upstreams: one}, 0},
-		{2 * time.Millisecond, event.CrashReport{Fingerprint: 8, Upstreams: one}, 1},
-		{3 * time.Millisecond, event.CrashReport{Fingerprint: 7, Upstreams: both, Quarantine: time.Minute}, 1},
-		{4 * time.Millisecond, event.CrashReport{Fingerprint: 7, Upstreams: both, Quarantine: time.Minute}, 0},
-		{5 * time.Millisecond, event.CrashReport{Fingerprint: 8, Upstreams: one, Quarantine: time.Minute}, 1},
-		{5 * time.Second, event.CrashReport{Fingerprint: 8, Upstreams: one}, 1},
-		{2 * time.Minute, event.CrashReport{Fingerprint: 7, Upstreams: both, Quarantine: time.Minute}, 1},
+		{0, event.CrashReport{Fingerprint: 7, Crashes: one}, 1},
+		{time.Millisecond, event.CrashReport{Fingerprint: 7, Crashes: one}, 0},
+		{time.Millisecond, event.CrashReport{Fingerprint: 9, Crashes: again}, 1},
+		{time.Millisecond, event.CrashReport{Fingerprint: 9, Crashes: one}, 0},
+		{time.Millisecond, event.CrashReport{Fingerprint: 9, Crashes: again}, 0},
+		{time.Millisecond, event.CrashReport{Fingerprint: 9, Crashes: crashOf("u1", 3)}, 1},
+		{2 * time.Millisecond, event.CrashReport{Fingerprint: 8, Crashes: one}, 1},
+		{3 * time.Millisecond, event.CrashReport{Fingerprint: 7, Crashes: both, Quarantine: time.Minute}, 1},
+		{4 * time.Millisecond, event.CrashReport{Fingerprint: 7, Crashes: both, Quarantine: time.Minute}, 0},
+		{5 * time.Millisecond, event.CrashReport{Fingerprint: 8, Crashes: one, Quarantine: time.Minute}, 1},
+		{5 * time.Second, event.CrashReport{Fingerprint: 8, Crashes: one}, 1},
+		{2 * time.Minute, event.CrashReport{Fingerprint: 7, Crashes: both, Quarantine: time.Minute}, 1},
 	} {
-		m := frame.CrashReport{Fingerprint: step.s.Fingerprint, Upstreams: step.s.Upstreams, Quarantine: step.s.Quarantine}
+		m := frame.CrashReport{Fingerprint: step.s.Fingerprint, Quarantine: step.s.Quarantine}
+		m.Upstreams, m.Numbers, m.Cleared = model.SplitCrashes(step.s.Crashes)
 		out := c.HandlePeerMessage(startTime.Add(step.after), event.PeerMessage{From: "vm4", Message: m}, nil)
 		if trafficBroadcasts(out) != step.want || len(recipients(out, false)) != 0 {
 			t.Errorf("step %d: sent to the loops %d times and to VMs %v, want %d times and no VM",
@@ -103,7 +113,7 @@
 func TestCrashRecordsAreBounded(t *testing.T) {
 	c := newThreeZoneVM("vm5")
 	for fp := range model.Fingerprint(1 << 14) {
-		s := event.CrashReport{Fingerprint: fp, Upstreams: []model.UpstreamID{"u1"}, Quarantine: time.Minute}
+		s := event.CrashReport{Fingerprint: fp, Crashes: crashOf("u1", 1), Quarantine: time.Minute}
 		if trafficBroadcasts(c.HandleCrashReport(startTime, s, nil)) != 1 {
 			t.Fatalf("report %d was not sent to the traffic loops", fp)
 		}
--- a/core/proxy/crash_suspect.go
+++ b/core/proxy/crash_suspect.go
@@ -20,7 +20,7 @@
 // links of this VM work.
 type pendingCrash struct {
 	fingerprint model.Fingerprint
-	upstreams   []model.UpstreamID
+	crashes     []model.Crash
 	at          time.Time
 }
 
@@ -40,7 +40,7 @@
 	for len(r.pendingCrashes) > 0 && r.pendingCrashes[0].at.Before(before) {
 		p := r.pendingCrashes[0]
 		r.pendingCrashes = r.pendingCrashes[1:]
-		if r.crashes.Add(at, p.fingerprint, p.upstreams...) {
+		if r.crashes.Add(at, p.fingerprint, p.crashes...) {
 			out = append(out, effect.ToControl{Body: r.crashes.Report(at, p.fingerprint)})
 		}
 	}
--- a/core/proxy/finish.go
+++ b/core/proxy/finish.go
@@ -102,7 +102,7 @@
 		out = r.recordUpstreamFailure(at, a.upstream, e.Reason, out)
 	}
 	if e.Reason == model.FailedReset && e.Ran != model.RanNo {
-		a.request.crashed = append(a.request.crashed, a.upstream.spec.ID)
+		a.request.crashed = append(a.request.crashed, a.crash)
 		if !a.request.sharded() {
 			r.suspectCrashes(at, a.request)
 		}
--- a/core/proxy/request.go
+++ b/core/proxy/request.go
@@ -25,12 +25,12 @@
 	upstreamListAge time.Duration // of the upstream list, at arrival
 	lastAnswer      time.Time     // when the last subrequest was answered; arrival until then
 	ended           bool
-	timerDue        time.Time          // when the timer is due; zero when none is set
-	crashed         []model.UpstreamID // upstreams that reset the connection
-	reply           portionReply       // only for a portion of another VM's request
-	handover        *handover          // nil unless the request is handed over to another VM
-	offered         bool               // was handed over, and no VM took it
-	limitDraw       float64            // for limits that allow less than a whole request; 0 until drawn
+	timerDue        time.Time     // when the timer is due; zero when none is set
+	crashed         []model.Crash // of upstreams that reset the connection
+	reply           portionReply  // only for a portion of another VM's request
+	handover        *handover     // nil unless the request is handed over to another VM
+	offered         bool          // was handed over, and no VM took it
+	limitDraw       float64       // for limits that allow less than a whole request; 0 until drawn
 }
 
 // subrequest is the part of a request that one service answers.
@@ -71,6 +71,7 @@
 	took       time.Duration
 	outcome    string // empty while in flight
 	hedge      bool
+	crash      model.Crash // what it is if the upstream crashes
 	delegation *delegation // the portion that it belongs to; nil when this VM sent it to the upstream
 	cancelled  bool        // cancelled because its request had ended
 }
--- a/core/proxy/step.go
+++ b/core/proxy/step.go
@@ -158,7 +158,7 @@
 func (r *Router) send(at time.Time, req *request, sub *subrequest, u *upstream, out []effect.Effect) []effect.Effect {
 	r.lastAttemptID++
 	a := &attempt{
-		id: r.lastAttemptID, request: req, subrequest: sub, upstream: u, sent: at, hedge: sub.pending > 0,
+		id: r.lastAttemptID, request: req, subrequest: sub, upstream: u, sent: at, hedge: sub.pending > 0, crash: r.crashes.Next(req.event.Fingerprint, u.spec.ID),
 		expected: time.Duration(float64(req.latency.expected(req.route)) * min(maxExpectedRatio, u.latencyRatio.read(at, 1))),
 	}
 	kind := "first"
--- a/core/query/policy.go
+++ b/core/query/policy.go
@@ -36,9 +36,11 @@
 	Join(fp model.Fingerprint)
 	Release(fp model.Fingerprint)
 	RecordAnswer(at time.Time, fp model.Fingerprint)
+	// NextCrash returns what an attempt sent now is to be recorded as if it is reset.
+	NextCrash(fp model.Fingerprint, upstream model.UpstreamID) model.Crash
 	// RecordReset reports whether the attempt counts as an unconfirmed strike,
 	// for which the upstream has to be probed.
-	RecordReset(at time.Time, fp model.Fingerprint, upstream model.UpstreamID, alone bool) bool
+	RecordReset(at time.Time, fp model.Fingerprint, crash model.Crash, alone bool) bool
 	RecordProbe(at time.Time, upstream model.UpstreamID, down bool) []event.CrashReport
 	RecordCrashReport(at time.Time, report event.CrashReport)
 	// TakeAnswered returns the strikes that an answer has cleared since the last call.
@@ -103,8 +105,11 @@
 // RecordAnswer implements guard.
 func (noGuard) RecordAnswer(time.Time, model.Fingerprint) {}
 
+// NextCrash implements guard.
+func (noGuard) NextCrash(model.Fingerprint, model.UpstreamID) model.Crash { return model.Crash{} }
+
 // RecordReset implements guard.
-func (noGuard) RecordReset(time.Time, model.Fingerprint, model.UpstreamID, bool) bool { return false }
+func (noGuard) RecordReset(time.Time, model.Fingerprint, model.Crash, bool) bool { return false }
 
 // RecordProbe implements guard.
 func (noGuard) RecordProbe(time.Time, model.UpstreamID, bool) []event.CrashReport { return nil }
--- a/core/query/query.go
+++ b/core/query/query.go
@@ -93,8 +93,9 @@
 	version     model.SnapshotVersion
 	started     time.Time
 	fingerprint model.Fingerprint
-	exclusive   bool // has exclusive use of its fingerprint, see crash.Guard
-	alone       bool // no other attempt of its request was in flight at the same time
+	exclusive   bool        // has exclusive use of its fingerprint, see crash.Guard
+	crash       model.Crash // what the guard is told if it is reset
+	alone       bool        // no other attempt of its request was in flight at the same time
 }
 
 func (q *query) deadline() time.Time {
--- a/core/query/results.go
+++ b/core/query/results.go
@@ -102,7 +102,7 @@
 	}
 	mayBeStrike := false
 	if f.Reason == model.FailedReset && f.Ran != model.RanNo {
-		if mayBeStrike = t.guard.RecordReset(at, sent.fingerprint, sent.upstream, sent.alone); mayBeStrike {
+		if mayBeStrike = t.guard.RecordReset(at, sent.fingerprint, sent.crash, sent.alone); mayBeStrike {
 			out = t.probe(sent.upstream, out)
 		}
 	}
--- a/core/query/scatter.go
+++ b/core/query/scatter.go
@@ -175,6 +175,7 @@
 	t.attempts[t.lastAttempt] = attempt{
 		request: q.request.ID, shard: i, upstream: u.ID, index: q.request.Index, version: q.version, started: at,
 		fingerprint: q.request.Fingerprint, exclusive: exclusive, alone: exclusive || !q.idempotent(),
+		crash: t.guard.NextCrash(q.request.Fingerprint, u.ID),
 	}
 	t.balancer.RecordStart(u.ID)
 	timeout := q.deadline().Sub(at)
