Count suspected crashes after all upstreams were unreachable

A request that crashed all upstreams which a VM reaches was never quarantined while others ran on the same service: in 9 of 72 cases of TestUpstreamsThatComeBackAreNotCrashedWithoutEnd it crashed one 6 to 27 times later than 4 s after the third, allowed 3, with numbered crashes.

Cause: concludeConnCheck dropped the suspected crashes, since failing links of the VM reset all connections, too.

The first suspected crash of each request is set aside and counted once an upstream is reachable again, unless the request was answered meanwhile, here or at the VM that it was handed over to. It is reported only if the request had an earlier crash, so that failing links cause no flood of reports.

All 72 cases hold now. TestFailuresOfLinksAreNotTakenForCrashes guards the other side: with all suspicions counted at once it got 120 reports, want none.

--- a/core/proxy/crash_return_test.go
+++ b/core/proxy/crash_return_test.go
@@ -1,6 +1,7 @@
 package proxy_test
 
 import (
+	"cmp"
 	"fmt"
 	"maps"
 	"net/netip"
@@ -22,6 +23,7 @@
 	due       []crashEvent                         // in the order of their times
 	running   map[model.AttemptID]model.UpstreamID // other requests
 	crashes   []time.Time
+	reports   int // of crashes, to all VMs
 }
 
 type crashEvent struct {
@@ -83,6 +85,10 @@
 			w.timers[e.ID] = e.At
 		case effect.StopTimer:
 			delete(w.timers, e.ID)
+		case effect.ToControl:
+			if report, ok := e.Body.(event.CrashReport); ok && len(report.Crashes) > 0 {
+				w.reports++
+			}
 		case effect.OpenConn:
 			w.schedule(time.Millisecond, event.ConnChecked{Upstream: e.Upstream, Opened: !w.now.Before(w.downUntil[e.Upstream])})
 		case effect.Forward:
@@ -106,21 +112,27 @@
 	w.running[e.Attempt] = e.Upstream
 	for _, id := range slices.Sorted(maps.Keys(w.running)) {
 		if w.running[id] == e.Upstream {
-			delete(w.running, id)
-			w.due = slices.DeleteFunc(w.due, func(d crashEvent) bool {
-				r, ok := d.body.(event.ResponseReceived)
-				return ok && r.Attempt == id
-			})
-			w.schedule(crashWork, event.AttemptFailed{Attempt: id, Reason: model.FailedReset, Ran: model.RanUnknown})
+			w.reset(id, crashWork)
 		}
 	}
 }
 
+// reset resets the connection of an attempt that runs.
+func (w *crashWorld) reset(id model.AttemptID, d time.Duration) {
+	delete(w.running, id)
+	w.due = slices.DeleteFunc(w.due, func(d crashEvent) bool {
+		r, ok := d.body.(event.ResponseReceived)
+		return ok && r.Attempt == id
+	})
+	w.schedule(d, event.AttemptFailed{Attempt: id, Reason: model.FailedReset, Ran: model.RanUnknown})
+}
+
 // step advances the time and delivers what is due.
 func (w *crashWorld) step() {
 	w.now = w.now.Add(crashStep)
-	for id, at := range w.timers {
-		if !at.After(w.now) {
+	ids := slices.SortedFunc(maps.Keys(w.timers), func(a, b event.TimerID) int { return cmp.Or(cmp.Compare(a.Kind, b.Kind), cmp.Compare(a.N, b.N)) })
+	for _, id := range ids {
+		if at, ok := w.timers[id]; ok && !at.After(w.now) {
 			delete(w.timers, id)
 			w.execute(w.router.HandleTimer(w.now, id, nil))
 		}
@@ -174,7 +186,7 @@
 	for _, upstreams := range []int{1, 2, 3, 4} {
 		for _, attempts := range []int{1, 2, 3} {
 			for _, interval := range []time.Duration{time.Second, 4 * time.Second} {
-				for _, others := range []string{"", "/other/x"} {
+				for _, others := range []string{"", "/x", "/other/x"} {
 					crashes := newCrashWorld(upstreams, attempts, others).play(interval, others)
 					if len(crashes) < 3 {
 						t.Errorf("%d upstreams, %d attempts, each %v, others %q: got %d crashes, want the request to cause some", upstreams, attempts, interval, others, len(crashes))
@@ -195,3 +207,57 @@
 		}
 	}
 }
+
+// Guards against harmless requests that are quarantined, or reported to all VMs, since the
+// links of a VM fail while they are in flight: several times with answers between, or twice.
+func TestFailuresOfLinksAreNotTakenForCrashes(t *testing.T) {
+	for failures, answered := range map[int]bool{6: true, 2: false} {
+		w := newCrashWorld(3, 2, "")
+		for round := range failures {
+			w.failLinks(model.RequestID(1000 * (round + 1)))
+			if answered {
+				w.sendAll(model.RequestID(1000*(round+1)+500), 1)
+				w.run(time.Second)
+			}
+		}
+		for fp := range model.Fingerprint(1000 * (failures + 1)) {
+			out := w.router.HandleProxyRequest(w.now, event.ProxyRequest{ID: model.RequestID(100000 + fp), Host: "h", Path: "/x", Wait: 2 * time.Second, Fingerprint: fp}, nil)
+			for _, refusal := range refusals(out) {
+				if refusal.Reason == model.RefusedQuarantine {
+					t.Errorf("request %d is in quarantine after %d failures of links", fp, failures)
+				}
+			}
+		}
+		if answered && w.reports > 0 {
+			t.Errorf("got %d reports of crashes to all VMs, want none", w.reports)
+		}
+	}
+}
+
+// sendAll sends some requests, whose fingerprints begin with a number.
+func (w *crashWorld) sendAll(id model.RequestID, first model.Fingerprint) {
+	for n := range 10 {
+		w.send(id+model.RequestID(n), "/x", first+model.Fingerprint(n))
+	}
+}
+
+// failLinks resets all connections while requests are in flight, some that come each time and
+// some that come only now.
+func (w *crashWorld) failLinks(id model.RequestID) {
+	w.sendAll(id, 1)
+	w.sendAll(id+100, model.Fingerprint(id))
+	w.step()
+	for n := range 3 {
+		w.downUntil[model.UpstreamID(fmt.Sprintf("s/%d", n))] = w.now.Add(crashDowntime)
+	}
+	for _, id := range slices.Sorted(maps.Keys(w.running)) {
+		w.reset(id, time.Millisecond)
+	}
+	w.run(crashDowntime + time.Second)
+}
+
+func (w *crashWorld) run(d time.Duration) {
+	for end := w.now.Add(d); w.now.Before(end); {
+		w.step()
+	}
+}
--- a/core/proxy/crash_suspect.go
+++ b/core/proxy/crash_suspect.go
@@ -47,6 +47,45 @@
 	return out
 }
 
+// deferCrashes sets the suspected crashes aside when this VM has found that it reaches no
+// upstream. Either its links have failed, which reset the connections of all requests, or
+// one request has crashed all upstreams. A single crash of each request is kept, so that
+// failing links alone have to coincide with equal requests several times.
+func (r *Router) deferCrashes() {
+	for _, p := range r.pendingCrashes {
+		isKept := func(other pendingCrash) bool { return other.fingerprint == p.fingerprint }
+		if len(r.deferredCrashes) < maxPendingCrashes && !slices.ContainsFunc(r.deferredCrashes, isKept) {
+			p.crashes = p.crashes[:1]
+			r.deferredCrashes = append(r.deferredCrashes, p)
+		}
+	}
+	r.pendingCrashes = nil
+}
+
+// recordDeferredCrashes counts the crashes that were set aside, once upstreams are reachable
+// again. Only those of requests with an earlier crash are reported to the other VMs: most
+// of the others were in flight by chance.
+func (r *Router) recordDeferredCrashes(at time.Time, out []effect.Effect) []effect.Effect {
+	for _, p := range r.deferredCrashes {
+		if r.crashes.Add(at, p.fingerprint, p.crashes...) && r.crashes.Count(p.fingerprint) > 1 {
+			out = append(out, effect.ToControl{Body: r.crashes.Report(at, p.fingerprint)})
+		}
+	}
+	r.deferredCrashes = nil
+	return out
+}
+
+// clearCrashes records that a request was answered.
+func (r *Router) clearCrashes(fp model.Fingerprint) {
+	r.crashes.Clear(fp)
+	r.dropDeferred(fp)
+}
+
+// dropDeferred drops the crash of a request that was set aside.
+func (r *Router) dropDeferred(fp model.Fingerprint) {
+	r.deferredCrashes = slices.DeleteFunc(r.deferredCrashes, func(p pendingCrash) bool { return p.fingerprint == fp })
+}
+
 // restrictTrial lets a request whose quarantine has ended make a single attempt, while
 // others with its fingerprint are refused.
 func (r *Router) restrictTrial(at time.Time, req *request) {
--- a/core/proxy/delegate.go
+++ b/core/proxy/delegate.go
@@ -122,7 +122,7 @@
 		}
 	}
 	if newAnswer {
-		r.crashes.Clear(req.event.Fingerprint)
+		r.clearCrashes(req.event.Fingerprint)
 		req.lastAnswer = at
 	}
 	if !e.More {
--- a/core/proxy/finish.go
+++ b/core/proxy/finish.go
@@ -69,7 +69,7 @@
 	r.recordPaceOfAnswer(at, u, e, took, expected)
 	a.request.latency.add(a.request.route, took)
 	u.recordSuccess(at, float64(took)/float64(max(expected, time.Millisecond))/u.slowdown(at))
-	r.crashes.Clear(a.request.event.Fingerprint)
+	r.clearCrashes(a.request.event.Fingerprint)
 	r.endAttempt(at, a, outcomeAnswered)
 	a.subrequest.ran = model.RanYes
 	a.request.lastAnswer = at
--- a/core/proxy/handover.go
+++ b/core/proxy/handover.go
@@ -239,9 +239,10 @@
 	if !r.endHandover(at, a, "answered") {
 		return out
 	}
-	outcome := "served"
-	if e.Response.Status < 200 || e.Response.Status >= 300 {
-		outcome = "failed"
+	outcome := "failed"
+	if e.Response.Status >= 200 && e.Response.Status < 300 {
+		outcome = "served"
+		r.clearCrashes(req.event.Fingerprint)
 	}
 	for _, id := range e.Leaving {
 		out = r.upstreamLeaves(at, id, out)
--- a/core/proxy/reach.go
+++ b/core/proxy/reach.go
@@ -79,6 +79,7 @@
 		At: at, Subject: "upstreams", Action: "reachable again", Cause: "a connection was opened after " + at.Sub(s.lostAt).Truncate(time.Millisecond).String(),
 	})
 	s.lostAt, s.silent, s.regainedAt = time.Time{}, false, at
+	out = r.recordDeferredCrashes(at, out)
 	for _, u := range r.upstreams {
 		// What failed meanwhile was this VM's link.
 		u.backoffUntil, u.connFailures, u.failureRate = time.Time{}, 0, average{}
@@ -192,7 +193,8 @@
 		s.check.repeated = true
 		return out
 	}
-	s.lostAt, r.pendingCrashes = at, nil
+	s.lostAt = at
+	r.deferCrashes()
 	out = append(out, effect.Note{
 		At: at, Subject: "upstreams", Action: "unreachable", Alert: true,
 		Cause: fmt.Sprintf("%d connections could not be opened, last answer %v ago", s.check.failed, at.Sub(s.answeredAt).Truncate(time.Millisecond)),
--- a/core/proxy/router.go
+++ b/core/proxy/router.go
@@ -45,6 +45,7 @@
 	lastAttemptID        model.AttemptID
 	crashes              crash.History  // upstreams that crashed while they ran a request
 	pendingCrashes       []pendingCrash // oldest first
+	deferredCrashes      []pendingCrash // suspected before no upstream was reachable
 	peers                peers
 	isolation            isolation
 	reach                reachability
@@ -167,6 +168,9 @@
 // crashed while they ran a request.
 func (r *Router) HandleCrashReport(at time.Time, report event.CrashReport, out []effect.Effect) []effect.Effect {
 	_ = r.crashes.Merge(at, report)
+	for _, a := range report.Answered {
+		r.dropDeferred(a.Fingerprint)
+	}
 	return out
 }
 
