Let an entry that is cut off cost itself alone

Cause: codec.Elements found the end of an entry by its brackets and quotes, so that one with a missing or odd one swallowed the entries after it, and the array counted as cut off.

A page that is valid is split as before. In any other, an object is an entry if it can be read, begins after a comma and is followed by one or by the end; what lies between is one odd entry. The array ends where a valid rest of the object follows. A page that is cut off is given up as before, and the work on odd bytes is bounded by their length. The number of entries left out and the beginning of the first are logged once a change.

--- a/core/event/control.go
+++ b/core/event/control.go
@@ -69,9 +69,10 @@
 
 // UpstreamListRead is the result of effect.ReadUpstreamList.
 type UpstreamListRead struct {
-	Upstreams []model.Upstream // ascending by id
-	Ignored   int              // invalid entries left out of Upstreams
-	Problem   string           // why reading failed; empty on success
+	Upstreams    []model.Upstream // ascending by id
+	Ignored      int              // invalid entries left out of Upstreams
+	FirstIgnored string           // beginning of the first of them, quoted; empty without one
+	Problem      string           // why reading failed; empty on success
 }
 
 func (UpstreamListRead) body() {}
--- a/core/plane/registration_test.go
+++ b/core/plane/registration_test.go
@@ -284,3 +284,32 @@
 		t.Errorf("got a list of %d upstreams, want the list of the next read with 1", got)
 	}
 }
+
+// Guards against a log line at each reading of the list while the same entry cannot be read,
+// and against one that does not say which.
+func TestIgnoredEntriesAreLoggedOnceAChange(t *testing.T) {
+	f := newRegistrationFixture(1)
+	for i, step := range []struct {
+		ignored int
+		first   string
+		want    string // cause of the note; empty without one
+	}{
+		{0, "", ""},
+		{2, `"{\"id\":"`, `2 name no usable upstream, the first begins with "{\"id\":"`},
+		{2, `"{\"id\":"`, ""},
+		{2, `"]"`, `2 name no usable upstream, the first begins with "]"`},
+		{0, "", "0 name no usable upstream"},
+		{0, "", ""},
+	} {
+		var got string
+		out := f.control.HandleUpstreamListRead(f.now, event.UpstreamListRead{Ignored: step.ignored, FirstIgnored: step.first}, nil)
+		for _, n := range effectsOf[effect.Note](out) {
+			if n.Action == "entries ignored" {
+				got += n.Cause
+			}
+		}
+		if got != step.want {
+			t.Errorf("reading %d: got %q, want %q", i, got, step.want)
+		}
+	}
+}
--- a/core/plane/upstream_list.go
+++ b/core/plane/upstream_list.go
@@ -37,6 +37,7 @@
 	lastAttempt    time.Time                // when the last read by this VM began
 	failing        bool                     // the last read by this VM failed
 	ignored        int                      // unusable entries in the last read
+	firstIgnored   string                   // beginning of the first of them
 	followers      map[model.VMID]time.Time // entry VMs that follow this VM, with the times of their last digests
 	entryVMCount   int                      // entry VMs of the fleet as last published; 0 when not known
 	countConfirmed time.Time                // when at least that many were last counted
@@ -93,15 +94,17 @@
 		out = append(out, effect.Note{At: at, Subject: "roster", Action: "read again", Cause: "the list answers"})
 	}
 	list.failing = false
-	if read.Ignored != list.ignored {
-		out = append(out, effect.Note{
-			At: at, Subject: "roster", Action: "entries ignored", Cause: strconv.Itoa(read.Ignored) + " name no usable upstream",
-		})
+	if read.Ignored != list.ignored || read.FirstIgnored != list.firstIgnored {
+		cause := strconv.Itoa(read.Ignored) + " name no usable upstream"
+		if read.FirstIgnored != "" {
+			cause += ", the first begins with " + read.FirstIgnored
+		}
+		out = append(out, effect.Note{At: at, Subject: "roster", Action: "entries ignored", Cause: cause})
 	}
 	if read.Ignored > 0 {
 		out = append(out, effect.Count{Counter: effect.CountIgnored, Reason: "upstreams", N: int64(read.Ignored)})
 	}
-	list.ignored = read.Ignored
+	list.ignored, list.firstIgnored = read.Ignored, read.FirstIgnored
 	if started.IsZero() {
 		started = at
 	}
--- a/io/codec/elements_test.go
+++ b/io/codec/elements_test.go
@@ -3,9 +3,11 @@
 import (
 	"bytes"
 	"encoding/json"
+	"regexp"
 	"slices"
 	"strings"
 	"testing"
+	"time"
 
 	"comfreypulley/io/codec"
 )
@@ -70,3 +72,72 @@
 		}
 	})
 }
+
+// Guards against an element that is cut off, or contains odd quotes or brackets, costing the
+// elements around it.
+func TestElementsAroundABrokenOne(t *testing.T) {
+	const a, b, c = `{"id":"a","next":"x"}`, `{"id":"b,]}"}`, `{"id":"c"}`
+	for _, broken := range []string{
+		`{"service":"archive","address":"127.0.0.1:8080","ver`, `{"slots":12`, `{"slo`, `{`, `{"a":`, `{"a":[`, `{"a":[1`, `[`, `[1`, `"`, `"x`, `}`, `]`, `{]`, `[}`,
+		`]}`, `],`, `{"a":{"b":"c"}`, `{"id":"x"},]`, "\x01\"\x02", "\xff\xfe", `\`, `"\`, `{"a":"\`, `{"a":"\"`, `nope`, `,`, `{},{"x`, `{"a":["b",{"c":"d`,
+		strings.Repeat(`[`, 20000), strings.Repeat(`{"a":`, 20000), strings.Repeat(`{"a":[`, 20000), strings.Repeat(`"`, 1001), strings.Repeat(`,{"a":[1,`, 20000),
+		strings.Repeat(`],"`, 20000), `{"big":"` + strings.Repeat("x", 100_000),
+	} {
+		for _, list := range []string{broken + "," + a + "," + b, a + "," + broken + "," + b, a + "," + b + "\n," + broken + "\n"} {
+			for _, text := range []string{`{"list":[` + list + `],"next":"x"}`, `{"next":null,"list":[` + list + `]}`} {
+				elements, rest, err := codec.Elements([]byte(text), "list")
+				if err != nil || !json.Valid(rest) {
+					t.Errorf("%.80q: got rest %.60q, %v, want the elements around", text, rest, err)
+				}
+				for _, want := range []string{a, b} {
+					if !slices.ContainsFunc(elements, func(e []byte) bool { return string(e) == want }) {
+						t.Errorf("%.80q: got %.200q, want %q among them", text, elements, want)
+					}
+				}
+			}
+		}
+	}
+	for _, odd := range []string{`],"`, `],"a":["x"`, `,{"a":[1,`, `,{"a":`, `,{"`, `{`, `[`, `]`, `"`, `,{"a":{},"b":[[1,2,3],4,5,6,7]`, `,{},`} {
+		text := `{"list":[` + a + "," + strings.Repeat(odd, (2<<20)/len(odd)) + `],"next":"x"}`
+		start := time.Now()
+		_, _, _ = codec.Elements([]byte(text), "list")
+		if got := time.Since(start); got > 2*time.Second {
+			t.Errorf("%q many times: took %v for 2 MiB, want a time that grows with the length only", odd, got)
+		}
+	}
+	for _, text := range []string{`{"list":[` + a + `,{"x":`, `{"list":[` + a + `,` + b, `{"list":[` + a + `,"`, `{"list":[` + a + `]`} {
+		if elements, _, err := codec.Elements([]byte(text), "list"); err == nil {
+			t.Errorf("%s: got %q, want an error for a list that is cut off", text, elements)
+		}
+	}
+	// What cannot be told apart: these bytes close the list and open another one.
+	text := `{"list":[` + a + `,],"other":[` + b + `,` + c + `]}`
+	if elements, _, err := codec.Elements([]byte(text), "list"); err != nil || len(elements) != 1 || string(elements[0]) != a {
+		t.Errorf("%s: got %q, %v, want only %q", text, elements, err, a)
+	}
+}
+
+// Guards against bytes between two elements that can be read, and cost one of them. Bytes that
+// close the list, with a comma and a quote after the bracket, are left out: they may open a
+// further field of the object, whose elements are not those of the list
+// (TestElementsAroundABrokenOne shows it).
+func FuzzElementsAround(f *testing.F) {
+	for _, seed := range []string{`{"a":"b`, `{"a":[1`, `"`, `]`, `{"a":{"b":[`, "\x01\"\x02", `{"id":"a"},{"x`, `],"`} {
+		f.Add([]byte(seed))
+	}
+	f.Fuzz(func(t *testing.T, broken []byte) {
+		const a, b = `{"id":"a"}`, `{"id":"b"}`
+		if len(broken) > 1<<14 || closesList.Match(broken) {
+			return
+		}
+		text := slices.Concat([]byte(`{"list":[`+a+","), broken, []byte(","+b+`],"next":"x"}`))
+		elements, _, err := codec.Elements(text, "list")
+		for _, want := range []string{a, b} {
+			if err != nil || !slices.ContainsFunc(elements, func(e []byte) bool { return string(e) == want }) {
+				t.Fatalf("%q between two elements: got %q, %v, want %s among them", broken, elements, err, want)
+			}
+		}
+	})
+}
+
+var closesList = regexp.MustCompile(`\][ \t\r\n]*,[ \t\r\n]*"`)
--- a/io/serve/control_executor.go
+++ b/io/serve/control_executor.go
@@ -30,8 +30,7 @@
 func (c *controlExecutor) readUpstreamList(e effect.ReadUpstreamList) {
 	ctx, cancel := context.WithTimeout(context.Background(), e.Timeout)
 	defer cancel()
-	upstreams, ignored, err := c.lister.List(ctx)
-	result := event.UpstreamListRead{Upstreams: upstreams, Ignored: ignored}
+	result, err := c.lister.List(ctx)
 	if err != nil {
 		result = event.UpstreamListRead{Problem: err.Error()}
 	}
--- a/io/serve/platform_settings.go
+++ b/io/serve/platform_settings.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"time"
 
+	"comfreypulley/core/event"
 	"comfreypulley/core/model"
 	"comfreypulley/io/proxy"
 )
@@ -45,7 +46,6 @@
 
 // UpstreamLister reads the platform's list of upstreams.
 type UpstreamLister interface {
-	// List returns the upstreams and the number of invalid entries that were
-	// left out.
-	List(ctx context.Context) (upstreams []model.Upstream, ignored int, err error)
+	// List returns the upstreams, and what was left out as invalid.
+	List(ctx context.Context) (read event.UpstreamListRead, err error)
 }
