Follow the linter in tests of the last commits

durationcheck, gocyclo, perfsprint and unparam complained about test code of the commits since, which had been built, vetted and tested but not linted.

--- a/core/node/first_start_test.go
+++ b/core/node/first_start_test.go
@@ -35,7 +35,8 @@
 // setting that the fleet is new.
 func TestKillOfAllAtTheFirstStart(t *testing.T) {
 	const restart = 700 * time.Millisecond
-	for _, kill := range []time.Duration{5, 50, 100, 150, 300, 1000, 1900} {
+	for _, ms := range []int{5, 50, 100, 150, 300, 1000, 1900} {
+		kill := time.Duration(ms) * time.Millisecond
 		for _, c := range []struct {
 			name  string
 			kills int
@@ -56,7 +57,7 @@
 				for _, id := range ids {
 					f.start(id)
 				}
-				f.run(kill*time.Millisecond, 0)
+				f.run(kill, 0)
 				for _, id := range ids {
 					f.stop(id)
 				}
@@ -66,7 +67,7 @@
 				f.start(id)
 			}
 			if !f.acknowledges(ids[0], 12*time.Second) {
-				t.Errorf("killed %s after %d ms: no change is acknowledged", c.name, kill)
+				t.Errorf("killed %s after %v: no change is acknowledged", c.name, kill)
 			}
 		}
 	}
--- a/core/node/limit_sim_test.go
+++ b/core/node/limit_sim_test.go
@@ -233,14 +233,8 @@
 			vm.timers[fmt.Sprint(role, e.ID)]++
 		case effect.SendMessage:
 			f.send(id, e.To, e.Message)
-		case effect.SaveVote:
-			f.write(id, e, e.Seq)
-		case effect.AppendEntries:
-			f.write(id, e, e.Seq)
-		case effect.SaveImage:
-			f.write(id, e, e.Seq)
-		case effect.SaveFounders:
-			f.write(id, e, 0)
+		case effect.SaveVote, effect.AppendEntries, effect.SaveImage, effect.SaveFounders:
+			f.write(id, e)
 		case effect.AnswerOperator:
 			if f.results != nil {
 				f.results[e.Seq] = e.Result
@@ -266,7 +260,7 @@
 }
 
 // write syncs a write, unless the VM is stopped before.
-func (f *limitFleet) write(id model.VMID, e effect.Effect, seq uint64) {
+func (f *limitFleet) write(id model.VMID, e effect.Effect) {
 	boot := f.vms[id].boot
 	f.after(limitMessage, func() {
 		if f.vms[id].boot != boot {
@@ -275,7 +269,7 @@
 		if d := f.disks[id]; d != nil {
 			persist(d, e)
 		}
-		if seq > 0 {
+		if seq := writeSeq(e); seq > 0 {
 			f.post(id, boot, event.RoleControl, event.DiskSynced{Seq: seq})
 		}
 	})
--- a/core/node/tier_sim_test.go
+++ b/core/node/tier_sim_test.go
@@ -204,6 +204,20 @@
 	}
 }
 
+// writeSeq returns the number of a write, 0 without one.
+func writeSeq(e effect.Effect) uint64 {
+	switch e := e.(type) {
+	case effect.SaveVote:
+		return e.Seq
+	case effect.AppendEntries:
+		return e.Seq
+	case effect.SaveImage:
+		return e.Seq
+	default:
+		return 0
+	}
+}
+
 func (w *tierSim) schedule(d time.Duration, do func()) {
 	w.lastSeq++
 	heap.Push(&w.queue, tierEvent{at: w.now.Add(d), seq: w.lastSeq, do: do})
@@ -360,14 +374,7 @@
 		var synced event.DiskSynced
 		for _, e := range h.pending[:batch] {
 			persist(&h.disk, e)
-			switch e := e.(type) {
-			case effect.SaveVote:
-				synced.Seq = e.Seq
-			case effect.AppendEntries:
-				synced.Seq = e.Seq
-			case effect.SaveImage:
-				synced.Seq = e.Seq
-			}
+			synced.Seq = max(synced.Seq, writeSeq(e))
 		}
 		h.pending, h.syncing = slices.Clone(h.pending[batch:]), false
 		w.reduce(h, event.RoleControl, synced)
--- a/core/plane/registration_test.go
+++ b/core/plane/registration_test.go
@@ -3,6 +3,7 @@
 import (
 	"net/netip"
 	"slices"
+	"strings"
 	"testing"
 	"time"
 
@@ -301,14 +302,14 @@
 		{0, "", "0 name no usable upstream"},
 		{0, "", ""},
 	} {
-		var got string
+		var causes []string
 		out := f.control.HandleUpstreamListRead(f.now, event.UpstreamListRead{Ignored: step.ignored, FirstIgnored: step.first}, nil)
 		for _, n := range effectsOf[effect.Note](out) {
 			if n.Action == "entries ignored" {
-				got += n.Cause
+				causes = append(causes, n.Cause)
 			}
 		}
-		if got != step.want {
+		if got := strings.Join(causes, "; "); got != step.want {
 			t.Errorf("reading %d: got %q, want %q", i, got, step.want)
 		}
 	}
--- a/core/proxy/crash_return_test.go
+++ b/core/proxy/crash_return_test.go
@@ -52,7 +52,7 @@
 	w.running = make(map[model.AttemptID]model.UpstreamID)
 	other := unshardedRoute(false)
 	other.PathPrefix, other.Targets = "/other/", []model.Target{{Service: "t", Weight: 1}}
-	w.setRoutes(2, route, other)
+	w.setRoutes(route, other)
 	var list []model.Upstream
 	add := func(service string, n int) {
 		list = append(list, model.Upstream{
--- a/core/proxy/route_name_test.go
+++ b/core/proxy/route_name_test.go
@@ -92,7 +92,7 @@
 	slow.PathPrefix, slow.Timeout = "/slow/", 10*time.Second
 	fast.PathPrefix, fast.Timeout = "/fast/", 100*time.Millisecond
 	tr := newTestRouter(slow, "s")
-	tr.setRoutes(2, slow, fast)
+	tr.setRoutes(slow, fast)
 	for range 20 {
 		tr.respond(tr.requestPath(t, "/slow/x"), time.Second)
 	}
@@ -107,7 +107,7 @@
 	first.Targets = []model.Target{{Service: "s", Weight: 1}, {Service: "t", Weight: 1}}
 	second.Targets = first.Targets
 	tr := newTestRouter(first, "s", "t")
-	tr.setRoutes(2, first, second)
+	tr.setRoutes(first, second)
 	counts := make(map[model.UpstreamID]int)
 	const rounds = 100
 	for range rounds {
@@ -132,7 +132,7 @@
 			tr.respond(tr.requestPath(t, "/x"), time.Millisecond)
 		}
 		route.Targets = []model.Target{{Service: "s", Weight: 1}, {Service: "t", Weight: 1}}
-		tr.setRoutes(2, route)
+		tr.setRoutes(route)
 		counts := make(map[model.UpstreamID]int)
 		const requests = 100
 		for range requests {
--- a/core/proxy/router_test.go
+++ b/core/proxy/router_test.go
@@ -377,9 +377,10 @@
 	t.Errorf("got %+v, want a refusal as not run", out)
 }
 
-// setRoutes puts a document with other routes in force, over the services that they name.
-func (tr *testRouter) setRoutes(version uint64, routes ...model.Route) {
-	d := &model.Document{Version: version, Routes: routes}
+// setRoutes puts the second document in force, with other routes over the services that
+// they name.
+func (tr *testRouter) setRoutes(routes ...model.Route) {
+	d := &model.Document{Version: 2, Routes: routes}
 	for _, r := range routes {
 		for _, target := range r.Targets {
 			d.Services = append(d.Services, model.Service{Name: target.Service, MaxConns: 60})
