--- a/core/member/detector.go
+++ b/core/member/detector.go
@@ -41,36 +41,6 @@
 	timerDue     time.Time // zero when the timer is not set
 }
 
-// vmState is what is known about one VM.
-type vmState struct {
-	watched        bool // it sends its digests here, so silence counts against it
-	lastDigest     time.Time
-	round          *probeRound // nil when it is not probed
-	suspected      bool
-	damped         bool // kept suspected, also if alive, since it failed repeatedly
-	lastPing       time.Time
-	pingSeq        uint64 // number of the last direct ping
-	penalty        penalty
-	suspicionCause string
-}
-
-// probeRound is one round of indirect pings of a silent VM.
-type probeRound struct {
-	seq       uint64
-	number    int // 1 for the first round
-	witnesses []model.VMID
-	failures  int // witnesses that answered that they did not reach the VM
-	deadline  time.Time
-}
-
-// relayedPing is a ping that this VM, as a witness, sends for another VM.
-type relayedPing struct {
-	requester  model.VMID
-	requestSeq uint64 // sequence number of the IndirectPing that requested it
-	target     model.VMID
-	deadline   time.Time
-}
-
 // SetVMs sets the VMs of the configuration and discards the state of all
 // others.
 func (d *Detector) SetVMs(vms map[model.VMID]model.VM) {
