Delete the state of gone routes without a look at all routes

forgetRoutes of built a set of all routes at each change: 1.5 ms at 14,000 routes, more than the route table itself (1.1 ms), during which an entry VM does nothing else. The routes of a host are now in an order in which one can be searched, and only routes with state are looked up: 0.15 us with one of them, while the table takes as long as before (1.0 ms).

--- a/core/proxy/match.go
+++ b/core/proxy/match.go
@@ -10,7 +10,7 @@
 
 // routeTable finds the route and the team of a request. The zero value has no routes.
 type routeTable struct {
-	byHost map[string][]*model.Route // longest prefix first
+	byHost map[string][]*model.Route // longest prefix first, those of one length in order
 	keyed  bool                      // a request needs the key of a team, unless its route is public
 	teams  map[model.KeyHash]*keyHolder
 }
@@ -38,11 +38,24 @@
 		t.byHost[host] = append(t.byHost[host], &d.Routes[i])
 	}
 	for _, routes := range t.byHost {
-		slices.SortStableFunc(routes, func(a, b *model.Route) int { return cmp.Compare(len(b.PathPrefix), len(a.PathPrefix)) })
+		slices.SortStableFunc(routes, func(a, b *model.Route) int { return comparePrefixes(a.PathPrefix, b.PathPrefix) })
 	}
 	return t
 }
 
+// comparePrefixes compares path prefixes in the order of routeTable.byHost.
+func comparePrefixes(a, b string) int {
+	return cmp.Or(cmp.Compare(len(b), len(a)), strings.Compare(a, b))
+}
+
+// has reports whether there is a route.
+func (t *routeTable) has(key model.RouteKey) bool {
+	_, ok := slices.BinarySearchFunc(t.byHost[key.Host], key.PathPrefix, func(r *model.Route, prefix string) int {
+		return comparePrefixes(r.PathPrefix, prefix)
+	})
+	return ok
+}
+
 // find returns the route of the host with the longest matching path prefix, or
 // nil. A port in the host is ignored.
 func (t *routeTable) find(host, path string) *model.Route {
--- a/core/proxy/route_state.go
+++ b/core/proxy/route_state.go
@@ -17,19 +17,15 @@
 	return s
 }
 
-// forgetRoutes deletes the state of routes that a document does not have. Requests in
-// flight keep what they refer to.
-func (r *Router) forgetRoutes(d *model.Document) {
-	keys := make(map[model.RouteKey]bool, len(d.Routes))
-	for i := range d.Routes {
-		keys[d.Routes[i].Key()] = true
-	}
-	keepKeys(r.latencies, keys)
-	keepKeys(r.firstFrameLatencies, keys)
-	keepKeys(r.roundRobins, keys)
+// forgetRoutes deletes the state of routes that are gone. Requests in flight keep what they
+// refer to.
+func (r *Router) forgetRoutes() {
+	deleteGone(r.latencies, &r.routes)
+	deleteGone(r.firstFrameLatencies, &r.routes)
+	deleteGone(r.roundRobins, &r.routes)
 }
 
-// keepKeys deletes all states but those of the given routes.
-func keepKeys[S any](states map[model.RouteKey]*S, keys map[model.RouteKey]bool) {
-	maps.DeleteFunc(states, func(key model.RouteKey, _ *S) bool { return !keys[key] })
+// deleteGone deletes the states of routes that a table does not have.
+func deleteGone[S any](states map[model.RouteKey]*S, routes *routeTable) {
+	maps.DeleteFunc(states, func(key model.RouteKey, _ *S) bool { return !routes.has(key) })
 }
--- a/core/proxy/router.go
+++ b/core/proxy/router.go
@@ -92,7 +92,7 @@
 	}
 	r.retainDocument(at)
 	r.document, r.routes, r.peers.portions = d, newRouteTable(d), nil
-	r.forgetRoutes(d)
+	r.forgetRoutes()
 	r.services = make(map[string]model.Service, len(d.Services))
 	for _, s := range d.Services {
 		r.services[s.Name] = s
