Name the array that is cut off in the error

A list of upstreams that was cut off was logged as 'msgpack at byte 9: array instances is cut off', though it is JSON: codec.Elements used the error of the msgpack decoder. It has an *ArrayError of its own now. io/codec and platform pass their tests.

--- a/io/codec/elements.go
+++ b/io/codec/elements.go
@@ -4,6 +4,7 @@
 	"bytes"
 	"encoding/json"
 	"errors"
+	"fmt"
 	"io"
 	"strings"
 )
@@ -21,7 +22,7 @@
 // Elements returns the elements of the array that a JSON object has under a name at
 // its first level, and the object with an empty array in its place. Elements are not
 // checked, so that one which cannot be read does not cost the others. Without such an
-// array, rest is the whole text. An array that does not end gives a *SyntaxError.
+// array, rest is the whole text. An array that does not end gives an *ArrayError.
 //
 // If the text is not valid, an element may be cut off or contain odd quotes and brackets.
 // Then only objects are taken as elements that can be read; see arrayReader. What lies
@@ -40,11 +41,22 @@
 		elements, end = r.elements()
 	}
 	if end < 0 {
-		return nil, nil, &SyntaxError{Offset: start, Problem: "array " + name + " is cut off"}
+		return nil, nil, &ArrayError{Name: name, Offset: start}
 	}
 	return elements, withoutElements(text, start, end), nil
 }
 
+// ArrayError reports an array of a JSON text that does not end.
+type ArrayError struct {
+	Name   string // of the field that has the array
+	Offset int    // of its first element, in bytes
+}
+
+// Error implements error.
+func (e *ArrayError) Error() string {
+	return fmt.Sprintf("array %q is cut off; its elements begin at byte %d", e.Name, e.Offset)
+}
+
 // withoutElements returns a text without the elements of the array from a first to a last
 // offset.
 func withoutElements(text []byte, start, end int) []byte {
--- a/io/codec/elements_test.go
+++ b/io/codec/elements_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"encoding/json"
+	"errors"
 	"regexp"
 	"slices"
 	"strings"
@@ -106,8 +107,9 @@
 		}
 	}
 	for _, text := range []string{`{"list":[` + a + `,{"x":`, `{"list":[` + a + `,` + b, `{"list":[` + a + `,"`, `{"list":[` + a + `]`} {
-		if elements, _, err := codec.Elements([]byte(text), "list"); err == nil {
-			t.Errorf("%s: got %q, want an error for a list that is cut off", text, elements)
+		var cutOff *codec.ArrayError
+		if elements, _, err := codec.Elements([]byte(text), "list"); !errors.As(err, &cutOff) || cutOff.Name != "list" {
+			t.Errorf("%s: got %q, %v, want an *ArrayError for a list that is cut off", text, elements, err)
 		}
 	}
 	// What cannot be told apart: these bytes close the list and open another one.
