Share numbered crashes under names that earlier builds count

The first crash of an upstream is shared under its id and later ones under the id with the number. An earlier build counts each name as an upstream that crashed once and keeps the quarantine; the frame is the same as before. A list of names says which crashes are not cleared, so the fields for numbers and cleared ones are gone. What a report leaves out counts as cleared only where nothing is known of the upstream.

--- a/core/crash/guard_test.go
+++ b/core/crash/guard_test.go
@@ -10,7 +10,7 @@
 )
 
 // crashOf returns the first crashes of upstreams.
-func crashOf(ids ...model.UpstreamID) []model.Crash { return model.JoinCrashes(ids, nil, nil) }
+func crashOf(ids ...model.UpstreamID) []model.Crash { return model.NamedCrashes(ids) }
 
 var startTime = time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
 
--- a/core/crash/history.go
+++ b/core/crash/history.go
@@ -27,8 +27,9 @@
 // probation: the next crash starts a longer quarantine. An answer ends both. The zero
 // value is ready for use.
 //
-// An upstream counts as often as it crashes, since it may come back under its id. What is
-// known of its crashes only grows, so that reports may come late, twice and in any order.
+// An upstream counts as often as it crashes, since it may come back under its id. The
+// highest number of its crashes that is known only grows, and so does the highest one that
+// was answered, so that reports may come late, twice and in any order.
 //
 // Crashes are remembered for long, because a request that comes again slowly crashes as
 // many upstreams as one that comes at once.
@@ -165,8 +166,7 @@
 	if r == nil || r.count() == 0 {
 		return
 	}
-	a := model.AnsweredCrashes{Fingerprint: fp}
-	a.Upstreams, a.Numbers, _ = model.SplitCrashes(r.live())
+	a := model.AnsweredCrashes{Fingerprint: fp, Upstreams: model.CrashNames(r.crashes)}
 	if len(h.answered) < maxRecords {
 		h.answered = append(h.answered, a)
 	}
@@ -188,9 +188,9 @@
 	if r == nil {
 		return
 	}
-	for i, id := range a.Upstreams {
-		if crash := r.find(id); crash != nil {
-			crash.Cleared = max(crash.Cleared, min(a.Number(i), crash.Number))
+	for _, answered := range model.NamedCrashes(a.Upstreams) {
+		if crash := r.find(answered.Upstream); crash != nil {
+			crash.Cleared = max(crash.Cleared, min(answered.Number, crash.Number))
 		}
 	}
 	switch {
--- a/core/crash/record.go
+++ b/core/crash/record.go
@@ -52,20 +52,20 @@
 	return r.quarantines > 0 && r.count() > 0 && !at.Before(r.quarantinedUntil)
 }
 
-// add records crashes, and reports whether any of them is new and not cleared. It drops
-// the upstreams that were seen first beyond maxUpstreams.
+// add records crashes, and reports whether any of them is new. It drops the upstreams that
+// were seen first beyond maxUpstreams. Crashes count as cleared by a report only if nothing
+// is known of their upstream: a VM that knows less may not know them.
 func (r *record) add(at time.Time, crashes []model.Crash) (isNew bool) {
 	for _, c := range crashes {
 		known := r.find(c.Upstream)
 		if known == nil {
-			r.crashes = append(r.crashes, model.Crash{Upstream: c.Upstream})
+			r.crashes = append(r.crashes, model.Crash{Upstream: c.Upstream, Number: c.Cleared, Cleared: c.Cleared})
 			r.crashes = r.crashes[max(0, len(r.crashes)-maxUpstreams):]
 			known = &r.crashes[len(r.crashes)-1]
 		}
-		if c.Number > max(known.Number, c.Cleared) {
-			r.changedAt, isNew = at, true
+		if c.Number > known.Number {
+			known.Number, r.changedAt, isNew = c.Number, at, true
 		}
-		known.Number, known.Cleared = max(known.Number, c.Number), max(known.Cleared, min(c.Cleared, c.Number))
 	}
 	return isNew
 }
--- a/core/frame/upstream.go
+++ b/core/frame/upstream.go
@@ -10,9 +10,7 @@
 // crashes.
 type CrashReport struct {
 	Fingerprint model.Fingerprint
-	Upstreams   []model.UpstreamID      // that crashed
-	Numbers     []int                   `msgpack:",omitempty"` // of their last crashes, see model.Crash; earlier builds skip it
-	Cleared     []int                   `msgpack:",omitempty"` // likewise
+	Upstreams   []model.UpstreamID      // names of the crashes, see model.CrashNames
 	Quarantine  time.Duration           // time left during which such requests are refused; 0 when they are not
 	Relay       bool                    `msgpack:"Pass"`       // the receiver forwards the report to the other VMs of its zone
 	Answered    []model.AnsweredCrashes `msgpack:",omitempty"` // in a report of its own: the other fields but Relay are empty, which an earlier build skips
--- a/core/model/crash.go
+++ b/core/model/crash.go
@@ -1,5 +1,11 @@
 package model
 
+import (
+	"slices"
+	"strconv"
+	"strings"
+)
+
 // Crash is a crash of an upstream while it ran a request. The crashes of one upstream by
 // equal requests are numbered from 1, since an upstream may come back under its id and
 // crash again. The number follows those that were known when the attempt was sent: VMs that
@@ -15,44 +21,48 @@
 // Crashes that it does not name are not, so that it clears none that came after the answer.
 type AnsweredCrashes struct {
 	Fingerprint Fingerprint
-	Upstreams   []UpstreamID // that crashed before the answer
-	Numbers     []int        `msgpack:",omitempty"` // of their last crashes before it; empty for 1 each, as earlier builds mean it
+	Upstreams   []UpstreamID // names of the crashes before the answer, see CrashNames
 }
 
-// Number returns the number of the last crash of Upstreams[i] before the answer.
-func (a *AnsweredCrashes) Number(i int) int { return crashNumber(a.Numbers, i) }
-
-// crashNumber returns the number at a position, or 1 where there is none.
-func crashNumber(numbers []int, i int) int {
-	if i < len(numbers) {
-		return numbers[i]
-	}
-	return 1
-}
+const (
+	crashSeparator = "\x00" // between an upstream and the number of its crash; no id has it
+	maxCrashNames  = 1 << 6 // of one upstream, the last ones
+)
 
-// SplitCrashes returns crashes as lists of equal length. Those of the numbers are nil
-// while they say nothing that an earlier build would not assume.
-func SplitCrashes(crashes []Crash) (upstreams []UpstreamID, numbers, cleared []int) {
-	isPlain := true
+// CrashNames returns the names under which VMs share the crashes that are not cleared: the
+// id of the upstream for its first one, and the id with the number for later ones. To
+// earlier builds, which count upstreams, each is an upstream that crashed once.
+func CrashNames(crashes []Crash) (names []UpstreamID) {
 	for _, c := range crashes {
-		upstreams, numbers, cleared = append(upstreams, c.Upstream), append(numbers, c.Number), append(cleared, c.Cleared)
-		isPlain = isPlain && c.Number == 1 && c.Cleared == 0
-	}
-	if isPlain {
-		return upstreams, nil, nil
+		for n := max(c.Cleared, c.Number-maxCrashNames) + 1; n <= c.Number; n++ {
+			name := c.Upstream
+			if n > 1 {
+				name += UpstreamID(crashSeparator + strconv.Itoa(n))
+			}
+			names = append(names, name)
+		}
 	}
-	return upstreams, numbers, cleared
+	return names
 }
 
-// JoinCrashes is the inverse of SplitCrashes.
-func JoinCrashes(upstreams []UpstreamID, numbers, cleared []int) []Crash {
-	var crashes []Crash
-	for i, id := range upstreams {
-		c := Crash{Upstream: id, Number: crashNumber(numbers, i)}
-		if i < len(cleared) {
-			c.Cleared = cleared[i]
+// NamedCrashes returns the last crash of each upstream in a list of names. Those before the
+// first one that is named count as cleared.
+func NamedCrashes(names []UpstreamID) (crashes []Crash) {
+	for _, name := range names {
+		id, number := name, 1
+		if before, after, ok := strings.Cut(string(name), crashSeparator); ok {
+			n, err := strconv.Atoi(after)
+			if err != nil || n < 1 {
+				continue
+			}
+			id, number = UpstreamID(before), n
+		}
+		i := slices.IndexFunc(crashes, func(c Crash) bool { return c.Upstream == id })
+		if i < 0 {
+			crashes = append(crashes, Crash{Upstream: id, Number: number, Cleared: number - 1})
+			continue
 		}
-		crashes = append(crashes, c)
+		crashes[i].Number, crashes[i].Cleared = max(crashes[i].Number, number), min(crashes[i].Cleared, number-1)
 	}
 	return crashes
 }
--- a/core/plane/crash_report.go
+++ b/core/plane/crash_report.go
@@ -44,9 +44,7 @@
 // peerCrashReport handles a crash report from another VM. With Relay set, this
 // VM is the first of its zone that receives it, and passes it to the others.
 func (c *Control) peerCrashReport(at time.Time, from model.VMID, m frame.CrashReport, out []effect.Effect) []effect.Effect {
-	report := event.CrashReport{
-		Fingerprint: m.Fingerprint, Crashes: model.JoinCrashes(m.Upstreams, m.Numbers, m.Cleared), Quarantine: m.Quarantine, Answered: m.Answered,
-	}
+	report := event.CrashReport{Fingerprint: m.Fingerprint, Crashes: model.NamedCrashes(m.Upstreams), Quarantine: m.Quarantine, Answered: m.Answered}
 	_ = c.crashes.Merge(at, report)
 	if !c.crashReports.add(at, report) {
 		return out
@@ -88,9 +86,9 @@
 }
 
 func crashReportMessage(report event.CrashReport) frame.CrashReport {
-	m := frame.CrashReport{Fingerprint: report.Fingerprint, Quarantine: report.Quarantine, Answered: report.Answered}
-	m.Upstreams, m.Numbers, m.Cleared = model.SplitCrashes(report.Crashes)
-	return m
+	return frame.CrashReport{
+		Fingerprint: report.Fingerprint, Upstreams: model.CrashNames(report.Crashes), Quarantine: report.Quarantine, Answered: report.Answered,
+	}
 }
 
 // sendQuarantines tells an entry VM that has just started which requests are in
--- a/core/plane/crash_report_test.go
+++ b/core/plane/crash_report_test.go
@@ -56,7 +56,7 @@
 // Guards against reports that some VM never receives, and against a cost that
 // grows with the fleet.
 func TestCrashReportReachesOwnZoneAndOneVMOfEachOther(t *testing.T) {
-	out := newThreeZoneVM("vm5").HandleCrashReport(startTime, event.CrashReport{Fingerprint: 7, Crashes: model.JoinCrashes([]model.UpstreamID{"u1"}, nil, nil)}, nil)
+	out := newThreeZoneVM("vm5").HandleCrashReport(startTime, event.CrashReport{Fingerprint: 7, Crashes: model.NamedCrashes([]model.UpstreamID{"u1"})}, nil)
 	if got, want := recipients(out, false), []model.VMID{"vm4", "vm6", "vm7"}; !slices.Equal(got, want) {
 		t.Errorf("sent to %v of its own zone, want %v", got, want)
 	}
@@ -99,8 +99,7 @@
 		{5 * time.Second, event.CrashReport{Fingerprint: 8, Crashes: one}, 1},
 		{2 * time.Minute, event.CrashReport{Fingerprint: 7, Crashes: both, Quarantine: time.Minute}, 1},
 	} {
-		m := frame.CrashReport{Fingerprint: step.s.Fingerprint, Quarantine: step.s.Quarantine}
-		m.Upstreams, m.Numbers, m.Cleared = model.SplitCrashes(step.s.Crashes)
+		m := frame.CrashReport{Fingerprint: step.s.Fingerprint, Upstreams: model.CrashNames(step.s.Crashes), Quarantine: step.s.Quarantine}
 		out := c.HandlePeerMessage(startTime.Add(step.after), event.PeerMessage{From: "vm4", Message: m}, nil)
 		if trafficBroadcasts(out) != step.want || len(recipients(out, false)) != 0 {
 			t.Errorf("step %d: sent to the loops %d times and to VMs %v, want %d times and no VM",
--- a/core/proxy/crash_suspect_test.go
+++ b/core/proxy/crash_suspect_test.go
@@ -144,7 +144,7 @@
 		tr.lastID++
 		return tr.router.HandleProxyRequest(tr.now, event.ProxyRequest{ID: tr.lastID, Host: "h", Path: "/x", Fingerprint: 7}, nil)
 	}
-	tr.router.HandleCrashReport(tr.now, event.CrashReport{Fingerprint: 7, Crashes: model.JoinCrashes([]model.UpstreamID{"u1", "u2", "u3"}, nil, nil), Quarantine: time.Minute}, nil)
+	tr.router.HandleCrashReport(tr.now, event.CrashReport{Fingerprint: 7, Crashes: model.NamedCrashes([]model.UpstreamID{"u1", "u2", "u3"}), Quarantine: time.Minute}, nil)
 	tr.now = tr.now.Add(time.Minute)
 	tr.replaceUpstreams("s")
 	trial := forwardsOf(request())
--- a/core/proxy/router_test.go
+++ b/core/proxy/router_test.go
@@ -191,7 +191,7 @@
 // a quarantine of other requests.
 func TestCrashingRequestIsQuarantined(t *testing.T) {
 	tr := newTestRouter(unshardedRoute(false), "s")
-	report := event.CrashReport{Fingerprint: 1, Crashes: model.JoinCrashes([]model.UpstreamID{"s/a", "s/b", "s/c"}, nil, nil)}
+	report := event.CrashReport{Fingerprint: 1, Crashes: model.NamedCrashes([]model.UpstreamID{"s/a", "s/b", "s/c"})}
 	tr.router.HandleCrashReport(tr.now, report, nil)
 	out := tr.router.HandleProxyRequest(tr.now, event.ProxyRequest{ID: 1, Host: "h", Path: "/x", Fingerprint: 1}, nil)
 	if len(forwardsOf(out)) != 0 {
--- a/io/peer/codec_test.go
+++ b/io/peer/codec_test.go
@@ -90,7 +90,7 @@
 		frame.TokenRequest{Seq: 7, Customer: "c", Relayed: true, Late: true},
 		frame.TokenResponse{Seq: 7, Granted: true, Known: true, Wait: time.Second, Unreached: []model.VMID{"vm3"}},
 		frame.TokenExchange{Hears: []model.VMID{"vm1"}, Wanted: []string{"c"}, Tokens: map[string]float64{"d": 1.5}},
-		frame.CrashReport{Fingerprint: 3, Upstreams: []model.UpstreamID{"u"}, Numbers: []int{2}, Cleared: []int{1}, Quarantine: time.Second, Relay: true, Answered: []model.AnsweredCrashes{{Fingerprint: 4, Upstreams: []model.UpstreamID{"v"}, Numbers: []int{3}}}},
+		frame.CrashReport{Fingerprint: 3, Upstreams: []model.UpstreamID{"u", "u\x002"}, Quarantine: time.Second, Relay: true, Answered: []model.AnsweredCrashes{{Fingerprint: 4, Upstreams: []model.UpstreamID{"v\x003"}}}},
 	)
 }
 
