Let founders vote for a log that names them without their disk

Cause: two founders had begun a log each, neither of them committed. Each named as voters without a disk some whose disks the other one recorded. A voter said in its vote that it is a founder only if its own log names it without a disk, so that its vote counted for its disk alone, which the candidate's log does not name. The trace of the members at the end shows both logs.

A vote now says whether the voter is an initial voter with its first disk, whatever its own log says. Such a voter is one replica with one vote a term under either name, so majorities overlap as before.

TestTwoUncommittedLogsOfTheFirstStart has no leader without the fix.

--- a/core/frame/log.go
+++ b/core/frame/log.go
@@ -22,7 +22,7 @@
 	Replica entry.Replica // the voter
 	PreVote bool          `msgpack:"Pre"`
 	Granted bool
-	Founder bool `msgpack:",omitempty"` // as in AppendResponse
+	Founder bool `msgpack:",omitempty"` // an initial voter with its first disk
 }
 
 // AppendRequest replicates log entries. It is also the leader's heartbeat.
--- a/core/quorum/cluster_test.go
+++ b/core/quorum/cluster_test.go
@@ -136,15 +136,19 @@
 		return voters
 	}
 	if n.founding = slices.Contains(c.initialVoters, n.vm); n.founding {
-		save := effect.SaveFounders{}
-		for _, vm := range c.initialVoters {
-			save.VMs = append(save.VMs, model.VM{ID: vm})
-		}
-		n.unsynced = append(n.unsynced, save)
+		n.unsynced = append(n.unsynced, effect.SaveFounders{VMs: c.initialVMs()})
 	}
 	return c.initialVoters
 }
 
+// initialVMs returns the initial voters as VMs.
+func (c *cluster) initialVMs() (vms []model.VM) {
+	for _, id := range c.initialVoters {
+		vms = append(vms, model.VM{ID: id})
+	}
+	return vms
+}
+
 // stop crashes a VM. A random prefix of its unsynced writes still reaches the
 // disk. The right to found the log counts like a disk, of which not too many may be lost.
 func (c *cluster) stop(n *node) {
--- a/core/quorum/election.go
+++ b/core/quorum/election.go
@@ -119,7 +119,7 @@
 		// A replica in contact with its leader does not help to depose it.
 		leaderAlive := l.role == leader || l.leaderID != "" && at.Before(l.lastContact.Add(minElectionTimeout))
 		granted := !leaderAlive && v.Term > l.term && l.upToDate(v.LastIndex, v.LastTerm) && l.mayElect(v)
-		response := frame.VoteResponse{Term: l.term, Replica: l.self, PreVote: true, Granted: granted, Founder: l.isUnrecordedFounder()}
+		response := frame.VoteResponse{Term: l.term, Replica: l.self, PreVote: true, Granted: granted, Founder: l.isFounder()}
 		if granted {
 			response.Term = v.Term
 		}
@@ -135,7 +135,7 @@
 		out = l.writeTerm(at, out)
 		out = l.resetElectionTimer(at, out)
 	}
-	response := frame.VoteResponse{Term: l.term, Replica: l.self, Granted: granted, Founder: l.isUnrecordedFounder()}
+	response := frame.VoteResponse{Term: l.term, Replica: l.self, Granted: granted, Founder: l.isFounder()}
 	return l.sendAfterSync(l.termSeq, effect.SendMessage{To: from, Message: response}, out)
 }
 
@@ -156,8 +156,8 @@
 	return l.countVotes(at, out)
 }
 
-// addVote records a vote. That of an initial voter whose disk is not recorded yet counts
-// for the voter without a disk.
+// addVote records a vote. That of an initial voter with its first disk also counts for the
+// voter without a disk, as which the members may name it.
 func (l *Log) addVote(r entry.Replica, founder bool) {
 	l.votes[r] = true
 	if founder && !l.disksUnknown() {
--- a/core/quorum/members.go
+++ b/core/quorum/members.go
@@ -37,8 +37,15 @@
 // isUnrecordedFounder reports whether this replica is an initial voter with its first disk,
 // and the members name it without a disk.
 func (l *Log) isUnrecordedFounder() bool {
+	return l.isFounder() && slices.Contains(l.members.Voters, entry.Replica{VM: l.self.VM})
+}
+
+// isFounder reports whether this replica is an initial voter with its first disk. The
+// members of another replica's log may name it without a disk although its own name the
+// disk, while neither log is committed.
+func (l *Log) isFounder() bool {
 	_, initial := findReplica(l.initialVoters, l.self.VM)
-	return l.firstStart && initial && slices.Contains(l.members.Voters, entry.Replica{VM: l.self.VM})
+	return l.firstStart && initial
 }
 
 // recordFounder records the disk of an initial voter that had no part in the first
--- a/core/quorum/start_test.go
+++ b/core/quorum/start_test.go
@@ -149,3 +149,35 @@
 		c.waitForLeader()
 	}
 }
+
+// Guards against two logs of the first start, neither of which is committed, that keep each
+// other from a leader: each names as voters without a disk those that the other one records,
+// and one disk of five is lost.
+func TestTwoUncommittedLogsOfTheFirstStart(t *testing.T) {
+	for seed := range uint64(20) {
+		c := newStoppedCluster(t, seed, 5, 5)
+		c.firstStart = true
+		members := func(index, term uint64, known ...int) entry.Entry {
+			var m entry.Members
+			for i, n := range c.nodes {
+				r := entry.Replica{VM: n.vm}
+				if slices.Contains(known, i) {
+					r.Disk = n.firstDisk
+				}
+				m.Voters = append(m.Voters, r)
+			}
+			return entry.Entry{Index: index, Term: term, At: startTime, Command: m}
+		}
+		first := []entry.Entry{members(1, 1, 0, 3, 4), members(2, 1, 0, 1, 3, 4)}
+		second := []entry.Entry{members(1, 2, 0, 2, 4)}
+		for i, n := range c.nodes {
+			n.founding, n.disk.Term, n.disk.Founders = true, 2, c.initialVMs()
+			n.disk.Entries = [][]entry.Entry{first, first, second, first, second}[i]
+		}
+		c.replaceDisk(c.nodes[0])
+		for _, n := range c.nodes {
+			c.start(n)
+		}
+		c.waitForLeader()
+	}
+}
