--- a/core/proxy/odd_document_test.go
+++ b/core/proxy/odd_document_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"net/netip"
 	"slices"
+	"strconv"
 	"strings"
 	"testing"
 	"time"
@@ -54,7 +55,7 @@
 	}
 	for n := range rapid.IntRange(0, 3).Draw(t, "teams") {
 		d.Teams = append(d.Teams, model.Team{
-			Name: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "team"), Keys: []model.KeyHash{model.HashKey(fmt.Sprint(n))},
+			Name: rapid.SampledFrom([]string{"a", "b"}).Draw(t, "team"), Keys: []model.KeyHash{model.HashKey(strconv.Itoa(n))},
 			Limit: model.RateLimit{Rate: float64(rapid.IntRange(0, 2).Draw(t, "rate"))},
 		})
 	}
--- a/core/proxy/route_state_test.go
+++ b/core/proxy/route_state_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"strconv"
 	"testing"
 
 	"comfreypulley/core/model"
@@ -13,7 +14,7 @@
 	document := func(from, to int) *model.Document {
 		d := &model.Document{}
 		for n := from; n < to; n++ {
-			d.Routes = append(d.Routes, model.Route{Name: fmt.Sprint(from), Host: "H.example", PathPrefix: fmt.Sprintf("/%d/", n*n)})
+			d.Routes = append(d.Routes, model.Route{Name: strconv.Itoa(from), Host: "H.example", PathPrefix: fmt.Sprintf("/%d/", n*n)})
 		}
 		return d
 	}
