--- a/core/quorum/doc.go
+++ b/core/quorum/doc.go
@@ -9,7 +9,7 @@
 // serves the reads that Confirmed returns.
 //
 //	var l quorum.Log
-//	out = l.HandleDiskLoaded(at, self, seed, initialVoters, loaded, out)
+//	out = l.HandleDiskLoaded(at, self, seed, initialVoters, firstStart, loaded, out)
 //	index, status, out := l.Propose(at, command, out)
 //	image, entries := l.Committed()
 //	reads := l.Confirmed()
